--- /dev/null
+++ b/rhubarbward-core/src/main/java/io/rhubarbward/admission/Admission.java
@@ -0,0 +1,45 @@
+package io.rhubarbward.admission;
+
+import io.rhubarbward.config.ClientAccount;
+import io.rhubarbward.config.Settings;
+import io.rhubarbward.config.Sha256;
+import io.rhubarbward.quota.QuotaKey;
+import io.rhubarbward.quota.QuotaService;
+import io.rhubarbward.quota.QuotaService.QuotaPermit;
+import io.rhubarbward.quota.QuotaService.QuotaRefusal;
+import io.vavr.control.Either;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.CompletionStage;
+import java.util.function.Function;
+import java.util.stream.Collectors;
+
+/** Says who a caller is and whether its account may start a request now. */
+public final class Admission {
+    private final QuotaService mQuotas;
+    private Map<String, ClientAccount> mAccountsByKey = Map.of();
+
+    /** Asks the quota service for the accounts' rates. */
+    public Admission(QuotaService quotas) {
+        mQuotas = quotas;
+    }
+
+    /** Takes the accounts that the settings declare. */
+    public void configure(Settings settings) {
+        mAccountsByKey =
+                settings.accounts().values().stream()
+                        .collect(
+                                Collectors.toUnmodifiableMap(
+                                        ClientAccount::keySha256, Function.identity()));
+    }
+
+    /** Returns the account to which the bearer key belongs. */
+    public Optional<ClientAccount> account(String bearerKey) {
+        return Optional.ofNullable(mAccountsByKey.get(Sha256.of(bearerKey)));
+    }
+
+    /** Asks for one request of the account's rate. */
+    public CompletionStage<Either<QuotaRefusal, QuotaPermit>> admit(ClientAccount account) {
+        return mQuotas.acquire(new QuotaKey.AccountRate(account.name()));
+    }
+}
--- /dev/null
+++ b/rhubarbward-core/src/main/java/io/rhubarbward/config/Configuration.java
@@ -0,0 +1,15 @@
+package io.rhubarbward.config;
+
+/**
+ * A configuration that was accepted: the settings of one site at one generation.
+ *
+ * @param generation grows with every accepted change
+ * @param settings the checked settings
+ */
+public record Configuration(long generation, Settings settings) {
+    public Configuration {
+        if (generation <= 0) {
+            throw new IllegalArgumentException("generation " + generation + ": expected above 0");
+        }
+    }
+}
--- /dev/null
+++ b/rhubarbward-core/src/main/java/io/rhubarbward/config/DataCentre.java
@@ -0,0 +1,24 @@
+package io.rhubarbward.config;
+
+import com.fasterxml.jackson.annotation.JsonProperty;
+
+/**
+ * A data centre and whether operators let it take new work.
+ *
+ * @param name its name
+ * @param state in or out
+ */
+public record DataCentre(String name, State state) {
+    /** Returns whether new work may go there. */
+    public boolean takesWork() {
+        return state == State.IN;
+    }
+
+    /** Whether operators let a data centre take new work. */
+    public enum State {
+        @JsonProperty("in")
+        IN,
+        @JsonProperty("out")
+        OUT
+    }
+}
--- /dev/null
+++ b/rhubarbward-core/src/main/java/io/rhubarbward/config/ListenerSettings.java
@@ -0,0 +1,16 @@
+package io.rhubarbward.config;
+
+/**
+ * Limits on what callers send.
+ *
+ * @param maxHeadBytes the largest request line and header together, in bytes
+ * @param maxBodyBytes the largest body, in bytes
+ * @param requestReadMillis how long a caller may take to send its request
+ */
+public record ListenerSettings(int maxHeadBytes, int maxBodyBytes, int requestReadMillis) {
+    public ListenerSettings {
+        SettingCheck.range("maxHeadBytes", maxHeadBytes, 1024, 1 << 20);
+        SettingCheck.range("maxBodyBytes", maxBodyBytes, 1024, 1 << 28);
+        SettingCheck.range("requestReadMillis", requestReadMillis, 100, 600_000);
+    }
+}
--- /dev/null
+++ b/rhubarbward-core/src/main/java/io/rhubarbward/config/RoutingSettings.java
@@ -0,0 +1,12 @@
+package io.rhubarbward.config;
+
+/**
+ * How requests are spread over a service's backend servers.
+ *
+ * @param boundedLoadMultiple no engine is given more than this multiple of the mean load
+ */
+public record RoutingSettings(double boundedLoadMultiple) {
+    public RoutingSettings {
+        SettingCheck.range("boundedLoadMultiple", boundedLoadMultiple, 1.01, 100.0);
+    }
+}
--- /dev/null
+++ b/rhubarbward-core/src/main/java/io/rhubarbward/event/EventLog.java
@@ -0,0 +1,27 @@
+package io.rhubarbward.event;
+
+/**
+ * Where numbered events go.
+ *
+ * <pre>{@code
+ * events.log(LogEvent.CONFIG_IN_FORCE, EventField.of("generation", 12));
+ * }</pre>
+ */
+public interface EventLog {
+    /** Logs the event with its fields. */
+    void log(LogEvent event, EventField... fields);
+
+    /** Logs the event with the exception that caused it. */
+    void log(LogEvent event, Throwable cause, EventField... fields);
+
+    /** Returns a log that drops everything. */
+    static EventLog none() {
+        return new EventLog() {
+            @Override
+            public void log(LogEvent event, EventField... fields) {}
+
+            @Override
+            public void log(LogEvent event, Throwable cause, EventField... fields) {}
+        };
+    }
+}
--- /dev/null
+++ b/rhubarbward-core/src/main/java/io/rhubarbward/event/LogEvent.java
@@ -0,0 +1,80 @@
+package io.rhubarbward.event;
+
+import static java.lang.System.Logger.Level.DEBUG;
+import static java.lang.System.Logger.Level.ERROR;
+import static java.lang.System.Logger.Level.INFO;
+import static java.lang.System.Logger.Level.WARNING;
+
+import java.lang.System.Logger.Level;
+import java.util.Locale;
+
+/**
+ * Every event that the system logs, each with a number that never changes.
+ *
+ * <p>{@code docs/EVENTS.md} says for each what it means and what to do. Numbers are given by duty:
+ * a hundred each.
+ */
+public enum LogEvent {
+    // 1000: the process.
+    ROUTER_STARTED(1001, INFO),
+    ROUTER_READY(1002, INFO),
+    ROUTER_DRAINING(1003, INFO),
+    ROUTER_STOPPED(1004, INFO),
+    ACTION_FAILED(1005, ERROR),
+    ACTION_AFTER_CLOSE(1006, DEBUG),
+    DRAIN_CUT_REQUESTS(1007, ERROR),
+
+    // 1100: configuration.
+    CONFIG_IN_FORCE(1101, INFO),
+    CONFIG_REFUSED(1102, WARNING),
+    CONFIG_OLDER_IGNORED(1103, INFO),
+
+    // 1200: the platform.
+    PLATFORM_UNAVAILABLE(1201, WARNING),
+    PLATFORM_AVAILABLE(1202, INFO),
+
+    // 1300: membership and peers.
+    PEER_MESSAGE_UNREADABLE(1301, WARNING),
+    PEER_UNREACHABLE(1302, DEBUG),
+
+    // 1400: quota leases.
+
+    // 1500: backend servers.
+    BACKEND_STATE_CHANGED(1501, INFO),
+
+    // 1600: routing.
+
+    // 1700: admission.
+
+    // 1800: requests.
+    REQUEST_REFUSED(1801, DEBUG),
+    ANSWER_CUT(1802, WARNING),
+
+    // 1900: moves.
+
+    // 2000: the edges.
+    CONNECTION_FAILED(2001, DEBUG);
+
+    private final int mNumber;
+    private final Level mLevel;
+
+    LogEvent(int number, Level level) {
+        mNumber = number;
+        mLevel = level;
+    }
+
+    /** Returns the number under which the catalogue lists the event. */
+    public int number() {
+        return mNumber;
+    }
+
+    /** Returns the level at which the event is logged. */
+    public Level level() {
+        return mLevel;
+    }
+
+    /** Returns the name as written in logs, such as {@code config-in-force}. */
+    public String label() {
+        return name().toLowerCase(Locale.ROOT).replace('_', '-');
+    }
+}
--- /dev/null
+++ b/rhubarbward-core/src/main/java/io/rhubarbward/membership/PeerTransport.java
@@ -0,0 +1,16 @@
+package io.rhubarbward.membership;
+
+import java.util.function.BiConsumer;
+
+/**
+ * Carries messages to peers: unordered across peers, lossy, without acknowledgement.
+ *
+ * <p>Handlers run on the timer service's thread.
+ */
+public interface PeerTransport {
+    /** Sends the message, or drops it when the peer cannot be reached. */
+    void send(Peer to, PeerMessage message);
+
+    /** Calls the handler with each message of the type and the VM name of its sender. */
+    <M extends PeerMessage> void subscribe(Class<M> type, BiConsumer<String, M> handler);
+}
--- /dev/null
+++ b/rhubarbward-core/src/main/java/io/rhubarbward/node/RouterIdentity.java
@@ -0,0 +1,11 @@
+package io.rhubarbward.node;
+
+/**
+ * Which router this is.
+ *
+ * @param vm the name of its VM
+ * @param site the site whose settings it follows
+ * @param dataCentre where it runs
+ * @param incarnation differs at each start of the process
+ */
+public record RouterIdentity(String vm, String site, String dataCentre, long incarnation) {}
--- /dev/null
+++ b/rhubarbward-core/src/main/java/io/rhubarbward/node/RouterNode.java
@@ -0,0 +1,188 @@
+package io.rhubarbward.node;
+
+import io.rhubarbward.admission.Admission;
+import io.rhubarbward.config.ClientAccount;
+import io.rhubarbward.config.ConfigFollower;
+import io.rhubarbward.config.Configuration;
+import io.rhubarbward.config.ConfigurationInForce;
+import io.rhubarbward.config.Settings;
+import io.rhubarbward.engine.BackendRegistry;
+import io.rhubarbward.engine.LoadPoller;
+import io.rhubarbward.event.EventField;
+import io.rhubarbward.event.LogEvent;
+import io.rhubarbward.membership.Heartbeat;
+import io.rhubarbward.membership.Membership;
+import io.rhubarbward.quota.LocalQuotaService;
+import io.rhubarbward.quota.QuotaCapacity;
+import io.rhubarbward.quota.QuotaKey;
+import io.rhubarbward.request.CallerListener;
+import io.rhubarbward.request.CallerRequest;
+import io.rhubarbward.request.CallerResponse;
+import io.rhubarbward.request.ExchangeContext;
+import io.rhubarbward.request.RequestMetrics;
+import io.rhubarbward.request.RequestService;
+import io.rhubarbward.routing.BoundedAffinity;
+import io.rhubarbward.state.StateSource;
+import java.time.Duration;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeMap;
+
+/**
+ * One router: all slices put together, without sockets or clocks of its own.
+ *
+ * <pre>{@code
+ * RouterNode node = new RouterNode(identity, ports);
+ * node.start();
+ * node.serve(request, response);
+ * }</pre>
+ *
+ * <p>All calls are made on the timer service's thread.
+ */
+public final class RouterNode {
+    private static final Duration VM_LIST_PERIOD = Duration.ofSeconds(2);
+    private static final Duration HEARTBEAT_PERIOD = Duration.ofSeconds(1);
+    private static final Duration DRAIN_CHECK_PERIOD = Duration.ofMillis(50);
+
+    private final RouterIdentity mIdentity;
+    private final RouterPorts mPorts;
+    private final ConfigurationInForce mConfiguration;
+    private final ConfigFollower mFollower;
+    private final Membership mMembership;
+    private final BackendRegistry mRegistry;
+    private final LoadPoller mPoller;
+    private final LocalQuotaService mQuotas;
+    private final Admission mAdmission;
+    private final RequestService mRequests;
+    private boolean mDraining;
+
+    /** Puts the slices together; nothing runs until {@link #start}. */
+    public RouterNode(RouterIdentity identity, RouterPorts ports) {
+        mIdentity = identity;
+        mPorts = ports;
+        mConfiguration = new ConfigurationInForce(ports.events());
+        mFollower =
+                new ConfigFollower(
+                        identity.site(),
+                        ports.store(),
+                        mConfiguration,
+                        ports.timers(),
+                        ports.events());
+        mMembership =
+                new Membership(
+                        identity.vm(),
+                        ports.vmList(),
+                        ports.peers(),
+                        () -> new Heartbeat(identity.incarnation(), mConfiguration.generation()),
+                        ports.timers(),
+                        ports.events());
+        mRegistry = new BackendRegistry(ports.events());
+        mPoller =
+                new LoadPoller(
+                        mConfiguration::settings, mRegistry, ports.engines(), ports.timers());
+        mQuotas = new LocalQuotaService(this::capacity, ports.timers());
+        mAdmission = new Admission(mQuotas);
+        mRequests = new RequestService(mConfiguration, context());
+    }
+
+    private ExchangeContext context() {
+        return new ExchangeContext(
+                mIdentity.dataCentre(),
+                mPorts.timers(),
+                mPorts.events(),
+                mAdmission,
+                new BoundedAffinity(),
+                mRegistry,
+                mQuotas,
+                mPorts.backends(),
+                new RequestMetrics(mPorts.metrics()));
+    }
+
+    /** Starts to follow the platform and the engines. */
+    public void start() {
+        mPorts.events().log(LogEvent.ROUTER_STARTED, EventField.of("vm", mIdentity.vm()));
+        mConfiguration.subscribe(this::onConfiguration);
+        mMembership.subscribe(mRegistry::observe);
+        mFollower.start();
+        mMembership.start(VM_LIST_PERIOD, HEARTBEAT_PERIOD);
+        mPoller.start();
+    }
+
+    private void onConfiguration(Configuration configuration) {
+        mRegistry.configure(configuration.settings());
+        mAdmission.configure(configuration.settings());
+    }
+
+    /** Serves a caller's request. */
+    public CallerListener serve(CallerRequest request, CallerResponse response) {
+        return mRequests.serve(request, response);
+    }
+
+    /** Returns whether the balancer may send requests here. */
+    public boolean ready() {
+        return !mDraining && mConfiguration.current().isPresent();
+    }
+
+    /** Returns the configuration in force. */
+    public Optional<Configuration> configuration() {
+        return mConfiguration.current();
+    }
+
+    /**
+     * Stops in an orderly way: not ready at once, new requests refused after the balancer's notice
+     * time, then the end of the last open answer.
+     *
+     * @param onDrained called once with the number of requests that were still open at the limit
+     */
+    public void drain(java.util.function.IntConsumer onDrained) {
+        mDraining = true;
+        mPorts.events().log(LogEvent.ROUTER_DRAINING, EventField.of("open", mRequests.open()));
+        int notice = mConfiguration.settings().map(s -> s.drain().noticeMillis()).orElse(0);
+        int finish = mConfiguration.settings().map(s -> s.drain().finishMillis()).orElse(0);
+        mPorts.timers()
+                .after(
+                        Duration.ofMillis(notice),
+                        () -> {
+                            mRequests.drain();
+                            long limit = mPorts.timers().nowMillis() + finish;
+                            awaitEnd(limit, onDrained);
+                        });
+    }
+
+    private void awaitEnd(long limitMillis, java.util.function.IntConsumer onDrained) {
+        if (mRequests.open() == 0 || mPorts.timers().nowMillis() >= limitMillis) {
+            mFollower.stop();
+            onDrained.accept(mRequests.open());
+        } else {
+            mPorts.timers().after(DRAIN_CHECK_PERIOD, () -> awaitEnd(limitMillis, onDrained));
+        }
+    }
+
+    /** Returns a dump of every slice's state. */
+    public Map<String, Object> state() {
+        Map<String, Object> dump = new TreeMap<>();
+        dump.put("identity", mIdentity);
+        List<StateSource> sources =
+                List.of(mConfiguration, mMembership, mRegistry, mQuotas, mRequests);
+        sources.forEach(source -> dump.put(source.name(), source.state()));
+        return dump;
+    }
+
+    private QuotaCapacity capacity(QuotaKey key) {
+        Optional<Settings> settings = mConfiguration.settings();
+        if (key instanceof QuotaKey.AccountRate rate) {
+            return settings.map(s -> s.accounts().get(rate.account()))
+                    .map(RouterNode::rate)
+                    .orElse(QuotaCapacity.concurrency(0));
+        }
+        if (key instanceof QuotaKey.BackendConcurrency backend) {
+            return QuotaCapacity.concurrency(mRegistry.capacity(backend.backendServer()));
+        }
+        return QuotaCapacity.concurrency(Integer.MAX_VALUE);
+    }
+
+    private static QuotaCapacity rate(ClientAccount account) {
+        return QuotaCapacity.rate(account.requestsPerSecond(), account.burst());
+    }
+}
--- /dev/null
+++ b/rhubarbward-core/src/main/java/io/rhubarbward/request/BackendCall.java
@@ -0,0 +1,13 @@
+package io.rhubarbward.request;
+
+/** A request that was sent to a backend server. */
+public interface BackendCall {
+    /** Stops reading the answer for now. */
+    void pause();
+
+    /** Reads the answer again. */
+    void resume();
+
+    /** Gives the call up and closes its connection. */
+    void cancel();
+}
--- /dev/null
+++ b/rhubarbward-core/src/main/java/io/rhubarbward/request/BackendClient.java
@@ -0,0 +1,12 @@
+package io.rhubarbward.request;
+
+/** Sends requests to backend servers. */
+public interface BackendClient {
+    /**
+     * Sends the request once, never again by itself.
+     *
+     * @param request what to send and where
+     * @param listener told of the answer, on the timer service's thread
+     */
+    BackendCall send(BackendRequest request, BackendListener listener);
+}
--- /dev/null
+++ b/rhubarbward-core/src/main/java/io/rhubarbward/request/HopByHop.java
@@ -0,0 +1,38 @@
+package io.rhubarbward.request;
+
+import java.util.Arrays;
+import java.util.Locale;
+import java.util.Set;
+import java.util.stream.Collectors;
+
+/** The header fields that belong to one connection and are not passed on (RFC 9110, 7.6.1). */
+final class HopByHop {
+    private static final Set<String> NAMES =
+            Set.of(
+                    "connection",
+                    "keep-alive",
+                    "proxy-authenticate",
+                    "proxy-authorization",
+                    "proxy-connection",
+                    "te",
+                    "trailer",
+                    "transfer-encoding",
+                    "upgrade",
+                    "expect");
+
+    private HopByHop() {}
+
+    static HeaderFields strip(HeaderFields headers) {
+        Set<String> named =
+                headers.fields().stream()
+                        .filter(field -> field.name().equalsIgnoreCase("connection"))
+                        .flatMap(field -> Arrays.stream(field.value().split(",")))
+                        .map(name -> name.strip().toLowerCase(Locale.ROOT))
+                        .collect(Collectors.toSet());
+        return headers.without(
+                field -> {
+                    String name = field.name().toLowerCase(Locale.ROOT);
+                    return NAMES.contains(name) || named.contains(name);
+                });
+    }
+}
--- /dev/null
+++ b/rhubarbward-core/src/main/java/io/rhubarbward/request/Refusal.java
@@ -0,0 +1,57 @@
+package io.rhubarbward.request;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+
+/**
+ * A typed refusal, rendered as a problem document (RFC 9457).
+ *
+ * @param code why
+ * @param detail what was seen and what was expected, for people
+ * @param retryAfterMillis when to try again; 0 when trying again does not help
+ */
+public record Refusal(RefusalCode code, String detail, long retryAfterMillis) {
+    private static final ObjectMapper MAPPER = new ObjectMapper();
+    private static final long MILLIS_PER_SECOND = 1000;
+
+    /** Returns a refusal for which trying again does not help. */
+    public static Refusal of(RefusalCode code, String detail) {
+        return new Refusal(code, detail, 0);
+    }
+
+    /** Returns the problem document's text. */
+    public String json() {
+        ObjectNode problem =
+                MAPPER.createObjectNode()
+                        .put("type", "urn:rhubarbward:refusal:" + code.label())
+                        .put("title", code.title())
+                        .put("status", code.status())
+                        .put("detail", detail)
+                        .put("code", code.label())
+                        .put("run", code.runState().label());
+        try {
+            return MAPPER.writeValueAsString(problem);
+        } catch (JsonProcessingException e) {
+            throw new IllegalStateException("a problem document is plain data", e);
+        }
+    }
+
+    /** Sends the refusal as a whole answer. */
+    public void sendTo(CallerResponse response) {
+        ByteBuffer body = StandardCharsets.UTF_8.encode(json());
+        HeaderFields headers =
+                HeaderFields.of("content-type", "application/problem+json")
+                        .with("content-length", Integer.toString(body.remaining()));
+        response.begin(code.status(), retryAfterMillis > 0 ? withRetryAfter(headers) : headers);
+        response.write(body);
+        response.finish();
+    }
+
+    private HeaderFields withRetryAfter(HeaderFields headers) {
+        long seconds = (retryAfterMillis + MILLIS_PER_SECOND - 1) / MILLIS_PER_SECOND;
+        return headers.with("retry-after", Long.toString(seconds));
+    }
+}
--- /dev/null
+++ b/rhubarbward-core/src/main/java/io/rhubarbward/request/RefusalCode.java
@@ -0,0 +1,59 @@
+package io.rhubarbward.request;
+
+import java.util.Locale;
+
+/**
+ * Every reason for which a caller is refused.
+ *
+ * <p>A code whose {@link #runState} is {@link RunState#NOT_RUN} is only given when no byte of the
+ * request was handed to a backend connection, or when the backend server's own answer proves it.
+ */
+public enum RefusalCode {
+    MALFORMED_REQUEST(400, RunState.NOT_RUN, "The request cannot be read"),
+    UNAUTHENTICATED(401, RunState.NOT_RUN, "The bearer key belongs to no client account"),
+    UNKNOWN_PATH(404, RunState.NOT_RUN, "No service has this path"),
+    UNKNOWN_MODEL(404, RunState.NOT_RUN, "No service serves this model"),
+    METHOD_NOT_ALLOWED(405, RunState.NOT_RUN, "The service does not take this method"),
+    REQUEST_TIMEOUT(408, RunState.NOT_RUN, "The request did not arrive in time"),
+    BODY_TOO_LARGE(413, RunState.NOT_RUN, "The body is larger than allowed"),
+    HEAD_TOO_LARGE(431, RunState.NOT_RUN, "The header is larger than allowed"),
+    ACCOUNT_OVER_LIMIT(429, RunState.NOT_RUN, "The client account is over its rate"),
+    NOT_READY(503, RunState.NOT_RUN, "The router has no configuration yet"),
+    DRAINING(503, RunState.NOT_RUN, "The router is stopping"),
+    OVERLOADED(503, RunState.NOT_RUN, "Every backend server carries what it can bear"),
+    NO_BACKEND(503, RunState.NOT_RUN, "No backend server takes new work"),
+    BACKEND_UNREACHABLE(502, RunState.NOT_RUN, "No connection to a backend server came about"),
+    BACKEND_LOST(502, RunState.UNKNOWN, "The backend server's connection ended too soon"),
+    BACKEND_SILENT(504, RunState.UNKNOWN, "The backend server fell silent"),
+    DEADLINE_EXCEEDED(504, RunState.UNKNOWN, "The request took longer than allowed");
+
+    private final int mStatus;
+    private final RunState mRunState;
+    private final String mTitle;
+
+    RefusalCode(int status, RunState runState, String title) {
+        mStatus = status;
+        mRunState = runState;
+        mTitle = title;
+    }
+
+    /** Returns the HTTP status that goes with the code. */
+    public int status() {
+        return mStatus;
+    }
+
+    /** Returns whether the request may have run. */
+    public RunState runState() {
+        return mRunState;
+    }
+
+    /** Returns one line for people. */
+    public String title() {
+        return mTitle;
+    }
+
+    /** Returns the code as written in answers, such as {@code account-over-limit}. */
+    public String label() {
+        return name().toLowerCase(Locale.ROOT).replace('_', '-');
+    }
+}
--- /dev/null
+++ b/rhubarbward-core/src/main/java/io/rhubarbward/routing/RendezvousHash.java
@@ -0,0 +1,50 @@
+package io.rhubarbward.routing;
+
+import java.util.Comparator;
+import java.util.List;
+import java.util.function.Function;
+
+/**
+ * Orders nodes for a key so that each key keeps its order when other nodes come and go.
+ *
+ * <p>Highest random weight: a node's weight for a key is a 64-bit hash of both.
+ */
+public final class RendezvousHash {
+    private static final long FNV_OFFSET = 0xcbf29ce484222325L;
+    private static final long FNV_PRIME = 0x100000001b3L;
+
+    private RendezvousHash() {}
+
+    /** Returns the nodes by falling weight for the key. */
+    public static <T> List<T> order(String key, List<T> nodes, Function<T, String> name) {
+        long keyHash = hash(key);
+        return nodes.stream()
+                .map(node -> new Weighted<>(node, weight(keyHash, name.apply(node))))
+                .sorted(Comparator.comparingLong(Weighted<T>::weight).reversed())
+                .map(Weighted::node)
+                .toList();
+    }
+
+    /** Returns a well-mixed 64-bit hash of the text. */
+    public static long hash(String text) {
+        long hash = FNV_OFFSET;
+        for (int i = 0; i < text.length(); i++) {
+            hash = (hash ^ text.charAt(i)) * FNV_PRIME;
+        }
+        return mix(hash);
+    }
+
+    private static long weight(long keyHash, String node) {
+        return mix(keyHash ^ hash(node));
+    }
+
+    /** The finalizer of SplitMix64. */
+    private static long mix(long value) {
+        long mixed = (value ^ (value >>> 30)) * 0xbf58476d1ce4e5b9L;
+        mixed = (mixed ^ (mixed >>> 27)) * 0x94d049bb133111ebL;
+        return mixed ^ (mixed >>> 31);
+    }
+
+    /** A node and its weight for the key. */
+    private record Weighted<T>(T node, long weight) {}
+}
--- /dev/null
+++ b/rhubarbward-core/src/main/java/io/rhubarbward/routing/RoutingPolicy.java
@@ -0,0 +1,19 @@
+package io.rhubarbward.routing;
+
+import io.rhubarbward.config.BackendServer;
+import io.rhubarbward.config.Settings;
+import io.rhubarbward.engine.BackendStatus;
+import java.util.List;
+
+/** Chooses the backend servers that a request may go to. */
+public interface RoutingPolicy {
+    /**
+     * Returns the backend servers in order of preference; empty when none takes new work.
+     *
+     * @param query what the request needs
+     * @param settings the settings in force
+     * @param servers the service's servers as this router knows them
+     */
+    List<BackendServer> candidates(
+            RouteQuery query, Settings settings, List<BackendStatus> servers);
+}
--- /dev/null
+++ b/rhubarbward-core/src/test/java/io/rhubarbward/request/ExchangeTest.java
@@ -0,0 +1,119 @@
+package io.rhubarbward.request;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import io.rhubarbward.testing.FakeBackends.Sent;
+import io.rhubarbward.testing.RecordingResponse;
+import io.rhubarbward.testing.Site;
+import java.time.Duration;
+import org.junit.jupiter.api.Test;
+
+final class ExchangeTest {
+    private static final int OK = 200;
+    private static final String EVENTS = "text/event-stream";
+
+    private final Site mSite = Site.start(1);
+    private final RecordingResponse mResponse = new RecordingResponse();
+
+    @Test
+    void anAnswerThatComesAfterItsCallWasGivenUpReachesNobody() {
+        CallerListener caller = serve(Site.chat("late"));
+        Sent call = mSite.backends().last();
+        caller.onGone();
+        assertThat(call.cancelled()).isTrue();
+        call.head(OK, "application/json").part("late").complete();
+        assertThat(mResponse.status()).isEqualTo(0);
+        assertThat(mResponse.body()).isEmpty();
+    }
+
+    @Test
+    void aStreamWithoutItsClosingEventIsNotPassedOffAsWhole() {
+        serve(Site.chat("cut"));
+        mSite.backends().last().head(OK, EVENTS).part("data: {}\n\n").complete();
+        assertThat(mResponse.body()).contains("event: error\ndata: {");
+        assertThat(mResponse.body()).contains("\"run\":\"unknown\"");
+    }
+
+    @Test
+    void aStreamWithItsClosingEventInPiecesIsWhole() {
+        serve(Site.chat("whole"));
+        mSite.backends().last().head(OK, EVENTS).part("data: [D").part("ONE]\n\n").complete();
+        assertThat(mResponse.body()).isEqualTo("data: [DONE]\n\n");
+        assertThat(mResponse.finished()).isTrue();
+    }
+
+    @Test
+    void aCutAnswerThatIsNoStreamEndsTheConnection() {
+        serve(Site.request("POST", "/orders/1", "tray"));
+        mSite.backends()
+                .last()
+                .head(OK, "text/plain")
+                .part("ha")
+                .fail(BackendFailure.CONNECTION_LOST);
+        assertThat(mResponse.aborted()).isTrue();
+    }
+
+    @Test
+    void aRepeatableRequestIsTriedAtAnotherServer() {
+        serve(Site.chat("retry"));
+        Sent first = mSite.backends().last();
+        first.fail(BackendFailure.CONNECTION_LOST);
+        mSite.advance(Duration.ZERO);
+        Sent second = mSite.backends().last();
+        assertThat(second.server()).isNotEqualTo(first.server());
+        second.head(OK, "application/json").part("{}").complete();
+        assertThat(mResponse.finished()).isTrue();
+    }
+
+    @Test
+    void aRequestThatMayHaveRunIsNeverSentAgain() {
+        serve(Site.request("POST", "/orders/1", "tray"));
+        mSite.backends().last().fail(BackendFailure.CONNECTION_LOST);
+        mSite.advance(Duration.ofMinutes(10));
+        assertThat(mSite.backends().sent()).hasSize(1);
+        assertThat(mResponse.status()).isEqualTo(502);
+        assertThat(mResponse.body()).contains("\"run\":\"unknown\"");
+    }
+
+    @Test
+    void aRequestThatProvablyDidNotRunIsTriedAgain() {
+        serve(Site.request("POST", "/orders/1", "tray"));
+        mSite.backends().last().fail(BackendFailure.NOT_CONNECTED);
+        mSite.advance(Duration.ZERO);
+        assertThat(mSite.backends().sent()).hasSize(2);
+        mSite.backends().last().fail(BackendFailure.NOT_CONNECTED);
+        assertThat(mResponse.body()).contains("\"run\":\"not-run\"");
+    }
+
+    @Test
+    void aSilentServerCostsOneFirstByteLimit() {
+        serve(Site.request("POST", "/orders/1", "tray"));
+        mSite.advance(Duration.ofMillis(19_999));
+        assertThat(mResponse.over()).isFalse();
+        mSite.advance(Duration.ofMillis(1));
+        assertThat(mResponse.status()).isEqualTo(504);
+        assertThat(mSite.backends().last().cancelled()).isTrue();
+    }
+
+    @Test
+    void aSlowCallerStopsTheServerFromBeingRead() {
+        CallerListener caller = serve(Site.chat("slow"));
+        Sent call = mSite.backends().last().head(OK, EVENTS);
+        caller.onWritable(false);
+        assertThat(call.paused()).isTrue();
+        caller.onWritable(true);
+        assertThat(call.paused()).isFalse();
+    }
+
+    @Test
+    void aCallersKeyIsNotPassedOn() {
+        serve(Site.chat("secret"));
+        assertThat(mSite.backends().last().request().headers().first("authorization")).isEmpty();
+    }
+
+    private CallerListener serve(CallerRequest request) {
+        CallerListener listener = mSite.router(0).serve(request, mResponse);
+        mSite.advance(Duration.ZERO);
+        return listener;
+    }
+}
--- /dev/null
+++ b/rhubarbward-core/src/test/java/io/rhubarbward/testing/FakeBackends.java
@@ -0,0 +1,95 @@
+package io.rhubarbward.testing;
+
+import io.rhubarbward.request.BackendCall;
+import io.rhubarbward.request.BackendClient;
+import io.rhubarbward.request.BackendFailure;
+import io.rhubarbward.request.BackendListener;
+import io.rhubarbward.request.BackendRequest;
+import io.rhubarbward.request.HeaderFields;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+
+/** Backend servers whose every answer the test gives by hand. */
+public final class FakeBackends implements BackendClient {
+    private final List<Sent> mSent = new ArrayList<>();
+
+    @Override
+    public BackendCall send(BackendRequest request, BackendListener listener) {
+        Sent sent = new Sent(request, listener);
+        mSent.add(sent);
+        return sent;
+    }
+
+    /** Returns everything that was sent, in order. */
+    public List<Sent> sent() {
+        return mSent;
+    }
+
+    /** Returns what was sent last. */
+    public Sent last() {
+        return mSent.get(mSent.size() - 1);
+    }
+
+    /** A request that was sent, and the way to answer it. */
+    public static final class Sent implements BackendCall {
+        private final BackendRequest mRequest;
+        private final BackendListener mListener;
+        private boolean mCancelled;
+        private boolean mPaused;
+
+        Sent(BackendRequest request, BackendListener listener) {
+            mRequest = request;
+            mListener = listener;
+        }
+
+        public BackendRequest request() {
+            return mRequest;
+        }
+
+        public String server() {
+            return mRequest.server().name();
+        }
+
+        public Sent head(int status, String contentType) {
+            mListener.onHead(status, HeaderFields.of("content-type", contentType));
+            return this;
+        }
+
+        public Sent part(String text) {
+            mListener.onPart(StandardCharsets.UTF_8.encode(text));
+            return this;
+        }
+
+        public void complete() {
+            mListener.onComplete();
+        }
+
+        public void fail(BackendFailure failure) {
+            mListener.onFailure(failure);
+        }
+
+        public boolean cancelled() {
+            return mCancelled;
+        }
+
+        public boolean paused() {
+            return mPaused;
+        }
+
+        @Override
+        public void pause() {
+            mPaused = true;
+        }
+
+        @Override
+        public void resume() {
+            mPaused = false;
+        }
+
+        @Override
+        public void cancel() {
+            mCancelled = true;
+        }
+    }
+}
--- /dev/null
+++ b/rhubarbward-core/src/test/java/io/rhubarbward/testing/FakeEngines.java
@@ -0,0 +1,35 @@
+package io.rhubarbward.testing;
+
+import io.rhubarbward.config.BackendServer;
+import io.rhubarbward.engine.EngineClient;
+import io.rhubarbward.engine.LoadReport;
+import io.rhubarbward.platform.EitherStage;
+import io.vavr.control.Either;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.concurrent.CompletionStage;
+
+/** Engines' reports, as the test states them; an engine without one does not answer. */
+public final class FakeEngines implements EngineClient {
+    private final Map<String, LoadReport> mReports = new HashMap<>();
+
+    /** Reports an idle engine of the incarnation. */
+    public void idle(String engine, String incarnation) {
+        mReports.put(engine, new LoadReport(incarnation, 0, 0, 0, 0));
+    }
+
+    public void report(String engine, LoadReport report) {
+        mReports.put(engine, report);
+    }
+
+    public void silence(String engine) {
+        mReports.remove(engine);
+    }
+
+    @Override
+    public CompletionStage<Either<EngineFailure, LoadReport>> load(BackendServer server) {
+        LoadReport report = mReports.get(server.name());
+        return EitherStage.completed(
+                report == null ? Either.left(EngineFailure.TIMEOUT) : Either.right(report));
+    }
+}
--- /dev/null
+++ b/rhubarbward-core/src/test/java/io/rhubarbward/testing/RecordingResponse.java
@@ -0,0 +1,67 @@
+package io.rhubarbward.testing;
+
+import io.rhubarbward.request.CallerResponse;
+import io.rhubarbward.request.HeaderFields;
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+
+/** A caller's side of an answer that remembers what it was sent. */
+public final class RecordingResponse implements CallerResponse {
+    private final StringBuilder mBody = new StringBuilder();
+    private int mStatus;
+    private HeaderFields mHeaders = HeaderFields.NONE;
+    private boolean mFinished;
+    private boolean mAborted;
+
+    @Override
+    public void begin(int status, HeaderFields headers) {
+        if (mStatus != 0) {
+            throw new IllegalStateException("a second head: " + status + " after " + mStatus);
+        }
+        mStatus = status;
+        mHeaders = headers;
+    }
+
+    @Override
+    public void write(ByteBuffer part) {
+        if (mFinished || mAborted) {
+            throw new IllegalStateException("a part after the end");
+        }
+        mBody.append(StandardCharsets.UTF_8.decode(part.duplicate()));
+    }
+
+    @Override
+    public void finish() {
+        mFinished = true;
+    }
+
+    @Override
+    public void abort() {
+        mAborted = true;
+    }
+
+    public int status() {
+        return mStatus;
+    }
+
+    public HeaderFields headers() {
+        return mHeaders;
+    }
+
+    public String body() {
+        return mBody.toString();
+    }
+
+    public boolean finished() {
+        return mFinished;
+    }
+
+    public boolean aborted() {
+        return mAborted;
+    }
+
+    /** Returns whether nothing more can come. */
+    public boolean over() {
+        return mFinished || mAborted;
+    }
+}
--- /dev/null
+++ b/rhubarbward-core/src/test/java/io/rhubarbward/testing/Site.java
@@ -0,0 +1,152 @@
+package io.rhubarbward.testing;
+
+import io.prometheus.metrics.model.registry.PrometheusRegistry;
+import io.rhubarbward.config.ConfigStore;
+import io.rhubarbward.config.SettingsText;
+import io.rhubarbward.config.Sha256;
+import io.rhubarbward.event.EventLog;
+import io.rhubarbward.node.RouterIdentity;
+import io.rhubarbward.node.RouterNode;
+import io.rhubarbward.node.RouterPorts;
+import io.rhubarbward.platform.EitherStage;
+import io.rhubarbward.platform.Vm;
+import io.rhubarbward.platform.memory.MemoryObjectStore;
+import io.rhubarbward.request.CallerRequest;
+import io.rhubarbward.request.HeaderFields;
+import io.rhubarbward.timer.VirtualTimerService;
+import io.vavr.control.Either;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.SplittableRandom;
+
+/** Routers over one platform on virtual time, with fakes for everything outside. */
+public final class Site {
+    public static final String KEY = "key";
+    public static final String SETTINGS =
+            """
+            {
+              "dataCentres": {"dc-a": {"state": "in"}, "dc-b": {"state": "in"}},
+              "accounts": {"acme": {"keySha256": "%s", "requestsPerSecond": 1000, "burst": 1000}},
+              "services": {
+                "assistant": {
+                  "kind": "engine", "model": "m", "pathPrefix": "/v1/chat/completions",
+                  "repeatable": true
+                },
+                "orders": {"kind": "plain", "pathPrefix": "/orders/"}
+              },
+              "backendServers": {
+                "engine-1": {"service": "assistant", "dataCentre": "dc-a", "address": "e1:1"},
+                "engine-2": {"service": "assistant", "dataCentre": "dc-a", "address": "e2:1"},
+                "engine-3": {"service": "assistant", "dataCentre": "dc-b", "address": "e3:1"},
+                "orders-1": {"service": "orders", "dataCentre": "dc-a", "address": "o1:1"},
+                "orders-2": {"service": "orders", "dataCentre": "dc-b", "address": "o2:1"}
+              }
+            }
+            """
+                    .formatted(Sha256.of(KEY));
+
+    private final VirtualTimerService mTimers = new VirtualTimerService();
+    private final MemoryObjectStore mStore = new MemoryObjectStore(mTimers);
+    private final FakePeers mPeers = new FakePeers(mTimers);
+    private final FakeBackends mBackends = new FakeBackends();
+    private final FakeEngines mEngines = new FakeEngines();
+    private final List<Vm> mVms = new ArrayList<>();
+    private final List<RouterNode> mRouters = new ArrayList<>();
+
+    /** Starts the number of routers in data centre dc-a under {@link #SETTINGS}. */
+    public static Site start(int routers) {
+        Site site = new Site();
+        List.of("engine-1", "engine-2", "engine-3").forEach(e -> site.mEngines.idle(e, "first"));
+        for (int number = 1; number <= routers; number++) {
+            site.addRouter("entry-" + number);
+        }
+        site.apply(SETTINGS);
+        site.advance(Duration.ofSeconds(3));
+        return site;
+    }
+
+    /** Adds and starts a router. */
+    public RouterNode addRouter(String vm) {
+        mVms.add(new Vm(vm, "dc-a", Vm.Role.ROUTER, vm + ":1", Vm.State.LIVE, null, null));
+        RouterNode node =
+                new RouterNode(
+                        new RouterIdentity(vm, "site", "dc-a", 1),
+                        new RouterPorts(
+                                mTimers,
+                                new SplittableRandom(mVms.size()),
+                                EventLog.none(),
+                                mStore,
+                                () -> EitherStage.completed(Either.right(List.copyOf(mVms))),
+                                mBackends,
+                                mEngines,
+                                mPeers.endpoint(vm),
+                                new PrometheusRegistry()));
+        mRouters.add(node);
+        node.start();
+        return node;
+    }
+
+    /** Accepts the settings as the next generation. */
+    public void apply(String settings) {
+        new ConfigStore(mStore)
+                .apply(
+                        new SettingsText("base.json", settings),
+                        Map.of("site", new SettingsText("overlay.json", "{}")),
+                        "nonce-" + mTimers.nowMillis());
+        mTimers.runDue();
+    }
+
+    /** Returns a chat's request. */
+    public static CallerRequest chat(String chat) {
+        return request(
+                "POST", "/v1/chat/completions", "{\"model\":\"m\",\"chat_id\":\"" + chat + "\"}");
+    }
+
+    /** Returns a request with the account's key. */
+    public static CallerRequest request(String method, String target, String body) {
+        return new CallerRequest(
+                method,
+                target,
+                HeaderFields.of("authorization", "Bearer " + KEY),
+                StandardCharsets.UTF_8.encode(body));
+    }
+
+    public void advance(Duration duration) {
+        mTimers.advance(duration);
+    }
+
+    public VirtualTimerService timers() {
+        return mTimers;
+    }
+
+    public MemoryObjectStore store() {
+        return mStore;
+    }
+
+    public FakePeers peers() {
+        return mPeers;
+    }
+
+    public FakeBackends backends() {
+        return mBackends;
+    }
+
+    public FakeEngines engines() {
+        return mEngines;
+    }
+
+    public List<Vm> vms() {
+        return mVms;
+    }
+
+    public RouterNode router(int index) {
+        return mRouters.get(index);
+    }
+
+    public List<RouterNode> routers() {
+        return mRouters;
+    }
+}
--- /dev/null
+++ b/rhubarbward-daemon/src/main/java/io/rhubarbward/cli/ExitCode.java
@@ -0,0 +1,44 @@
+package io.rhubarbward.cli;
+
+import io.rhubarbward.config.ConfigFailure;
+
+/** How a command ended. */
+public enum ExitCode {
+    OK(0, "done"),
+    FAILED(1, "the program failed"),
+    USAGE(2, "the command line is wrong"),
+    INVALID_SETTINGS(3, "settings are wrong"),
+    CONFLICT(4, "another operator's change came first"),
+    PLATFORM(5, "the platform did not carry it out"),
+    UNREACHABLE(6, "the process asked did not answer"),
+    CUT_REQUESTS(7, "a planned stop had to cut requests");
+
+    private final int mStatus;
+    private final String mMeaning;
+
+    ExitCode(int status, String meaning) {
+        mStatus = status;
+        mMeaning = meaning;
+    }
+
+    /** Returns the process's exit status. */
+    public int status() {
+        return mStatus;
+    }
+
+    /** Returns one line for help. */
+    public String meaning() {
+        return mMeaning;
+    }
+
+    /** Returns the code for a failure of the configuration. */
+    static ExitCode of(ConfigFailure failure) {
+        if (failure instanceof ConfigFailure.ChangedMeanwhile) {
+            return CONFLICT;
+        }
+        boolean platform =
+                failure instanceof ConfigFailure.Platform
+                        || failure instanceof ConfigFailure.Corrupt;
+        return platform ? PLATFORM : INVALID_SETTINGS;
+    }
+}
--- /dev/null
+++ b/rhubarbward-daemon/src/main/java/io/rhubarbward/cli/Main.java
@@ -0,0 +1,61 @@
+package io.rhubarbward.cli;
+
+import java.util.Arrays;
+import java.util.List;
+import java.util.stream.Collectors;
+import net.sourceforge.argparse4j.ArgumentParsers;
+import net.sourceforge.argparse4j.helper.HelpScreenException;
+import net.sourceforge.argparse4j.inf.ArgumentParser;
+import net.sourceforge.argparse4j.inf.ArgumentParserException;
+import net.sourceforge.argparse4j.inf.Namespace;
+import net.sourceforge.argparse4j.inf.Subparsers;
+
+/** The {@code rhubarbward} command line. */
+public final class Main {
+    private static final List<Command> COMMANDS =
+            List.of(
+                    new RouterCommand(),
+                    new DemoCommand(),
+                    new StandinCommand(),
+                    new ConfigCommand(),
+                    new DumpCommand());
+
+    private Main() {}
+
+    /** Runs the command line and exits with its {@link ExitCode}. */
+    public static void main(String[] arguments) {
+        System.exit(run(Console.system(), arguments).status());
+    }
+
+    /** Runs the command line on the console. */
+    public static ExitCode run(Console console, String... arguments) {
+        ArgumentParser parser = parser();
+        try {
+            Namespace parsed = parser.parseArgs(arguments);
+            Command command = parsed.get(Command.CHOSEN);
+            return command.run(parsed, console);
+        } catch (HelpScreenException e) {
+            return ExitCode.OK;
+        } catch (ArgumentParserException e) {
+            parser.handleError(e, new java.io.PrintWriter(console.err(), true));
+            return ExitCode.USAGE;
+        }
+    }
+
+    private static ArgumentParser parser() {
+        ArgumentParser parser =
+                ArgumentParsers.newFor("rhubarbward")
+                        .build()
+                        .description("A router fleet for very many returning chats.")
+                        .epilog(exitCodes());
+        Subparsers commands = parser.addSubparsers().title("commands").metavar("COMMAND");
+        COMMANDS.forEach(command -> command.configure(commands));
+        return parser;
+    }
+
+    private static String exitCodes() {
+        return Arrays.stream(ExitCode.values())
+                .map(code -> code.status() + " " + code.meaning())
+                .collect(Collectors.joining("; ", "Exit codes: ", "."));
+    }
+}
--- /dev/null
+++ b/rhubarbward-net/src/main/java/io/rhubarbward/net/backend/BackendExchange.java
@@ -0,0 +1,118 @@
+package io.rhubarbward.net.backend;
+
+import io.netty.channel.Channel;
+import io.netty.handler.codec.http.HttpHeaders;
+import io.rhubarbward.request.BackendCall;
+import io.rhubarbward.request.BackendFailure;
+import io.rhubarbward.request.BackendListener;
+import io.rhubarbward.request.HeaderField;
+import io.rhubarbward.request.HeaderFields;
+import io.rhubarbward.timer.TimerService;
+import java.net.InetSocketAddress;
+import java.nio.ByteBuffer;
+import org.asynchttpclient.AsyncHandler;
+import org.asynchttpclient.HttpResponseBodyPart;
+import org.asynchttpclient.HttpResponseStatus;
+import org.asynchttpclient.ListenableFuture;
+import org.asynchttpclient.netty.request.NettyRequest;
+import org.jspecify.annotations.Nullable;
+
+/** One call by AsyncHttpClient, whose events go to a listener on the timer service's thread. */
+final class BackendExchange implements AsyncHandler<Boolean>, BackendCall {
+    private final BackendListener mListener;
+    private final TimerService mTimers;
+    private volatile @Nullable ListenableFuture<Boolean> mFuture;
+    private volatile @Nullable Channel mChannel;
+    private volatile boolean mSent;
+    private int mStatus;
+
+    BackendExchange(BackendListener listener, TimerService timers) {
+        mListener = listener;
+        mTimers = timers;
+    }
+
+    void attach(ListenableFuture<Boolean> future) {
+        mFuture = future;
+    }
+
+    @Override
+    public void onTcpConnectSuccess(InetSocketAddress address, Channel connection) {
+        mChannel = connection;
+    }
+
+    @Override
+    public void onConnectionPooled(Channel connection) {
+        mChannel = connection;
+    }
+
+    @Override
+    public void onRequestSend(NettyRequest request) {
+        mSent = true;
+    }
+
+    @Override
+    public State onStatusReceived(HttpResponseStatus status) {
+        mStatus = status.getStatusCode();
+        return State.CONTINUE;
+    }
+
+    @Override
+    public State onHeadersReceived(HttpHeaders headers) {
+        int status = mStatus;
+        HeaderFields fields =
+                new HeaderFields(
+                        headers.entries().stream()
+                                .map(entry -> new HeaderField(entry.getKey(), entry.getValue()))
+                                .toList());
+        mTimers.execute(() -> mListener.onHead(status, fields));
+        return State.CONTINUE;
+    }
+
+    @Override
+    public State onBodyPartReceived(HttpResponseBodyPart part) {
+        ByteBuffer bytes = ByteBuffer.wrap(part.getBodyPartBytes());
+        if (bytes.hasRemaining()) {
+            mTimers.execute(() -> mListener.onPart(bytes));
+        }
+        return State.CONTINUE;
+    }
+
+    @Override
+    public Boolean onCompleted() {
+        reading(true);
+        mTimers.execute(mListener::onComplete);
+        return true;
+    }
+
+    @Override
+    public void onThrowable(Throwable cause) {
+        BackendFailure failure =
+                mSent ? BackendFailure.CONNECTION_LOST : BackendFailure.NOT_CONNECTED;
+        mTimers.execute(() -> mListener.onFailure(failure));
+    }
+
+    @Override
+    public void pause() {
+        reading(false);
+    }
+
+    @Override
+    public void resume() {
+        reading(true);
+    }
+
+    @Override
+    public void cancel() {
+        ListenableFuture<Boolean> future = mFuture;
+        if (future != null) {
+            future.cancel(true);
+        }
+    }
+
+    private void reading(boolean on) {
+        Channel channel = mChannel;
+        if (channel != null) {
+            channel.config().setAutoRead(on);
+        }
+    }
+}
--- /dev/null
+++ b/rhubarbward-net/src/main/java/io/rhubarbward/net/backend/HttpEngineClient.java
@@ -0,0 +1,65 @@
+package io.rhubarbward.net.backend;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.DeserializationFeature;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.json.JsonMapper;
+import io.rhubarbward.config.BackendServer;
+import io.rhubarbward.engine.EngineClient;
+import io.rhubarbward.engine.LoadReport;
+import io.rhubarbward.timer.TimerService;
+import io.vavr.control.Either;
+import java.time.Duration;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
+import org.asynchttpclient.AsyncHttpClient;
+import org.asynchttpclient.Response;
+import org.jspecify.annotations.Nullable;
+
+/** Asks engines over HTTP: {@code GET /engine/load}. */
+public final class HttpEngineClient implements EngineClient {
+    private static final Duration TIMEOUT = Duration.ofSeconds(1);
+    private static final int OK = 200;
+    private static final ObjectMapper MAPPER =
+            JsonMapper.builder().disable(DeserializationFeature.FAIL_ON_UNKNOWN_PROPERTIES).build();
+
+    private final AsyncHttpClient mClient;
+    private final TimerService mTimers;
+
+    /** Asks by the client and completes on the timer service's thread. */
+    public HttpEngineClient(AsyncHttpClient client, TimerService timers) {
+        mClient = client;
+        mTimers = timers;
+    }
+
+    @Override
+    public CompletionStage<Either<EngineFailure, LoadReport>> load(BackendServer server) {
+        CompletableFuture<Either<EngineFailure, LoadReport>> answer = new CompletableFuture<>();
+        mClient.prepareGet("http://" + server.address() + "/engine/load")
+                .setRequestTimeout(TIMEOUT)
+                .execute()
+                .toCompletableFuture()
+                .whenComplete(
+                        (response, error) ->
+                                mTimers.execute(() -> answer.complete(read(response, error))));
+        return answer;
+    }
+
+    private static Either<EngineFailure, LoadReport> read(
+            @Nullable Response response, @Nullable Throwable error) {
+        if (response == null) {
+            return Either.left(
+                    error instanceof java.util.concurrent.TimeoutException
+                            ? EngineFailure.TIMEOUT
+                            : EngineFailure.UNREACHABLE);
+        }
+        if (response.getStatusCode() != OK) {
+            return Either.left(EngineFailure.UNREADABLE);
+        }
+        try {
+            return Either.right(MAPPER.readValue(response.getResponseBody(), LoadReport.class));
+        } catch (JsonProcessingException e) {
+            return Either.left(EngineFailure.UNREADABLE);
+        }
+    }
+}
--- /dev/null
+++ b/rhubarbward-net/src/main/java/io/rhubarbward/net/http/JsonAnswer.java
@@ -0,0 +1,55 @@
+package io.rhubarbward.net.http;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.SerializationFeature;
+import com.fasterxml.jackson.databind.json.JsonMapper;
+import io.rhubarbward.request.CallerListener;
+import io.rhubarbward.request.CallerResponse;
+import io.rhubarbward.request.HeaderFields;
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+
+/** Short answers made at once. */
+public final class JsonAnswer {
+    /** A listener for an exchange that is over. */
+    public static final CallerListener OVER =
+            new CallerListener() {
+                @Override
+                public void onWritable(boolean writable) {}
+
+                @Override
+                public void onGone() {}
+            };
+
+    private static final ObjectMapper MAPPER =
+            JsonMapper.builder().enable(SerializationFeature.ORDER_MAP_ENTRIES_BY_KEYS).build();
+
+    private JsonAnswer() {}
+
+    /** Answers with the value as JSON. */
+    public static CallerListener send(CallerResponse response, int status, Object value) {
+        return send(response, status, "application/json", render(value));
+    }
+
+    /** Answers with the text. */
+    public static CallerListener send(
+            CallerResponse response, int status, String contentType, String text) {
+        ByteBuffer body = StandardCharsets.UTF_8.encode(text);
+        response.begin(
+                status,
+                HeaderFields.of("content-type", contentType)
+                        .with("content-length", Integer.toString(body.remaining())));
+        response.write(body);
+        response.finish();
+        return OVER;
+    }
+
+    private static String render(Object value) {
+        try {
+            return MAPPER.writeValueAsString(value);
+        } catch (JsonProcessingException e) {
+            throw new IllegalArgumentException("expected plain data", e);
+        }
+    }
+}
--- /dev/null
+++ b/rhubarbward-net/src/main/java/io/rhubarbward/net/http/NettyResponse.java
@@ -0,0 +1,80 @@
+package io.rhubarbward.net.http;
+
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFutureListener;
+import io.netty.handler.codec.http.DefaultHttpContent;
+import io.netty.handler.codec.http.DefaultHttpResponse;
+import io.netty.handler.codec.http.DefaultLastHttpContent;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaderValues;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.HttpVersion;
+import io.rhubarbward.request.CallerResponse;
+import io.rhubarbward.request.HeaderFields;
+import java.nio.ByteBuffer;
+
+/** Writes one answer to a connection. */
+final class NettyResponse implements CallerResponse {
+    private static final int NO_CONTENT = 204;
+    private static final int NOT_MODIFIED = 304;
+
+    private final Channel mChannel;
+    private final boolean mKeepAlive;
+    private final Runnable mOnAnswered;
+    private boolean mEnded;
+
+    NettyResponse(Channel channel, boolean keepAlive, Runnable onAnswered) {
+        mChannel = channel;
+        mKeepAlive = keepAlive;
+        mOnAnswered = onAnswered;
+    }
+
+    @Override
+    public void begin(int status, HeaderFields headers) {
+        HttpResponse head =
+                new DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(status));
+        headers.fields().forEach(field -> head.headers().add(field.name(), field.value()));
+        boolean bodiless = status == NO_CONTENT || status == NOT_MODIFIED;
+        if (!bodiless && !HttpUtil.isContentLengthSet(head)) {
+            HttpUtil.setTransferEncodingChunked(head, true);
+        }
+        if (!mKeepAlive) {
+            head.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
+        }
+        mChannel.writeAndFlush(head);
+    }
+
+    @Override
+    public void write(ByteBuffer part) {
+        if (!mEnded && part.hasRemaining()) {
+            mChannel.writeAndFlush(new DefaultHttpContent(Unpooled.wrappedBuffer(part)));
+        }
+    }
+
+    @Override
+    public void finish() {
+        if (mEnded) {
+            return;
+        }
+        mEnded = true;
+        mChannel.writeAndFlush(new DefaultLastHttpContent())
+                .addListener(
+                        (ChannelFutureListener)
+                                written -> {
+                                    if (mKeepAlive && written.isSuccess()) {
+                                        mOnAnswered.run();
+                                    } else {
+                                        mChannel.close();
+                                    }
+                                });
+    }
+
+    @Override
+    public void abort() {
+        mEnded = true;
+        mChannel.close();
+    }
+}
--- /dev/null
+++ b/rhubarbward-net/src/main/java/io/rhubarbward/net/platform/HttpVmList.java
@@ -0,0 +1,36 @@
+package io.rhubarbward.net.platform;
+
+import io.rhubarbward.net.platform.PlatformWire.VmBody;
+import io.rhubarbward.net.platform.PlatformWire.VmsBody;
+import io.rhubarbward.platform.PlatformFailure;
+import io.rhubarbward.platform.Vm;
+import io.rhubarbward.platform.VmList;
+import io.rhubarbward.timer.TimerService;
+import io.vavr.control.Either;
+import java.time.Duration;
+import java.util.List;
+import java.util.concurrent.CompletionStage;
+import org.asynchttpclient.AsyncHttpClient;
+
+/** The platform's VM list over HTTP. */
+public final class HttpVmList implements VmList {
+    private static final Duration TIMEOUT = Duration.ofSeconds(2);
+
+    private final PlatformHttp mHttp;
+
+    /** Calls the platform at the address, host and port. */
+    public HttpVmList(AsyncHttpClient client, String address, TimerService timers) {
+        mHttp = new PlatformHttp(client, address, timers);
+    }
+
+    @Override
+    public CompletionStage<Either<PlatformFailure, List<Vm>>> read() {
+        return mHttp.call(
+                mHttp.prepare("GET", "/vms"),
+                null,
+                TIMEOUT,
+                text ->
+                        PlatformWire.read(text, VmsBody.class)
+                                .map(body -> body.vms().stream().map(VmBody::vm).toList()));
+    }
+}
--- /dev/null
+++ b/rhubarbward-net/src/main/thrift/peer.thrift
@@ -0,0 +1,10 @@
+// What every message between routers travels in. Each slice has a file of its own for its messages.
+namespace java io.rhubarbward.gen.peer
+
+struct Envelope {
+  // The name of the sender's VM.
+  1: required string sender;
+  // Which message the body holds; a receiver ignores kinds that it does not know.
+  2: required i32 kind;
+  3: required binary body;
+}
