--- a/rhubarbward-core/src/main/java/io/rhubarbward/routing/RendezvousHash.java
+++ b/rhubarbward-core/src/main/java/io/rhubarbward/hash/RendezvousHash.java
@@ -1,4 +1,4 @@
-package io.rhubarbward.routing;
+package io.rhubarbward.hash;
 
 import java.util.Comparator;
 import java.util.List;
--- /dev/null
+++ b/rhubarbward-core/src/main/java/io/rhubarbward/hash/package-info.java
@@ -0,0 +1,5 @@
+/** Hashes on which all routers agree. */
+@NullMarked
+package io.rhubarbward.hash;
+
+import org.jspecify.annotations.NullMarked;
--- a/rhubarbward-core/src/main/java/io/rhubarbward/membership/Membership.java
+++ b/rhubarbward-core/src/main/java/io/rhubarbward/membership/Membership.java
@@ -3,6 +3,7 @@
 import io.rhubarbward.event.EventField;
 import io.rhubarbward.event.EventLog;
 import io.rhubarbward.event.LogEvent;
+import io.rhubarbward.hash.RendezvousHash;
 import io.rhubarbward.platform.PlatformFailure;
 import io.rhubarbward.platform.Vm;
 import io.rhubarbward.platform.VmList;
@@ -15,11 +16,13 @@
 import java.util.Map;
 import java.util.TreeMap;
 import java.util.function.Consumer;
+import java.util.function.Function;
 import java.util.function.Supplier;
 
 /** Knows which routers and which backend VMs are live. */
 public final class Membership implements StateSource {
     private final String mOwnVm;
+    private final String mOwnDataCentre;
     private final VmList mVmList;
     private final PeerTransport mTransport;
     private final Supplier<Heartbeat> mHeartbeat;
@@ -33,12 +36,14 @@
     /** Watches on behalf of the router on the named VM. */
     public Membership(
             String ownVm,
+            String ownDataCentre,
             VmList vmList,
             PeerTransport transport,
             Supplier<Heartbeat> heartbeat,
             TimerService timers,
             EventLog events) {
         mOwnVm = ownVm;
+        mOwnDataCentre = ownDataCentre;
         mVmList = vmList;
         mTransport = transport;
         mHeartbeat = heartbeat;
@@ -63,6 +68,27 @@
                 .toList();
     }
 
+    /**
+     * Returns the first live routers of the own data centre in rendezvous order for the key.
+     *
+     * <p>All routers that agree on who is live agree on the order. The first owns the key; wrong
+     * for a second, it costs efficiency or an overshoot, never a promise.
+     */
+    public List<String> owners(String key, int count) {
+        List<String> live =
+                mVms.stream()
+                        .filter(vm -> vm.role() == Vm.Role.ROUTER && vm.state() == Vm.State.LIVE)
+                        .filter(vm -> vm.dataCentre().equals(mOwnDataCentre))
+                        .map(Vm::name)
+                        .toList();
+        return RendezvousHash.order(key, live, Function.identity()).stream().limit(count).toList();
+    }
+
+    /** Returns whether this router is the key's first owner. */
+    public boolean owns(String key) {
+        return owners(key, 1).contains(mOwnVm);
+    }
+
     /** Calls the subscriber with the VM list after each change. */
     public void subscribe(Consumer<List<Vm>> subscriber) {
         mSubscribers.add(subscriber);
--- a/rhubarbward-core/src/main/java/io/rhubarbward/node/RouterNode.java
+++ b/rhubarbward-core/src/main/java/io/rhubarbward/node/RouterNode.java
@@ -22,6 +22,7 @@
 import io.rhubarbward.request.RequestMetrics;
 import io.rhubarbward.request.RequestService;
 import io.rhubarbward.routing.BoundedAffinity;
+import io.rhubarbward.routing.VersionFilter;
 import io.rhubarbward.state.StateSource;
 import java.time.Duration;
 import java.util.List;
@@ -72,6 +73,7 @@
         mMembership =
                 new Membership(
                         identity.vm(),
+                        identity.dataCentre(),
                         ports.vmList(),
                         ports.peers(),
                         () -> new Heartbeat(identity.incarnation(), mConfiguration.generation()),
@@ -92,11 +94,12 @@
                 mPorts.timers(),
                 mPorts.events(),
                 mAdmission,
-                new BoundedAffinity(),
+                new BoundedAffinity(VersionFilter.ALL),
                 mRegistry,
                 mQuotas,
                 mPorts.backends(),
-                new RequestMetrics(mPorts.metrics()));
+                new RequestMetrics(mPorts.metrics()),
+                outcome -> {});
     }
 
     /** Starts to follow the platform and the engines. */
--- a/rhubarbward-core/src/main/java/io/rhubarbward/request/Exchange.java
+++ b/rhubarbward-core/src/main/java/io/rhubarbward/request/Exchange.java
@@ -25,6 +25,8 @@
  */
 final class Exchange implements CallerListener {
     private static final long RETRY_AFTER_MILLIS = 1000;
+    private static final long NO_FIRST_BYTE = -1;
+    private static final int SERVER_ERROR = 500;
 
     private final AcceptedRequest mRequest;
     private final ExchangeContext mContext;
@@ -202,6 +204,9 @@
         private @Nullable BackendCall mCall;
         private TimerService.Subscription mSilence = () -> {};
         private boolean mOver;
+        private int mStatus;
+        private int mParts;
+        private long mFirstByteMillis = NO_FIRST_BYTE;
 
         Attempt(BackendServer server, QuotaPermit permit) {
             mServer = server;
@@ -228,7 +233,7 @@
         }
 
         void giveUp() {
-            if (close() && mCall != null) {
+            if (close(CallOutcome.Result.GIVEN_UP) && mCall != null) {
                 mCall.cancel();
             }
         }
@@ -236,10 +241,9 @@
         @Override
         public void onHead(int status, HeaderFields headers) {
             if (!mOver) {
-                mContext.metrics()
-                        .firstByte(
-                                mRequest.service().name(),
-                                mContext.timers().nowMillis() - mSentMillis);
+                mStatus = status;
+                mFirstByteMillis = mContext.timers().nowMillis() - mSentMillis;
+                mContext.metrics().firstByte(mRequest.service().name(), mFirstByteMillis);
                 watchSilence(limits().silenceMillis());
                 mRelay.begin(status, headers);
             }
@@ -248,6 +252,7 @@
         @Override
         public void onPart(ByteBuffer part) {
             if (!mOver) {
+                mParts++;
                 watchSilence(limits().silenceMillis());
                 mRelay.write(part);
             }
@@ -255,10 +260,11 @@
 
         @Override
         public void onComplete() {
-            if (!close()) {
+            boolean whole = mRelay.whole();
+            if (!close(whole ? answered() : CallOutcome.Result.FAILED)) {
                 return;
             }
-            if (mRelay.whole()) {
+            if (whole) {
                 mContext.metrics().answered(mRequest.service().name());
                 end(mRelay::finish);
             } else {
@@ -268,13 +274,15 @@
 
         @Override
         public void onFailure(BackendFailure failure) {
-            if (close()) {
+            if (close(CallOutcome.Result.FAILED)) {
                 onAttemptFailed(failure);
             }
         }
 
         private void onSilence() {
-            giveUp();
+            if (close(CallOutcome.Result.FAILED) && mCall != null) {
+                mCall.cancel();
+            }
             onAttemptFailed(BackendFailure.SILENT);
         }
 
@@ -283,7 +291,13 @@
             mSilence = mContext.timers().after(Duration.ofMillis(millis), this::onSilence);
         }
 
-        private boolean close() {
+        private CallOutcome.Result answered() {
+            return mStatus < SERVER_ERROR
+                    ? CallOutcome.Result.ANSWERED
+                    : CallOutcome.Result.SERVER_ERROR;
+        }
+
+        private boolean close(CallOutcome.Result result) {
             if (mOver) {
                 return false;
             }
@@ -291,6 +305,15 @@
             mSilence.cancel();
             mPermit.release();
             mContext.registry().finished(mServer.name());
+            mContext.observer()
+                    .onOutcome(
+                            new CallOutcome(
+                                    mServer,
+                                    mRequest.service().pathPrefix(),
+                                    result,
+                                    mFirstByteMillis,
+                                    mContext.timers().nowMillis() - mSentMillis,
+                                    mParts));
             return true;
         }
     }
--- a/rhubarbward-core/src/main/java/io/rhubarbward/request/ExchangeContext.java
+++ b/rhubarbward-core/src/main/java/io/rhubarbward/request/ExchangeContext.java
@@ -20,6 +20,7 @@
  * @param quotas the shared limits
  * @param backends sends to backend servers
  * @param metrics counts what happens
+ * @param observer told how each call to a backend server ended
  */
 public record ExchangeContext(
         String homeDataCentre,
@@ -30,7 +31,8 @@
         BackendRegistry registry,
         QuotaService quotas,
         BackendClient backends,
-        RequestMetrics metrics) {
+        RequestMetrics metrics,
+        CallObserver observer) {
     private static final String ACCOUNT_HEADER = "x-client-account";
     private static final String PRIORITY_HEADER = "x-priority";
 
--- a/rhubarbward-core/src/main/java/io/rhubarbward/routing/BoundedAffinity.java
+++ b/rhubarbward-core/src/main/java/io/rhubarbward/routing/BoundedAffinity.java
@@ -3,6 +3,7 @@
 import io.rhubarbward.config.BackendServer;
 import io.rhubarbward.config.Settings;
 import io.rhubarbward.engine.BackendStatus;
+import io.rhubarbward.hash.RendezvousHash;
 import java.util.Comparator;
 import java.util.List;
 import java.util.function.Predicate;
@@ -16,12 +17,20 @@
  * data centre goes before others for requests without a chat.
  */
 public final class BoundedAffinity implements RoutingPolicy {
+    private final VersionFilter mVersions;
+
+    /** Sends requests to the versions that the filter admits. */
+    public BoundedAffinity(VersionFilter versions) {
+        mVersions = versions;
+    }
+
     @Override
     public List<BackendServer> candidates(
             RouteQuery query, Settings settings, List<BackendStatus> servers) {
         List<BackendStatus> open =
                 servers.stream()
                         .filter(status -> status.state().takesNewWork())
+                        .filter(status -> mVersions.admits(status.server(), query))
                         .filter(status -> settings.takesWork(status.server().dataCentre()))
                         .toList();
         List<BackendStatus> ordered =
