--- a/rhubarbward-daemon/src/main/java/io/rhubarbward/cli/ConfigCommand.java
+++ b/rhubarbward-daemon/src/main/java/io/rhubarbward/cli/ConfigCommand.java
@@ -53,7 +53,6 @@
         parser.addArgument("--overlay")
                 .metavar("SITE=FILE")
                 .action(Arguments.append())
-                .setDefault(List.of())
                 .help("a site's overlay; once for each site");
     }
 
@@ -119,11 +118,16 @@
                 SettingsFiles.read(arguments.getString("base"))
                         .flatMap(
                                 base ->
-                                        SettingsFiles.readOverlays(arguments.getList("overlay"))
+                                        SettingsFiles.readOverlays(overlays(arguments))
                                                 .map(overlays -> new Files(base, overlays)));
         return files.fold(failure -> fail(console, failure), use);
     }
 
+    private static List<String> overlays(Namespace arguments) {
+        List<String> given = arguments.getList("overlay");
+        return given == null ? List.of() : given;
+    }
+
     private <T> ExitCode withStore(
             Namespace arguments,
             Console console,
--- a/rhubarbward-daemon/src/main/java/io/rhubarbward/cli/Main.java
+++ b/rhubarbward-daemon/src/main/java/io/rhubarbward/cli/Main.java
@@ -1,5 +1,7 @@
 package io.rhubarbward.cli;
 
+import java.io.PrintWriter;
+import java.nio.charset.StandardCharsets;
 import java.util.Arrays;
 import java.util.List;
 import java.util.stream.Collectors;
@@ -37,7 +39,7 @@
         } catch (HelpScreenException e) {
             return ExitCode.OK;
         } catch (ArgumentParserException e) {
-            parser.handleError(e, new java.io.PrintWriter(console.err(), true));
+            parser.handleError(e, new PrintWriter(console.err(), true, StandardCharsets.UTF_8));
             return ExitCode.USAGE;
         }
     }
--- a/rhubarbward-daemon/src/main/java/io/rhubarbward/cli/StandinCommand.java
+++ b/rhubarbward-daemon/src/main/java/io/rhubarbward/cli/StandinCommand.java
@@ -2,6 +2,7 @@
 
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.nio.NioEventLoopGroup;
+import io.rhubarbward.daemon.DemoPorts;
 import io.rhubarbward.event.EventLog;
 import io.rhubarbward.event.SystemEventLog;
 import io.rhubarbward.standin.EngineProfile;
@@ -33,7 +34,7 @@
         EventLog events = new SystemEventLog("rhubarbward");
         EventLoopGroup group = new NioEventLoopGroup(1);
         SystemTimerService timers = new SystemTimerService("standin", events);
-        InetSocketAddress address = new InetSocketAddress("127.0.0.1", arguments.getInt("port"));
+        InetSocketAddress address = DemoPorts.local(arguments.getInt("port"));
         String name = arguments.getString("name");
         String listening =
                 switch (arguments.getString("kind")) {
--- a/rhubarbward-daemon/src/main/java/io/rhubarbward/daemon/Demo.java
+++ b/rhubarbward-daemon/src/main/java/io/rhubarbward/daemon/Demo.java
@@ -14,7 +14,6 @@
 import io.rhubarbward.standin.ServiceStandin;
 import io.rhubarbward.timer.SystemTimerService;
 import io.vavr.control.Either;
-import java.net.InetSocketAddress;
 import java.util.List;
 import java.util.Map;
 import java.util.UUID;
@@ -75,7 +74,7 @@
                 UUID.randomUUID().toString(),
                 EngineProfile.QUICK,
                 mGroup,
-                new InetSocketAddress("127.0.0.1", 0),
+                DemoPorts.local(0),
                 mTimers);
     }
 
--- a/rhubarbward-daemon/src/main/java/io/rhubarbward/daemon/DemoPorts.java
+++ b/rhubarbward-daemon/src/main/java/io/rhubarbward/daemon/DemoPorts.java
@@ -1,5 +1,6 @@
 package io.rhubarbward.daemon;
 
+import java.net.InetAddress;
 import java.net.InetSocketAddress;
 
 /**
@@ -19,7 +20,8 @@
         return first == 0 ? 0 : first + index * STEP;
     }
 
-    static InetSocketAddress local(int port) {
-        return new InetSocketAddress("127.0.0.1", port);
+    /** Returns the port on loopback. */
+    public static InetSocketAddress local(int port) {
+        return new InetSocketAddress(InetAddress.getLoopbackAddress(), port);
     }
 }
--- /dev/null
+++ b/rhubarbward-daemon/src/test/java/io/rhubarbward/cli/ExamplesTest.java
@@ -0,0 +1,49 @@
+package io.rhubarbward.cli;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import io.rhubarbward.config.Settings;
+import io.rhubarbward.config.SettingsReader;
+import io.rhubarbward.config.SettingsText;
+import io.rhubarbward.daemon.RouterProcessSettings;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+/** The shipped examples, at the sizes of the two sites. */
+final class ExamplesTest {
+    @ParameterizedTest
+    @CsvSource({
+        "lima, assistant, 13",
+        "lima, dispatch, 3",
+        "kyushu, assistant, 6",
+        "kyushu, ordering, 3"
+    })
+    void anExampleSiteHasItsReplicas(String site, String service, int replicas) throws IOException {
+        Settings settings =
+                new SettingsReader().read(List.of(text("base.json"), text(site + ".json"))).get();
+        assertThat(
+                        settings.backendServers().values().stream()
+                                .filter(server -> server.service().equals(service))
+                                .toList())
+                .hasSize(replicas);
+        assertThat(settings.dataCentres()).hasSize(3);
+        assertThat(settings.accounts()).hasSize(10);
+    }
+
+    @Test
+    void theExampleOfAProcessIsRead() throws IOException {
+        assertThat(
+                        SettingsReader.readAs(RouterProcessSettings.class, text("router.json"))
+                                .isRight())
+                .isTrue();
+    }
+
+    private static SettingsText text(String name) throws IOException {
+        return new SettingsText(name, Files.readString(Path.of("../examples", name)));
+    }
+}
--- /dev/null
+++ b/rhubarbward-daemon/src/test/java/io/rhubarbward/cli/MainTest.java
@@ -0,0 +1,74 @@
+package io.rhubarbward.cli;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.PrintStream;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+final class MainTest {
+    private final ByteArrayOutputStream mOut = new ByteArrayOutputStream();
+    private final ByteArrayOutputStream mErr = new ByteArrayOutputStream();
+
+    @Test
+    void goodFilesAreWell() {
+        assertThat(
+                        run(
+                                "config",
+                                "check",
+                                "--base",
+                                "../examples/base.json",
+                                "--overlay",
+                                "lima=../examples/lima.json"))
+                .isEqualTo(ExitCode.OK);
+    }
+
+    @Test
+    void aBrokenOverlayIsRefusedWithItsPlace(@TempDir Path folder) throws IOException {
+        Path overlay = folder.resolve("broken.json");
+        Files.writeString(overlay, "{\n  \"drain\": {\"noticeMillis\": -1}\n}");
+        ExitCode code =
+                run(
+                        "config",
+                        "check",
+                        "--base",
+                        "../examples/base.json",
+                        "--overlay",
+                        "lima=" + overlay);
+        assertThat(code).isEqualTo(ExitCode.INVALID_SETTINGS);
+        assertThat(mErr.toString(StandardCharsets.UTF_8))
+                .contains("broken.json:2:29: drain.noticeMillis: -1: expected from 0 to 120000");
+    }
+
+    @Test
+    void aWrongCommandLineIsRefused() {
+        assertThat(run("config", "check")).isEqualTo(ExitCode.USAGE);
+        assertThat(run("nothing")).isEqualTo(ExitCode.USAGE);
+        assertThat(run()).isEqualTo(ExitCode.USAGE);
+    }
+
+    @Test
+    void aRouterWithoutItsSettingsFileSaysSo() {
+        assertThat(run("router", "--settings", "nowhere.json"))
+                .isEqualTo(ExitCode.INVALID_SETTINGS);
+        assertThat(mErr.toString(StandardCharsets.UTF_8)).contains("nowhere.json: cannot be read");
+    }
+
+    @Test
+    void aDumpOfNobodyIsUnreachable() {
+        assertThat(run("dump", "--router", "127.0.0.1:1")).isEqualTo(ExitCode.UNREACHABLE);
+    }
+
+    private ExitCode run(String... arguments) {
+        Console console =
+                new Console(
+                        new PrintStream(mOut, true, StandardCharsets.UTF_8),
+                        new PrintStream(mErr, true, StandardCharsets.UTF_8));
+        return Main.run(console, arguments);
+    }
+}
