--- /dev/null
+++ b/rhubarbward-net/src/test/java/io/rhubarbward/net/peer/ThriftPeerTransportTest.java
@@ -0,0 +1,54 @@
+package io.rhubarbward.net.peer;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import io.netty.channel.nio.NioEventLoopGroup;
+import io.prometheus.metrics.model.registry.PrometheusRegistry;
+import io.rhubarbward.event.EventLog;
+import io.rhubarbward.membership.Heartbeat;
+import io.rhubarbward.membership.Peer;
+import io.rhubarbward.timer.SystemTimerService;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+
+final class ThriftPeerTransportTest {
+    private final NioEventLoopGroup mGroup = new NioEventLoopGroup(1);
+    private final SystemTimerService mTimers = new SystemTimerService("peers", EventLog.none());
+
+    @AfterEach
+    void close() {
+        mTimers.close();
+        mGroup.shutdownGracefully(0, 1, TimeUnit.SECONDS).syncUninterruptibly();
+    }
+
+    @Test
+    void aMessageReachesItsPeerWithItsSender() throws Exception {
+        try (ThriftPeerTransport first = open("entry-1");
+                ThriftPeerTransport second = open("entry-2")) {
+            CompletableFuture<String> heard = new CompletableFuture<>();
+            mTimers.execute(
+                    () ->
+                            second.subscribe(
+                                    Heartbeat.class,
+                                    (from, message) -> heard.complete(from + " " + message)));
+            Peer to = new Peer("entry-2", "dc-a", "127.0.0.1:" + second.port());
+            Heartbeat heartbeat = new Heartbeat(7, 3);
+            mTimers.execute(() -> first.send(to, heartbeat));
+            assertThat(heard.get(60, TimeUnit.SECONDS)).isEqualTo("entry-1 " + heartbeat);
+        }
+    }
+
+    private ThriftPeerTransport open(String vm) {
+        return new ThriftPeerTransport(
+                vm,
+                new InetSocketAddress(InetAddress.getLoopbackAddress(), 0),
+                mGroup,
+                mTimers,
+                EventLog.none(),
+                new PrometheusRegistry());
+    }
+}
