Add the replay of traces against every promise

Cause: nothing held the ten promises together. Change: rhubarbward-replay drives RouterNode through a trace on virtual time and checks each promise. The path so far has no leases, no claims and no ramp.

--- a/rhubarbward-core/src/main/java/io/rhubarbward/platform/memory/MemoryObjectStore.java
+++ b/rhubarbward-core/src/main/java/io/rhubarbward/platform/memory/MemoryObjectStore.java
@@ -32,6 +32,9 @@
  * <p>All calls are made on the timer service's thread.
  */
 public final class MemoryObjectStore implements ObjectStore {
+    /** How every call fails while the store is down. */
+    public static final PlatformFailure DOWN = new PlatformFailure.Unavailable(Reason.SERVER_ERROR);
+
     private static final int KEPT_CHANGES = 1000;
 
     private final TimerService mTimers;
@@ -201,7 +204,7 @@
     }
 
     private static <T> Either<PlatformFailure, T> unavailable() {
-        return Either.left(new PlatformFailure.Unavailable(Reason.SERVER_ERROR));
+        return Either.left(DOWN);
     }
 
     private <T> CompletionStage<T> later(T result) {
--- /dev/null
+++ b/rhubarbward-replay/src/main/java/io/rhubarbward/replay/ReplaySite.java
@@ -0,0 +1,63 @@
+package io.rhubarbward.replay;
+
+import java.util.List;
+import java.util.Locale;
+
+/** The sites at whose sizes traces are made. */
+public enum ReplaySite {
+    LIMA(13, 2000, 600, List.of("lima-norte", "lima-centro", "lima-sur")),
+    KYUSHU(6, 1000, 400, List.of("kyushu-a", "kyushu-b", "kyushu-c"));
+
+    static final int DATA_CENTRES = 3;
+    static final int PLAIN_SERVERS = 3;
+    private static final int ACCOUNTS = 9;
+
+    private final int mEngines;
+    private final int mChats;
+    private final int mOrders;
+    private final List<String> mDataCentres;
+
+    ReplaySite(int engines, int chats, int orders, List<String> dataCentres) {
+        mEngines = engines;
+        mChats = chats;
+        mOrders = orders;
+        mDataCentres = dataCentres;
+    }
+
+    /** Returns the site's name in settings. */
+    public String label() {
+        return name().toLowerCase(Locale.ROOT);
+    }
+
+    int engines() {
+        return mEngines;
+    }
+
+    int chats() {
+        return mChats;
+    }
+
+    int orders() {
+        return mOrders;
+    }
+
+    int accounts() {
+        return ACCOUNTS;
+    }
+
+    String account(int index) {
+        return "account-" + index;
+    }
+
+    String smallAccount() {
+        return "surging";
+    }
+
+    String engine(int index) {
+        return "assistant-" + (index + 1);
+    }
+
+    String dataCentre(int index) {
+        return mDataCentres.get(index % DATA_CENTRES);
+    }
+}
--- /dev/null
+++ b/rhubarbward-replay/src/main/java/io/rhubarbward/replay/ReplayWatch.java
@@ -0,0 +1,135 @@
+package io.rhubarbward.replay;
+
+import io.rhubarbward.config.Configuration;
+import io.rhubarbward.config.Service;
+import io.rhubarbward.config.Settings;
+import io.rhubarbward.node.RouterNode;
+import io.rhubarbward.timer.TimerService;
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.IntSummaryStatistics;
+import java.util.Map;
+import java.util.Set;
+import java.util.stream.Collectors;
+import java.util.stream.StreamSupport;
+
+/** Looks at a replay's routers and servers at fixed times and checks what must hold at each. */
+final class ReplayWatch {
+    private static final Duration PERIOD = Duration.ofMillis(100);
+    private static final long IN_FORCE_MILLIS = 5000;
+    private static final long LOAD_WINDOW_MILLIS = 1000;
+    private static final double LEAST_MEAN_LOAD = 2.0;
+
+    private final ReplayFleet mFleet;
+    private final ReplayBackends mBackends;
+    private final TimerService mTimers;
+    private final PromiseLog mPromises;
+    private final Measures mMeasures;
+    private final double mBound;
+    private final Set<String> mEngines;
+    private final Map<RouterNode, Long> mGenerations = new HashMap<>();
+    private final Map<String, Integer> mWindow = new HashMap<>();
+    private long mWindowEnd;
+    private long mAccepted;
+    private long mAcceptedAtMillis;
+    private boolean mSettled = true;
+
+    ReplayWatch(
+            ReplayFleet fleet,
+            ReplayBackends backends,
+            Settings settings,
+            TimerService timers,
+            PromiseLog promises,
+            Measures measures) {
+        mFleet = fleet;
+        mBackends = backends;
+        mTimers = timers;
+        mPromises = promises;
+        mMeasures = measures;
+        mBound = settings.routing().boundedLoadMultiple();
+        mEngines =
+                settings.backendServers().values().stream()
+                        .filter(s -> kind(settings, s.service()) == Service.Kind.ENGINE)
+                        .map(s -> s.name())
+                        .collect(Collectors.toSet());
+    }
+
+    private static Service.Kind kind(Settings settings, String service) {
+        return java.util.Objects.requireNonNull(settings.services().get(service)).kind();
+    }
+
+    void start() {
+        mTimers.every(PERIOD, this::look);
+    }
+
+    /** A change was accepted as the generation. */
+    void accepted(long generation) {
+        mAccepted = generation;
+        mAcceptedAtMillis = mTimers.nowMillis();
+        mSettled = false;
+    }
+
+    private void look() {
+        mFleet.routers().forEach(this::lookAtGeneration);
+        lookAtAcceptance();
+        lookAtLoad();
+    }
+
+    private void lookAtGeneration(RouterNode router) {
+        long generation = generation(router);
+        long before = mGenerations.getOrDefault(router, 0L);
+        mGenerations.put(router, generation);
+        mPromises.check(
+                Promise.CONFIG_IN_FORCE,
+                generation >= before,
+                () -> "went back from " + before + " to " + generation);
+    }
+
+    private void lookAtAcceptance() {
+        long waited = mTimers.nowMillis() - mAcceptedAtMillis;
+        if (mSettled || mFleet.routers().isEmpty()) {
+            return;
+        }
+        long behind = mFleet.routers().stream().filter(r -> generation(r) < mAccepted).count();
+        if (behind == 0) {
+            mSettled = true;
+            mMeasures.inForceAfter(waited);
+        } else {
+            mPromises.check(
+                    Promise.CONFIG_IN_FORCE,
+                    waited <= IN_FORCE_MILLIS,
+                    () -> behind + " routers behind " + mAccepted + " after " + waited + " ms");
+        }
+    }
+
+    private static long generation(RouterNode router) {
+        return router.configuration().map(Configuration::generation).orElse(0L);
+    }
+
+    private void lookAtLoad() {
+        StreamSupport.stream(mBackends.servers().spliterator(), false)
+                .filter(server -> mEngines.contains(server.name()) && !server.cold())
+                .forEach(server -> mWindow.merge(server.name(), server.running(), Integer::sum));
+        if (mTimers.nowMillis() >= mWindowEnd) {
+            mWindowEnd = mTimers.nowMillis() + LOAD_WINDOW_MILLIS;
+            closeWindow();
+        }
+    }
+
+    private void closeWindow() {
+        double looks = (double) LOAD_WINDOW_MILLIS / PERIOD.toMillis();
+        IntSummaryStatistics sums =
+                mWindow.values().stream().mapToInt(Integer::intValue).summaryStatistics();
+        double mean = sums.getAverage() / looks;
+        double largest = sums.getMax() / looks;
+        if (mean >= LEAST_MEAN_LOAD) {
+            mMeasures.skew(largest / mean);
+            // One request is the least step by which an engine's load can differ.
+            mPromises.check(
+                    Promise.LOAD_BOUNDED,
+                    largest <= mBound * (mean + 1) + 1,
+                    () -> "largest load " + largest + ", mean " + mean + ": " + mWindow);
+        }
+        mWindow.clear();
+    }
+}
