Let only completed work lift a cold engine

Cause: the first load report made an engine ready, so an engine that had just restarted was given its full concurrency; one missed report threw a healthy engine out; a lost engine came back at full load.

Change: a backend server's state now follows from facts. Its capacity is a pure function of the requests completed since it was cold, which the engine's own `served` counts for the whole fleet. Cold again are: a new incarnation, a fall in `served`, a cache that shrinks to under a quarter, first tokens far above the engine's own past (14 of the newest 16 above the upper quartile of the 64 before, medians 3 times apart, while the other engines of the service did not slow down). Three missed reports make it lost. The load report says `leaving`. Late reports of the process before are ignored. Outcomes of calls fan out to subscribers.

Before: ColdEngineTest.aReportAloneDoesNotMakeAColdEngineReady saw 16 requests at once on a cold engine, expected 1. The other 13 tests were written with the change.

The fakes' idle engine now reports that it has served work, since one that has served none is cold.

--- a/rhubarbward-core/src/main/java/io/rhubarbward/engine/BackendRegistry.java
+++ b/rhubarbward-core/src/main/java/io/rhubarbward/engine/BackendRegistry.java
@@ -8,38 +8,52 @@
 import io.rhubarbward.event.LogEvent;
 import io.rhubarbward.platform.Vm;
 import io.rhubarbward.state.StateSource;
-import java.util.Comparator;
+import io.rhubarbward.timer.TimerService;
+import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
 import java.util.TreeMap;
-import java.util.function.UnaryOperator;
+import java.util.function.BiConsumer;
+import java.util.function.Consumer;
 import java.util.stream.Stream;
+import org.jspecify.annotations.Nullable;
 
 /**
  * Knows every backend server: those that the settings declare and those on the VM list.
  *
- * <p>A server that the VM list shows as leaving gets no new work. One that falls out of both lists
- * is forgotten when its last request here has ended.
+ * <p>A server that the VM list or its own report shows as leaving gets no new work. One that falls
+ * out of both lists is leaving too, and is forgotten when its last request here has ended. One that
+ * does not answer stays known for as long as it is listed.
  */
 public final class BackendRegistry implements StateSource {
+    /** An engine's first tokens must come this many times later than in its own past. */
+    private static final double SLOW_FIRST_TOKEN_RATIO = 3.0;
+
+    /** When the other engines are slower by this much too, no single one has turned cold. */
+    private static final double SLOW_SERVICE_RATIO = 1.5;
+
     private final EventLog mEvents;
-    private final Map<String, BackendStatus> mServers = new TreeMap<>();
+    private final TimerService mTimers;
+    private final Map<String, Backend> mBackends = new TreeMap<>();
+    private final Map<String, BackendState> mLoggedStates = new HashMap<>();
+    private final List<BiConsumer<String, ColdReason>> mOnCold = new ArrayList<>();
     private Map<String, BackendServer> mDeclared = Map.of();
-    private Map<String, Service> mServices = Map.of();
+    private Optional<Settings> mSettings = Optional.empty();
     private List<Vm> mVms = List.of();
 
     /** Starts with no servers. */
-    public BackendRegistry(EventLog events) {
+    public BackendRegistry(EventLog events, TimerService timers) {
         mEvents = events;
+        mTimers = timers;
     }
 
-    /** Takes the servers and services that the settings declare. */
+    /** Takes the servers, services and data centres that the settings declare. */
     public void configure(Settings settings) {
         mDeclared = settings.backendServers();
-        mServices = settings.services();
+        mSettings = Optional.of(settings);
         reconcile();
     }
 
@@ -49,63 +63,127 @@
         reconcile();
     }
 
-    /** Takes an engine's load report. */
-    public void observe(String server, LoadReport report) {
-        change(server, status -> status.withReport(report));
-        setState(server, BackendState.READY);
+    /** Takes an engine's own load report, which it was asked for at the time. */
+    public void observe(String server, LoadReport report, long takenAtMillis) {
+        observe(server, EngineObservation.of(report, takenAtMillis));
+    }
+
+    /** Takes what a report, or a peer's copy of one, says of an engine. */
+    void observe(String server, EngineObservation observation) {
+        change(
+                server,
+                backend ->
+                        backend.observe(observation)
+                                .ifPresent(reason -> foundCold(server, reason)));
     }
 
-    /** Notes that a server could not be reached. */
+    /** Notes that a server did not report when asked. */
     public void unreachable(String server) {
-        setState(server, BackendState.LOST);
+        change(server, Backend::missed);
     }
 
     /** Notes that a request was sent to the server. */
     public void started(String server) {
-        change(server, status -> status.withInFlight(status.inFlight() + 1));
+        change(server, backend -> backend.started(mTimers.nowMillis()));
     }
 
     /** Notes that a request to the server ended. */
     public void finished(String server) {
-        change(server, status -> status.withInFlight(Math.max(0, status.inFlight() - 1)));
+        change(server, Backend::finished);
+        forgetUnlisted();
+    }
+
+    /**
+     * Notes that the server completed a request.
+     *
+     * @param server its name
+     * @param firstByteMillis from sending the request to the head of the answer
+     */
+    public void completed(String server, long firstByteMillis) {
+        change(
+                server,
+                backend -> {
+                    backend.completed();
+                    backend.firstTokens().add(firstByteMillis);
+                    if (slowerThanItsPastAndItsPeers(backend)) {
+                        backend.cool();
+                        foundCold(server, ColdReason.FIRST_TOKEN_SLOW);
+                    }
+                });
+    }
+
+    /** Calls the subscriber with each engine that is found to be cold again. */
+    void subscribeCold(BiConsumer<String, ColdReason> subscriber) {
+        mOnCold.add(subscriber);
     }
 
     /** Returns the server's status, if it is known. */
     public Optional<BackendStatus> status(String server) {
-        return Optional.ofNullable(mServers.get(server));
+        return Optional.ofNullable(mBackends.get(server)).map(this::status);
     }
 
     /** Returns the statuses of a service's servers, by name. */
     public List<BackendStatus> servers(String service) {
-        return mServers.values().stream()
-                .filter(status -> status.server().service().equals(service))
+        return mBackends.values().stream()
+                .filter(backend -> backend.server().service().equals(service))
+                .map(this::status)
                 .toList();
     }
 
     /** Returns the statuses of all servers, by name. */
     public List<BackendStatus> servers() {
-        return List.copyOf(mServers.values());
+        return mBackends.values().stream().map(this::status).toList();
     }
 
-    /** Returns how many requests the server may carry at once; 0 if it is unknown. */
+    /**
+     * Returns how many requests the server may carry at once; 0 if it is unknown or its data centre
+     * is out, so that a router that has not heard of it yet gets no share from one that has.
+     */
     public int capacity(String server) {
         return status(server)
-                .map(
-                        status ->
-                                Optional.ofNullable(mServices.get(status.server().service()))
-                                        .map(service -> status.state().capacity(service))
-                                        .orElse(0))
+                .filter(status -> takesWork(status.server().dataCentre()))
+                .map(BackendStatus::capacity)
                 .orElse(0);
     }
 
+    /** Returns how far an engine has come on its ramp, if it is known. */
+    Optional<EngineProgress> progress(String server) {
+        return Optional.ofNullable(mBackends.get(server)).map(Backend::progress);
+    }
+
+    private boolean takesWork(String dataCentre) {
+        return mSettings.map(settings -> settings.takesWork(dataCentre)).orElse(false);
+    }
+
+    private @Nullable Service service(Backend backend) {
+        return mSettings
+                .map(settings -> settings.services().get(backend.server().service()))
+                .orElse(null);
+    }
+
+    private BackendStatus status(Backend backend) {
+        return backend.status(service(backend));
+    }
+
     private void reconcile() {
         Map<String, BackendServer> known = new HashMap<>(mDeclared);
         backendVms().forEach(vm -> known.putIfAbsent(vm.name(), server(vm)));
+        List<String> leaving =
+                backendVms().filter(vm -> vm.state() == Vm.State.LEAVING).map(Vm::name).toList();
         known.values().forEach(this::add);
-        mServers.values().removeIf(status -> !known.containsKey(status.server().name()));
-        backendVms()
-                .filter(vm -> vm.state() == Vm.State.LEAVING)
-                .forEach(vm -> setState(vm.name(), BackendState.LEAVING));
+        mBackends.forEach(
+                (name, backend) -> backend.listed(known.containsKey(name), leaving.contains(name)));
+        mBackends.values().forEach(this::logState);
+        forgetUnlisted();
+    }
+
+    private void add(BackendServer server) {
+        mBackends.computeIfAbsent(server.name(), name -> new Backend(server)).server(server);
+    }
+
+    private void forgetUnlisted() {
+        mBackends.values().removeIf(Backend::forgettable);
+        mLoggedStates.keySet().retainAll(mBackends.keySet());
     }
 
     private Stream<Vm> backendVms() {
@@ -122,35 +200,58 @@
                 BackendServer.Fencing.IGNORES);
     }
 
-    private void add(BackendServer server) {
-        BackendState initial =
-                Optional.ofNullable(mServices.get(server.service()))
-                        .filter(service -> service.kind() == Service.Kind.ENGINE)
-                        .map(service -> BackendState.COLD)
-                        .orElse(BackendState.READY);
-        mServers.merge(
-                server.name(),
-                new BackendStatus(server, initial, 0, null),
-                (old, fresh) -> old.withServer(server));
-    }
-
-    private void setState(String server, BackendState state) {
-        status(server)
-                .filter(status -> status.state() != state)
-                .filter(status -> status.state() != BackendState.LEAVING)
-                .ifPresent(
-                        status -> {
-                            change(server, old -> old.withState(state));
-                            mEvents.log(
-                                    LogEvent.BACKEND_STATE_CHANGED,
-                                    EventField.of("server", server),
-                                    EventField.of("from", status.state()),
-                                    EventField.of("to", state));
-                        });
-    }
-
-    private void change(String server, UnaryOperator<BackendStatus> change) {
-        mServers.computeIfPresent(server, (name, status) -> change.apply(status));
+    private boolean slowerThanItsPastAndItsPeers(Backend backend) {
+        if (backend.state(service(backend)) != BackendState.READY) {
+            return false;
+        }
+        return backend.firstTokens()
+                .rise()
+                .filter(ratio -> ratio >= SLOW_FIRST_TOKEN_RATIO)
+                .filter(ratio -> peerSlowdown(backend) < SLOW_SERVICE_RATIO)
+                .isPresent();
+    }
+
+    /** Returns the median slowdown of the service's other engines; 1 if nothing is known. */
+    private double peerSlowdown(Backend backend) {
+        List<Double> slowdowns =
+                mBackends.values().stream()
+                        .filter(other -> other != backend)
+                        .filter(
+                                other ->
+                                        other.server().service().equals(backend.server().service()))
+                        .flatMap(other -> other.firstTokens().slowdown().stream())
+                        .sorted()
+                        .toList();
+        return slowdowns.isEmpty() ? 1 : slowdowns.get(slowdowns.size() / 2);
+    }
+
+    private void foundCold(String server, ColdReason reason) {
+        mEvents.log(
+                LogEvent.ENGINE_COLD_AGAIN,
+                EventField.of("server", server),
+                EventField.of("reason", reason));
+        mOnCold.forEach(subscriber -> subscriber.accept(server, reason));
+    }
+
+    private void change(String server, Consumer<Backend> change) {
+        Backend backend = mBackends.get(server);
+        if (backend != null) {
+            change.accept(backend);
+            logState(backend);
+        }
+    }
+
+    private void logState(Backend backend) {
+        String server = backend.server().name();
+        BackendState state = backend.state(service(backend));
+        BackendState old = mLoggedStates.put(server, state);
+        if (old != null && old != state) {
+            mEvents.log(
+                    LogEvent.BACKEND_STATE_CHANGED,
+                    EventField.of("server", server),
+                    EventField.of("from", old),
+                    EventField.of("to", state));
+        }
     }
 
     @Override
@@ -160,8 +261,6 @@
 
     @Override
     public Object state() {
-        return mServers.values().stream()
-                .sorted(Comparator.comparing(status -> status.server().name()))
-                .toList();
+        return servers();
     }
 }
--- a/rhubarbward-core/src/main/java/io/rhubarbward/engine/BackendStatus.java
+++ b/rhubarbward-core/src/main/java/io/rhubarbward/engine/BackendStatus.java
@@ -4,34 +4,25 @@
 import org.jspecify.annotations.Nullable;
 
 /**
- * What this router knows of a backend server.
+ * What this router knows of a backend server now.
  *
  * @param server where it is
  * @param state what it can bear
+ * @param capacity how many requests it may carry at once
  * @param inFlight requests that this router has there now
+ * @param startedSince those of them that were sent after the report was taken
  * @param report its newest load report, if any
  */
 public record BackendStatus(
-        BackendServer server, BackendState state, int inFlight, @Nullable LoadReport report) {
-    BackendStatus withServer(BackendServer server) {
-        return new BackendStatus(server, state, inFlight, report);
-    }
-
-    BackendStatus withState(BackendState state) {
-        return new BackendStatus(server, state, inFlight, report);
-    }
-
-    BackendStatus withInFlight(int inFlight) {
-        return new BackendStatus(server, state, inFlight, report);
-    }
-
-    BackendStatus withReport(LoadReport report) {
-        return new BackendStatus(server, state, inFlight, report);
-    }
-
-    /** Returns the load to compare servers by: what it reported, or what this router sent. */
+        BackendServer server,
+        BackendState state,
+        int capacity,
+        int inFlight,
+        int startedSince,
+        @Nullable EngineObservation report) {
+    /** Returns the fleet's load there: what it reported, and what this router sent since. */
     public int load() {
         int reported = report == null ? 0 : report.running() + report.waiting();
-        return Math.max(inFlight, reported);
+        return Math.max(inFlight, reported + startedSince);
     }
 }
--- a/rhubarbward-core/src/main/java/io/rhubarbward/engine/LoadPoller.java
+++ b/rhubarbward-core/src/main/java/io/rhubarbward/engine/LoadPoller.java
@@ -52,10 +52,11 @@
     }
 
     private void ask(BackendServer server) {
+        long askedAt = mTimers.nowMillis();
         mEngines.load(server)
                 .thenAccept(
                         answer ->
-                                answer.peek(report -> mRegistry.observe(server.name(), report))
+                                answer.peek(r -> mRegistry.observe(server.name(), r, askedAt))
                                         .peekLeft(f -> mRegistry.unreachable(server.name())));
     }
 }
--- a/rhubarbward-core/src/main/java/io/rhubarbward/event/LogEvent.java
+++ b/rhubarbward-core/src/main/java/io/rhubarbward/event/LogEvent.java
@@ -41,6 +41,7 @@
 
     // 1500: backend servers.
     BACKEND_STATE_CHANGED(1501, INFO),
+    ENGINE_COLD_AGAIN(1502, WARNING),
 
     // 1600: routing.
 
--- a/rhubarbward-core/src/main/java/io/rhubarbward/node/RouterNode.java
+++ b/rhubarbward-core/src/main/java/io/rhubarbward/node/RouterNode.java
@@ -7,6 +7,7 @@
 import io.rhubarbward.config.ConfigurationInForce;
 import io.rhubarbward.config.Settings;
 import io.rhubarbward.engine.BackendRegistry;
+import io.rhubarbward.engine.BackendStatus;
 import io.rhubarbward.engine.LoadPoller;
 import io.rhubarbward.event.EventField;
 import io.rhubarbward.event.LogEvent;
@@ -15,6 +16,8 @@
 import io.rhubarbward.quota.LocalQuotaService;
 import io.rhubarbward.quota.QuotaCapacity;
 import io.rhubarbward.quota.QuotaKey;
+import io.rhubarbward.request.CallObservers;
+import io.rhubarbward.request.CallOutcome;
 import io.rhubarbward.request.CallerListener;
 import io.rhubarbward.request.CallerRequest;
 import io.rhubarbward.request.CallerResponse;
@@ -55,6 +58,7 @@
     private final LoadPoller mPoller;
     private final LocalQuotaService mQuotas;
     private final Admission mAdmission;
+    private final CallObservers mCallObservers = new CallObservers();
     private final RequestService mRequests;
     private boolean mDraining;
 
@@ -79,7 +83,7 @@
                         () -> new Heartbeat(identity.incarnation(), mConfiguration.generation()),
                         ports.timers(),
                         ports.events());
-        mRegistry = new BackendRegistry(ports.events());
+        mRegistry = new BackendRegistry(ports.events(), ports.timers());
         mPoller =
                 new LoadPoller(
                         mConfiguration::settings, mRegistry, ports.engines(), ports.timers());
@@ -99,7 +103,7 @@
                 mQuotas,
                 mPorts.backends(),
                 new RequestMetrics(mPorts.metrics()),
-                outcome -> {});
+                mCallObservers);
     }
 
     /** Starts to follow the platform and the engines. */
@@ -107,11 +111,18 @@
         mPorts.events().log(LogEvent.ROUTER_STARTED, EventField.of("vm", mIdentity.vm()));
         mConfiguration.subscribe(this::onConfiguration);
         mMembership.subscribe(mRegistry::observe);
+        mCallObservers.subscribe(this::countCompleted);
         mFollower.start();
         mMembership.start(VM_LIST_PERIOD, HEARTBEAT_PERIOD);
         mPoller.start();
     }
 
+    private void countCompleted(CallOutcome outcome) {
+        if (outcome.result() == CallOutcome.Result.ANSWERED) {
+            mRegistry.completed(outcome.server().name(), outcome.firstByteMillis());
+        }
+    }
+
     private void onConfiguration(Configuration configuration) {
         mRegistry.configure(configuration.settings());
         mAdmission.configure(configuration.settings());
@@ -132,6 +143,11 @@
         return mConfiguration.current();
     }
 
+    /** Returns what is known of each backend server, by name. */
+    public List<BackendStatus> backends() {
+        return mRegistry.servers();
+    }
+
     /**
      * Stops in an orderly way: not ready at once, new requests refused after the balancer's notice
      * time, then the end of the last open answer.
--- /dev/null
+++ b/rhubarbward-core/src/test/java/io/rhubarbward/engine/ColdEngineTest.java
@@ -0,0 +1,215 @@
+package io.rhubarbward.engine;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import io.rhubarbward.request.BackendFailure;
+import io.rhubarbward.testing.FakeBackends.Sent;
+import io.rhubarbward.testing.RecordingResponse;
+import io.rhubarbward.testing.Site;
+import java.time.Duration;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import java.util.stream.IntStream;
+import org.junit.jupiter.api.Test;
+
+/** What cold, leaving and lost engines are given, from the caller's request to the engine. */
+final class ColdEngineTest {
+    private static final int OK = 200;
+    private static final int COLD_CONCURRENCY = 1;
+    private static final int CONCURRENCY = 16;
+    private static final int REQUESTS = 60;
+    private static final int SERVED = 1_000_000;
+    private static final Duration ACCOUNT_REFILL = Duration.ofSeconds(1);
+    private static final String ENGINE = "engine-1";
+
+    private final Site mSite = Site.start(1);
+    private final Set<Sent> mOver = new HashSet<>();
+
+    @Test
+    void aReportAloneDoesNotMakeAColdEngineReady() {
+        report(new LoadReport("second", 0, 0, 0, 0));
+        mSite.advance(Duration.ofSeconds(10));
+        flood();
+        assertThat(open()).hasSize(COLD_CONCURRENCY);
+    }
+
+    @Test
+    void timeAloneDoesNotMakeAColdEngineReady() {
+        report(new LoadReport("second", 0, 0, 0, 0));
+        mSite.advance(Duration.ofHours(1));
+        flood();
+        assertThat(open()).hasSize(COLD_CONCURRENCY);
+    }
+
+    @Test
+    void failedWorkDoesNotLiftAColdEngine() {
+        report(new LoadReport("second", 0, 0, 0, 0));
+        for (int round = 0; round < REQUESTS; round++) {
+            flood();
+            assertThat(open().size()).isAtMost(COLD_CONCURRENCY);
+            open().forEach(this::fail);
+            mSite.advance(ACCOUNT_REFILL);
+        }
+    }
+
+    @Test
+    void completedWorkLiftsAColdEngineStepByStepToItsFullLoad() {
+        report(new LoadReport("second", 0, 0, 0, 0));
+        int before = 0;
+        int completed = 0;
+        while (completed < 10 * CONCURRENCY) {
+            flood();
+            int open = open().size();
+            assertThat(open).isAtLeast(before);
+            assertThat(open).isAtMost(Math.max(COLD_CONCURRENCY, 2 * before));
+            before = open;
+            completed += open;
+            open().forEach(this::complete);
+            mSite.advance(ACCOUNT_REFILL);
+        }
+        assertThat(before).isEqualTo(CONCURRENCY);
+    }
+
+    @Test
+    void workThatOtherRoutersSentLiftsAnEngineHereToo() {
+        report(new LoadReport("second", 0, 0, SERVED, 0));
+        flood();
+        assertThat(open()).hasSize(CONCURRENCY);
+    }
+
+    @Test
+    void aSilentRestartBetweenTwoReportsIsSeenByTheFallOfServedRequests() {
+        report(new LoadReport("first", 0, 0, 3, 0));
+        flood();
+        assertThat(open()).hasSize(2);
+    }
+
+    @Test
+    void anEngineThatLosesItsCacheIsColdAgain() {
+        report(new LoadReport("first", 0, 0, SERVED, 50_000));
+        report(new LoadReport("first", 0, 0, SERVED + 10, 1_000));
+        flood();
+        assertThat(open()).hasSize(COLD_CONCURRENCY);
+    }
+
+    @Test
+    void anEngineWhoseFirstTokensComeFarLaterThanItsPastIsColdAgain() {
+        IntStream.range(0, 80).forEach(i -> answerAfter(Duration.ofMillis(50 + i % 7)));
+        assertThat(state()).isEqualTo(BackendState.READY);
+        for (int i = 0; i < 16 && state() == BackendState.READY; i++) {
+            answerAfter(Duration.ofMillis(400));
+        }
+        assertThat(state()).isEqualTo(BackendState.COLD);
+    }
+
+    @Test
+    void oneMissedReportDoesNotThrowAnEngineOut() {
+        mSite.engines().silence(ENGINE);
+        mSite.advance(Duration.ofSeconds(1));
+        assertThat(state()).isEqualTo(BackendState.READY);
+        mSite.advance(Duration.ofSeconds(3));
+        assertThat(state()).isEqualTo(BackendState.LOST);
+    }
+
+    @Test
+    void aLostEngineThatAnswersAgainIsColdUnlessItIsTheSameProcess() {
+        mSite.engines().silence(ENGINE);
+        mSite.advance(Duration.ofSeconds(10));
+        report(new LoadReport("first", 0, 0, SERVED, 0));
+        assertThat(state()).isEqualTo(BackendState.READY);
+        mSite.engines().silence(ENGINE);
+        mSite.advance(Duration.ofSeconds(10));
+        report(new LoadReport("second", 0, 0, 0, 0));
+        assertThat(state()).isEqualTo(BackendState.COLD);
+    }
+
+    @Test
+    void anEngineThatIsLostForLongIsNotForgotten() {
+        mSite.engines().silence(ENGINE);
+        mSite.advance(Duration.ofDays(1));
+        report(new LoadReport("first", 0, 0, SERVED, 0));
+        assertThat(state()).isEqualTo(BackendState.READY);
+    }
+
+    @Test
+    void anEngineThatReportsThatItLeavesGetsNoNewWorkWithinThreeSeconds() {
+        mSite.engines().report(ENGINE, new LoadReport("first", 0, 0, SERVED, 0, true));
+        mSite.advance(Duration.ofSeconds(3));
+        flood();
+        assertThat(open()).isEmpty();
+    }
+
+    @Test
+    void aLateReportOfTheProcessBeforeDoesNotMakeARestartedEngineReady() {
+        report(new LoadReport("second", 0, 0, 0, 0));
+        report(new LoadReport("first", 0, 0, SERVED, 0));
+        flood();
+        assertThat(open()).hasSize(COLD_CONCURRENCY);
+    }
+
+    @Test
+    void aDataCentreThatIsOutGetsNoNewWorkAndReturnsCold() {
+        String out =
+                Site.SETTINGS.replace(
+                        "\"dc-a\": {\"state\": \"in\"}", "\"dc-a\": {\"state\": \"out\"}");
+        mSite.apply(out);
+        mSite.advance(Duration.ofSeconds(3));
+        flood();
+        assertThat(open()).isEmpty();
+        List.of(ENGINE, "engine-2")
+                .forEach(e -> mSite.engines().report(e, new LoadReport("second", 0, 0, 0, 0)));
+        mSite.apply(Site.SETTINGS);
+        mSite.advance(Duration.ofSeconds(3));
+        flood();
+        assertThat(open()).hasSize(COLD_CONCURRENCY);
+    }
+
+    private void report(LoadReport report) {
+        mSite.engines().report(ENGINE, report);
+        mSite.advance(Duration.ofSeconds(2));
+    }
+
+    private void flood() {
+        IntStream.range(0, REQUESTS)
+                .mapToObj(i -> Site.chat("c" + i))
+                .forEach(chat -> mSite.router(0).serve(chat, new RecordingResponse()));
+        mSite.advance(Duration.ZERO);
+    }
+
+    private List<Sent> open() {
+        return mSite.backends().sent().stream()
+                .filter(sent -> sent.server().equals(ENGINE))
+                .filter(sent -> !mOver.contains(sent))
+                .toList();
+    }
+
+    private void complete(Sent sent) {
+        mOver.add(sent);
+        sent.head(OK, "application/json").part("{}").complete();
+    }
+
+    private void fail(Sent sent) {
+        mOver.add(sent);
+        sent.fail(BackendFailure.CONNECTION_LOST);
+    }
+
+    /** Has the engine answer one request after the time; others are answered at once. */
+    private void answerAfter(Duration firstByte) {
+        int number = 0;
+        while (open().isEmpty()) {
+            mSite.router(0).serve(Site.chat("slow-" + number++), new RecordingResponse());
+            mSite.advance(Duration.ZERO);
+        }
+        mSite.advance(firstByte);
+        open().forEach(this::complete);
+    }
+
+    private BackendState state() {
+        return mSite.router(0).backends().stream()
+                .filter(status -> status.server().name().equals(ENGINE))
+                .findFirst()
+                .orElseThrow()
+                .state();
+    }
+}
--- a/rhubarbward-core/src/test/java/io/rhubarbward/testing/FakeEngines.java
+++ b/rhubarbward-core/src/test/java/io/rhubarbward/testing/FakeEngines.java
@@ -13,9 +13,11 @@
 public final class FakeEngines implements EngineClient {
     private final Map<String, LoadReport> mReports = new HashMap<>();
 
-    /** Reports an idle engine of the incarnation. */
+    private static final int WARM_SERVED = 1_000_000;
+
+    /** Reports an idle engine of the incarnation that has left its ramp behind. */
     public void idle(String engine, String incarnation) {
-        mReports.put(engine, new LoadReport(incarnation, 0, 0, 0, 0));
+        mReports.put(engine, new LoadReport(incarnation, 0, 0, WARM_SERVED, 0));
     }
 
     public void report(String engine, LoadReport report) {
--- a/rhubarbward-standin/src/main/java/io/rhubarbward/standin/EngineStandin.java
+++ b/rhubarbward-standin/src/main/java/io/rhubarbward/standin/EngineStandin.java
@@ -39,6 +39,7 @@
     private EngineProfile mProfile;
     private int mRunning;
     private long mServed;
+    private boolean mLeaving;
 
     /** Listens at the address; port 0 takes a free one. */
     public EngineStandin(
@@ -66,6 +67,11 @@
         mTimers.execute(() -> mProfile = profile);
     }
 
+    /** Says in its reports whether it wants no new work; may be called on any thread. */
+    public void leaving(boolean leaving) {
+        mTimers.execute(() -> mLeaving = leaving);
+    }
+
     private CallerListener handle(CallerRequest request, CallerResponse response) {
         try {
             return switch (request.method() + " " + request.path()) {
@@ -84,7 +90,12 @@
 
     private LoadReport load() {
         return new LoadReport(
-                mIncarnation, mRunning, 0, mServed, (long) mCache.size() * TOKENS_PER_CHAT);
+                mIncarnation,
+                mRunning,
+                0,
+                mServed,
+                (long) mCache.size() * TOKENS_PER_CHAT,
+                mLeaving);
     }
 
     private CallerListener chat(CallerRequest request, CallerResponse response)
