Claim keys before sending and say not-run only when true

Cause: a refusal took its run state from the last failure alone, so one lost answer followed by an unreachable or full server said not-run; a caller that never read again held its exchange's connection past the deadline; keyed requests were not claimed. Change: the exchange remembers whether an attempt may have run, claims the key with the permit in hand, keeps the answer, and reads on to the end when the caller of a claimed request has gone. Attempt is a class of its own.

--- a/rhubarbward-core/src/main/java/io/rhubarbward/node/RouterNode.java
+++ b/rhubarbward-core/src/main/java/io/rhubarbward/node/RouterNode.java
@@ -21,6 +21,7 @@
 import io.rhubarbward.request.ExchangeContext;
 import io.rhubarbward.request.RequestMetrics;
 import io.rhubarbward.request.RequestService;
+import io.rhubarbward.request.claim.ClaimStore;
 import io.rhubarbward.routing.BoundedAffinity;
 import io.rhubarbward.routing.VersionFilter;
 import io.rhubarbward.state.StateSource;
@@ -55,6 +56,7 @@
     private final LoadPoller mPoller;
     private final LocalQuotaService mQuotas;
     private final Admission mAdmission;
+    private final ClaimStore mClaims;
     private final RequestService mRequests;
     private boolean mDraining;
 
@@ -85,6 +87,11 @@
                         mConfiguration::settings, mRegistry, ports.engines(), ports.timers());
         mQuotas = new LocalQuotaService(this::capacity, ports.timers());
         mAdmission = new Admission(mQuotas);
+        mClaims =
+                new ClaimStore(
+                        ports.store(),
+                        ports.timers(),
+                        identity.noncePrefix(ports.random().nextLong()));
         mRequests = new RequestService(mConfiguration, context());
     }
 
@@ -99,7 +106,8 @@
                 mQuotas,
                 mPorts.backends(),
                 new RequestMetrics(mPorts.metrics()),
-                outcome -> {});
+                outcome -> {},
+                mClaims);
     }
 
     /** Starts to follow the platform and the engines. */
@@ -167,7 +175,7 @@
         Map<String, Object> dump = new TreeMap<>();
         dump.put("identity", mIdentity);
         List<StateSource> sources =
-                List.of(mConfiguration, mMembership, mRegistry, mQuotas, mRequests);
+                List.of(mConfiguration, mMembership, mRegistry, mQuotas, mClaims, mRequests);
         sources.forEach(source -> dump.put(source.name(), source.state()));
         return dump;
     }
--- a/rhubarbward-core/src/main/java/io/rhubarbward/request/AnswerRelay.java
+++ b/rhubarbward-core/src/main/java/io/rhubarbward/request/AnswerRelay.java
@@ -20,12 +20,18 @@
     private final StringBuilder mTail = new StringBuilder();
     private boolean mBegun;
     private boolean mEventStream;
+    private boolean mDetached;
 
     AnswerRelay(Service service, CallerResponse response) {
         mService = service;
         mResponse = response;
     }
 
+    /** Shows the caller, who has gone, nothing more. */
+    void detach() {
+        mDetached = true;
+    }
+
     /** Returns whether the caller has been shown anything. */
     boolean begun() {
         return mBegun;
@@ -38,14 +44,18 @@
                         && headers.first("content-type")
                                 .filter(type -> type.startsWith(EVENT_STREAM))
                                 .isPresent();
-        mResponse.begin(status, HopByHop.strip(headers));
+        if (!mDetached) {
+            mResponse.begin(status, HopByHop.strip(headers));
+        }
     }
 
     void write(ByteBuffer part) {
         if (mEventStream) {
             remember(part.duplicate());
         }
-        mResponse.write(part);
+        if (!mDetached) {
+            mResponse.write(part);
+        }
     }
 
     /** Returns whether what was written so far is the whole answer. */
--- a/rhubarbward-core/src/main/java/io/rhubarbward/request/BackendCall.java
+++ b/rhubarbward-core/src/main/java/io/rhubarbward/request/BackendCall.java
@@ -10,4 +10,12 @@
 
     /** Gives the call up and closes its connection. */
     void cancel();
+
+    /**
+     * Gives the call up because it fell silent: idle connections to the same address may be as dead
+     * as this one, so none of them is used again.
+     */
+    default void expire() {
+        cancel();
+    }
 }
--- /dev/null
+++ b/rhubarbward-core/src/main/java/io/rhubarbward/request/ClaimRefusals.java
@@ -0,0 +1,38 @@
+package io.rhubarbward.request;
+
+import io.rhubarbward.request.claim.ClaimVerdict;
+
+/** Says to a caller why its request is not sent under its idempotency key. */
+final class ClaimRefusals {
+    private static final long RETRY_AFTER_MILLIS = 1000;
+
+    private ClaimRefusals() {}
+
+    static Refusal of(ClaimVerdict verdict) {
+        if (verdict instanceof ClaimVerdict.KeyReused) {
+            return Refusal.of(
+                    RefusalCode.KEY_REUSED,
+                    "the key came before with another method, target or body");
+        }
+        if (verdict instanceof ClaimVerdict.InProgress) {
+            return new Refusal(
+                    RefusalCode.IN_PROGRESS,
+                    "expected the same key only after the first answer",
+                    RETRY_AFTER_MILLIS);
+        }
+        if (verdict instanceof ClaimVerdict.OutcomeUnknown) {
+            return Refusal.of(
+                    RefusalCode.OUTCOME_UNKNOWN,
+                    "the request was sent before and its answer is lost");
+        }
+        if (verdict instanceof ClaimVerdict.Answered answered) {
+            return Refusal.of(
+                    RefusalCode.ANSWER_NOT_KEPT,
+                    "the request was answered with status " + answered.answer().status());
+        }
+        return new Refusal(
+                RefusalCode.CLAIMS_UNAVAILABLE,
+                "the idempotency key could not be claimed; nothing was sent",
+                RETRY_AFTER_MILLIS);
+    }
+}
--- a/rhubarbward-core/src/main/java/io/rhubarbward/request/Exchange.java
+++ b/rhubarbward-core/src/main/java/io/rhubarbward/request/Exchange.java
@@ -7,6 +7,8 @@
 import io.rhubarbward.quota.QuotaKey;
 import io.rhubarbward.quota.QuotaService.QuotaPermit;
 import io.rhubarbward.quota.QuotaService.QuotaRefusal;
+import io.rhubarbward.request.claim.ClaimVerdict;
+import io.rhubarbward.request.claim.StoredAnswer;
 import io.rhubarbward.routing.RouteQuery;
 import io.rhubarbward.timer.TimerService;
 import io.vavr.control.Either;
@@ -19,25 +21,28 @@
 /**
  * One caller's request from its acceptance to the end of its answer.
  *
- * <p>It tries backend servers in the routing policy's order until one answers. Every call has a
- * listener of its own that is deaf once the call was given up, so that a late answer reaches
- * nobody.
+ * <p>It tries backend servers in the routing policy's order until one answers. A request with an
+ * idempotency key is claimed before its first byte is sent, and goes on to its end when its caller
+ * has gone, so that the answer can be kept.
  */
-final class Exchange implements CallerListener {
+final class Exchange implements CallerListener, Attempt.Owner {
     private static final long RETRY_AFTER_MILLIS = 1000;
-    private static final long NO_FIRST_BYTE = -1;
-    private static final int SERVER_ERROR = 500;
+    private static final String REPLAYED_HEADER = "idempotency-replayed";
 
     private final AcceptedRequest mRequest;
     private final ExchangeContext mContext;
     private final AnswerRelay mRelay;
     private final CallerResponse mResponse;
+    private final ExchangeClaim mClaim;
     private final Runnable mOnEnd;
     private final TimerService.Subscription mDeadline;
     private Deque<BackendServer> mCandidates = new ArrayDeque<>();
     private int mAttempts;
     private long mRetryAfterMillis = RETRY_AFTER_MILLIS;
     private @Nullable Attempt mAttempt;
+    private boolean mMayHaveRun;
+    private boolean mWritable = true;
+    private boolean mCallerGone;
     private boolean mEnded;
 
     Exchange(
@@ -50,6 +55,7 @@
         mContext = context;
         mOnEnd = onEnd;
         mRelay = new AnswerRelay(request.service(), response);
+        mClaim = new ExchangeClaim(request, context.claims());
         mDeadline =
                 context.timers()
                         .after(Duration.ofMillis(limits().deadlineMillis()), () -> onDeadline());
@@ -115,19 +121,85 @@
             tryNext();
         } else if (mEnded) {
             granted.get().release();
+        } else if (mClaim.wanted()) {
+            mClaim.acquire().thenAccept(verdict -> onClaim(server, granted.get(), verdict));
         } else {
-            mAttempts++;
-            mAttempt = new Attempt(server, granted.get());
-            mAttempt.send();
+            attempt(server, granted.get());
         }
     }
 
-    private void onAttemptFailed(BackendFailure failure) {
+    private void onClaim(BackendServer server, QuotaPermit permit, ClaimVerdict verdict) {
+        boolean deduplicated =
+                verdict instanceof ClaimVerdict.StoreOut && mRequest.service().deduplicates();
+        if (mEnded) {
+            permit.release();
+            mClaim.settle(ExchangeClaim.End.NOT_RUN);
+        } else if (verdict instanceof ClaimVerdict.Granted || deduplicated) {
+            mClaim.waive();
+            attempt(server, permit);
+        } else {
+            permit.release();
+            answerWithout(verdict);
+        }
+    }
+
+    /** Answers a request whose key is not this exchange's own; it is not sent. */
+    private void answerWithout(ClaimVerdict verdict) {
+        if (verdict instanceof ClaimVerdict.Answered answered && answered.answer().body() != null) {
+            end(() -> replay(answered.answer()));
+        } else {
+            refuse(ClaimRefusals.of(verdict));
+        }
+    }
+
+    private void replay(StoredAnswer answer) {
+        mContext.metrics().answered(mRequest.service().name());
+        mResponse.begin(
+                answer.status(), new HeaderFields(answer.headers()).with(REPLAYED_HEADER, "true"));
+        mResponse.write(answer.bytes());
+        mResponse.finish();
+    }
+
+    private void attempt(BackendServer server, QuotaPermit permit) {
+        mAttempts++;
+        mAttempt = new Attempt(mRequest, mContext, server, permit, mWritable, this);
+        mAttempt.send();
+    }
+
+    @Override
+    public void onHead(int status, HeaderFields headers) {
+        mMayHaveRun = true;
+        mClaim.onHead(status, headers);
+        mRelay.begin(status, headers);
+    }
+
+    @Override
+    public void onPart(ByteBuffer part) {
+        mClaim.onPart(part);
+        mRelay.write(part);
+    }
+
+    @Override
+    public boolean whole() {
+        return mRelay.whole();
+    }
+
+    @Override
+    public void onWhole() {
+        mAttempt = null;
+        mContext.metrics().answered(mRequest.service().name());
+        end(ExchangeClaim.End.ANSWERED, mRelay::finish);
+    }
+
+    @Override
+    public void onFailed(BackendServer server, BackendFailure failure) {
+        mAttempt = null;
+        mMayHaveRun |= !failure.provesNotRun();
         Refusal refusal =
                 new Refusal(
                         failure.refusal(),
                         "backend server failed: " + failure,
-                        failure.provesNotRun() ? RETRY_AFTER_MILLIS : 0);
+                        mMayHaveRun ? 0 : RETRY_AFTER_MILLIS);
         if (mRelay.begun()) {
             mContext.events().log(LogEvent.ANSWER_CUT, EventField.of("failure", failure));
             end(() -> mRelay.cut(refusal));
@@ -146,34 +218,46 @@
                         RefusalCode.DEADLINE_EXCEEDED,
                         "took longer than " + limits().deadlineMillis() + " ms");
         giveUpAttempt();
-        if (mRelay.begun()) {
+        if (!mRelay.begun()) {
+            refuse(refusal);
+        } else if (mWritable) {
             end(() -> mRelay.cut(refusal));
         } else {
-            refuse(refusal);
+            // A caller that does not read would hold its connection and what waits in it for ever.
+            end(mResponse::abort);
         }
     }
 
     private void refuse(Refusal refusal) {
+        Refusal truthful = refusal.afterSending(mMayHaveRun);
         mContext.events()
                 .log(
                         LogEvent.REQUEST_REFUSED,
-                        EventField.of("code", refusal.code().label()),
+                        EventField.of("code", truthful.code().label()),
                         EventField.of("account", mRequest.account().name()));
-        mContext.metrics().refused(refusal.code());
-        end(() -> refusal.sendTo(mResponse));
+        mContext.metrics().refused(truthful.code());
+        end(() -> truthful.sendTo(mResponse));
     }
 
     private void end(Runnable answer) {
+        end(mMayHaveRun ? ExchangeClaim.End.MAY_HAVE_RUN : ExchangeClaim.End.NOT_RUN, answer);
+    }
+
+    /** Ends the exchange for the caller at once, and for the router when the claim is settled. */
+    private void end(ExchangeClaim.End end, Runnable answer) {
         if (!mEnded) {
             mEnded = true;
             mDeadline.cancel();
-            answer.run();
-            mOnEnd.run();
+            if (!mCallerGone) {
+                answer.run();
+            }
+            mClaim.settle(end).thenAccept(settled -> mOnEnd.run());
         }
     }
 
     private void giveUpAttempt() {
         if (mAttempt != null) {
+            mMayHaveRun = true;
             mAttempt.giveUp();
             mAttempt = null;
         }
@@ -181,6 +265,7 @@
 
     @Override
     public void onWritable(boolean writable) {
+        mWritable = writable;
         if (mAttempt != null) {
             mAttempt.flow(writable);
         }
@@ -188,133 +273,17 @@
 
     @Override
     public void onGone() {
-        giveUpAttempt();
-        end(() -> {});
+        mCallerGone = true;
+        if (mClaim.held() && mAttempt != null) {
+            mRelay.detach();
+            onWritable(true);
+        } else {
+            giveUpAttempt();
+            end(() -> {});
+        }
     }
 
     private RequestSettings limits() {
         return mRequest.settings().request();
     }
-
-    /** One call to one backend server. */
-    private final class Attempt implements BackendListener {
-        private final BackendServer mServer;
-        private final QuotaPermit mPermit;
-        private final long mSentMillis = mContext.timers().nowMillis();
-        private @Nullable BackendCall mCall;
-        private TimerService.Subscription mSilence = () -> {};
-        private boolean mOver;
-        private int mStatus;
-        private int mParts;
-        private long mFirstByteMillis = NO_FIRST_BYTE;
-
-        Attempt(BackendServer server, QuotaPermit permit) {
-            mServer = server;
-            mPermit = permit;
-        }
-
-        void send() {
-            mContext.registry().started(mServer.name());
-            watchSilence(limits().firstByteMillis());
-            mCall = mContext.backends().send(mContext.backendRequest(mRequest, mServer), this);
-        }
-
-        void flow(boolean writable) {
-            if (mCall == null || mOver) {
-                return;
-            }
-            if (writable) {
-                watchSilence(limits().silenceMillis());
-                mCall.resume();
-            } else {
-                mSilence.cancel();
-                mCall.pause();
-            }
-        }
-
-        void giveUp() {
-            if (close(CallOutcome.Result.GIVEN_UP) && mCall != null) {
-                mCall.cancel();
-            }
-        }
-
-        @Override
-        public void onHead(int status, HeaderFields headers) {
-            if (!mOver) {
-                mStatus = status;
-                mFirstByteMillis = mContext.timers().nowMillis() - mSentMillis;
-                mContext.metrics().firstByte(mRequest.service().name(), mFirstByteMillis);
-                watchSilence(limits().silenceMillis());
-                mRelay.begin(status, headers);
-            }
-        }
-
-        @Override
-        public void onPart(ByteBuffer part) {
-            if (!mOver) {
-                mParts++;
-                watchSilence(limits().silenceMillis());
-                mRelay.write(part);
-            }
-        }
-
-        @Override
-        public void onComplete() {
-            boolean whole = mRelay.whole();
-            if (!close(whole ? answered() : CallOutcome.Result.FAILED)) {
-                return;
-            }
-            if (whole) {
-                mContext.metrics().answered(mRequest.service().name());
-                end(mRelay::finish);
-            } else {
-                onAttemptFailed(BackendFailure.INCOMPLETE);
-            }
-        }
-
-        @Override
-        public void onFailure(BackendFailure failure) {
-            if (close(CallOutcome.Result.FAILED)) {
-                onAttemptFailed(failure);
-            }
-        }
-
-        private void onSilence() {
-            if (close(CallOutcome.Result.FAILED) && mCall != null) {
-                mCall.cancel();
-            }
-            onAttemptFailed(BackendFailure.SILENT);
-        }
-
-        private void watchSilence(int millis) {
-            mSilence.cancel();
-            mSilence = mContext.timers().after(Duration.ofMillis(millis), this::onSilence);
-        }
-
-        private CallOutcome.Result answered() {
-            return mStatus < SERVER_ERROR
-                    ? CallOutcome.Result.ANSWERED
-                    : CallOutcome.Result.SERVER_ERROR;
-        }
-
-        private boolean close(CallOutcome.Result result) {
-            if (mOver) {
-                return false;
-            }
-            mOver = true;
-            mSilence.cancel();
-            mPermit.release();
-            mContext.registry().finished(mServer.name());
-            mContext.observer()
-                    .onOutcome(
-                            new CallOutcome(
-                                    mServer,
-                                    mRequest.service().pathPrefix(),
-                                    result,
-                                    mFirstByteMillis,
-                                    mContext.timers().nowMillis() - mSentMillis,
-                                    mParts));
-            return true;
-        }
-    }
 }
--- a/rhubarbward-core/src/main/java/io/rhubarbward/request/ExchangeContext.java
+++ b/rhubarbward-core/src/main/java/io/rhubarbward/request/ExchangeContext.java
@@ -5,6 +5,7 @@
 import io.rhubarbward.engine.BackendRegistry;
 import io.rhubarbward.event.EventLog;
 import io.rhubarbward.quota.QuotaService;
+import io.rhubarbward.request.claim.ClaimStore;
 import io.rhubarbward.routing.RoutingPolicy;
 import io.rhubarbward.timer.TimerService;
 
@@ -21,6 +22,7 @@
  * @param backends sends to backend servers
  * @param metrics counts what happens
  * @param observer told how each call to a backend server ended
+ * @param claims keeps requests with an idempotency key from running twice
  */
 public record ExchangeContext(
         String homeDataCentre,
@@ -32,7 +34,8 @@
         QuotaService quotas,
         BackendClient backends,
         RequestMetrics metrics,
-        CallObserver observer) {
+        CallObserver observer,
+        ClaimStore claims) {
     private static final String ACCOUNT_HEADER = "x-client-account";
     private static final String PRIORITY_HEADER = "x-priority";
 
--- a/rhubarbward-core/src/main/java/io/rhubarbward/request/Refusal.java
+++ b/rhubarbward-core/src/main/java/io/rhubarbward/request/Refusal.java
@@ -12,16 +12,27 @@
  * @param code why
  * @param detail what was seen and what was expected, for people
  * @param retryAfterMillis when to try again; 0 when trying again does not help
+ * @param run whether the request may have run
  */
-public record Refusal(RefusalCode code, String detail, long retryAfterMillis) {
+public record Refusal(RefusalCode code, String detail, long retryAfterMillis, RunState run) {
     private static final ObjectMapper MAPPER = new ObjectMapper();
     private static final long MILLIS_PER_SECOND = 1000;
 
+    /** Refuses with the code's own run state. */
+    public Refusal(RefusalCode code, String detail, long retryAfterMillis) {
+        this(code, detail, retryAfterMillis, code.runState());
+    }
+
     /** Returns a refusal for which trying again does not help. */
     public static Refusal of(RefusalCode code, String detail) {
         return new Refusal(code, detail, 0);
     }
 
+    /** Returns this refusal of a request that has, or has not, been handed to a server before. */
+    Refusal afterSending(boolean mayHaveRun) {
+        return new Refusal(code, detail, retryAfterMillis, code.runState(mayHaveRun));
+    }
+
     /** Returns the problem document's text. */
     public String json() {
         ObjectNode problem =
@@ -31,7 +42,7 @@
                         .put("status", code.status())
                         .put("detail", detail)
                         .put("code", code.label())
-                        .put("run", code.runState().label());
+                        .put("run", run.label());
         try {
             return MAPPER.writeValueAsString(problem);
         } catch (JsonProcessingException e) {
--- a/rhubarbward-core/src/main/java/io/rhubarbward/request/RefusalCode.java
+++ b/rhubarbward-core/src/main/java/io/rhubarbward/request/RefusalCode.java
@@ -5,8 +5,9 @@
 /**
  * Every reason for which a caller is refused.
  *
- * <p>A code whose {@link #runState} is {@link RunState#NOT_RUN} is only given when no byte of the
- * request was handed to a backend connection, or when the backend server's own answer proves it.
+ * <p>A code whose {@link #runState()} is {@link RunState#NOT_RUN} means so when no byte of the
+ * request was handed to a backend connection. {@link #runState(boolean)} says what is true of a
+ * request that was, or was not, tried before it was refused.
  */
 public enum RefusalCode {
     MALFORMED_REQUEST(400, RunState.NOT_RUN, "The request cannot be read"),
@@ -25,7 +26,18 @@
     BACKEND_UNREACHABLE(502, RunState.NOT_RUN, "No connection to a backend server came about"),
     BACKEND_LOST(502, RunState.UNKNOWN, "The backend server's connection ended too soon"),
     BACKEND_SILENT(504, RunState.UNKNOWN, "The backend server fell silent"),
-    DEADLINE_EXCEEDED(504, RunState.UNKNOWN, "The request took longer than allowed");
+    DEADLINE_EXCEEDED(504, RunState.UNKNOWN, "The request took longer than allowed") {
+        @Override
+        public RunState runState(boolean mayHaveRun) {
+            return mayHaveRun ? RunState.UNKNOWN : RunState.NOT_RUN;
+        }
+    },
+    INVALID_KEY(400, RunState.NOT_RUN, "The idempotency key cannot be used"),
+    KEY_REUSED(422, RunState.NOT_RUN, "The idempotency key was used for another request"),
+    IN_PROGRESS(409, RunState.UNKNOWN, "The request with this idempotency key is being served"),
+    OUTCOME_UNKNOWN(409, RunState.UNKNOWN, "The request may have run; its answer is lost"),
+    ANSWER_NOT_KEPT(409, RunState.DONE, "The request ran; its answer was too large to keep"),
+    CLAIMS_UNAVAILABLE(503, RunState.NOT_RUN, "The store that prevents a second run is out");
 
     private final int mStatus;
     private final RunState mRunState;
@@ -42,11 +54,16 @@
         return mStatus;
     }
 
-    /** Returns whether the request may have run. */
+    /** Returns whether the request may have run, as far as the code alone tells. */
     public RunState runState() {
         return mRunState;
     }
 
+    /** Returns whether a request may have run that was, or was not, handed to a server before. */
+    public RunState runState(boolean mayHaveRun) {
+        return mayHaveRun && mRunState == RunState.NOT_RUN ? RunState.UNKNOWN : mRunState;
+    }
+
     /** Returns one line for people. */
     public String title() {
         return mTitle;
--- a/rhubarbward-core/src/main/java/io/rhubarbward/request/RequestGate.java
+++ b/rhubarbward-core/src/main/java/io/rhubarbward/request/RequestGate.java
@@ -11,6 +11,7 @@
 /** Checks what a request says: who sends it, and which service and chat it is for. */
 final class RequestGate {
     static final String CHAT_HEADER = "x-chat-id";
+    private static final int MAX_KEY_LENGTH = 255;
     private static final String BEARER = "Bearer ";
 
     private final Admission mAdmission;
@@ -20,7 +21,26 @@
     }
 
     Either<Refusal, AcceptedRequest> check(CallerRequest request, Settings settings) {
-        return account(request).flatMap(account -> checkTarget(request, settings, account));
+        return account(request)
+                .flatMap(account -> checkKey(request).map(key -> account))
+                .flatMap(account -> checkTarget(request, settings, account));
+    }
+
+    private static Either<Refusal, List<String>> checkKey(CallerRequest request) {
+        List<String> keys =
+                request.headers().fields().stream()
+                        .filter(field -> field.name().equalsIgnoreCase(ExchangeClaim.KEY_HEADER))
+                        .map(HeaderField::value)
+                        .toList();
+        boolean usable =
+                keys.size() <= 1
+                        && keys.stream()
+                                .allMatch(key -> !key.isBlank() && key.length() <= MAX_KEY_LENGTH);
+        return usable
+                ? Either.right(keys)
+                : refuse(
+                        RefusalCode.INVALID_KEY,
+                        "expected one Idempotency-Key of 1 to " + MAX_KEY_LENGTH + " characters");
     }
 
     private Either<Refusal, ClientAccount> account(CallerRequest request) {
--- a/rhubarbward-core/src/main/java/io/rhubarbward/request/RunState.java
+++ b/rhubarbward-core/src/main/java/io/rhubarbward/request/RunState.java
@@ -5,7 +5,9 @@
     /** It provably did not run. */
     NOT_RUN("not-run"),
     /** It may have run. */
-    UNKNOWN("unknown");
+    UNKNOWN("unknown"),
+    /** It ran, once, and its answer is not kept. */
+    DONE("done");
 
     private final String mLabel;
 
