Accept configurations in chunks and settle lost answers

Cause: the whole base file was one chunk, so that 16,000 accounts did not fit a value, and a head update that was lost before its effect was reported as another operator's change.

A merge of the fragments is the document again. The head lists them by layer and section, keeps the newest acceptances (a writer finds its own after others have followed) and the previous content (undo). A head that is unchanged after a lost answer is written again, three times at most; what cannot be found out is Unsettled. The loser of a race is told the settings that differ; --on refuses a change made on an old reading. The generation goes above what status objects report, for a store restored from a backup. Chunks are collected every 64 generations in two phases.

Orders about data centres are a layer of their own (overrides), so that files that still say "in" do not cancel an order when they are applied.

Ruled out: history objects (a third write for each change); one chunk a section (2.4 MB for a changed line).

--- a/rhubarbward-core/src/main/java/io/rhubarbward/config/ConfigFailure.java
+++ b/rhubarbward-core/src/main/java/io/rhubarbward/config/ConfigFailure.java
@@ -1,6 +1,8 @@
 package io.rhubarbward.config;
 
 import io.rhubarbward.platform.PlatformFailure;
+import java.util.List;
+import java.util.stream.Collectors;
 
 /** Why settings were not accepted or not taken. */
 public sealed interface ConfigFailure {
@@ -54,16 +56,94 @@
      *
      * @param expectedGeneration the generation that this change was made on
      * @param actualGeneration the generation in force now
+     * @param differences the settings that differ between the two; empty when the older one is no
+     *     longer kept
      */
-    record ChangedMeanwhile(long expectedGeneration, long actualGeneration)
+    record ChangedMeanwhile(
+            long expectedGeneration, long actualGeneration, List<ChangedSetting> differences)
             implements ConfigFailure {
+        private static final int SHOWN_DIFFERENCES = 20;
+
+        public ChangedMeanwhile {
+            differences = List.copyOf(differences);
+        }
+
+        @Override
+        public String message() {
+            String first =
+                    "generation "
+                            + actualGeneration
+                            + " was accepted meanwhile; this change was made on "
+                            + expectedGeneration
+                            + ": read it, merge, and apply again";
+            String rest =
+                    differences.size() > SHOWN_DIFFERENCES
+                            ? "\n  and " + (differences.size() - SHOWN_DIFFERENCES) + " more"
+                            : "";
+            return differences.stream()
+                            .limit(SHOWN_DIFFERENCES)
+                            .map(difference -> "\n  " + difference)
+                            .collect(Collectors.joining("", first, ""))
+                    + rest;
+        }
+    }
+
+    /**
+     * The change was sent, and whether it was accepted could not be found out.
+     *
+     * @param generation what it would be
+     * @param cause why reading back failed
+     */
+    record Unsettled(long generation, PlatformFailure cause) implements ConfigFailure {
         @Override
         public String message() {
             return "generation "
-                    + actualGeneration
-                    + " was accepted meanwhile; this change was made on "
-                    + expectedGeneration
-                    + ": read it, merge, and apply again";
+                    + generation
+                    + " may have been accepted or not: "
+                    + cause
+                    + "; look with `config status`";
+        }
+    }
+
+    /**
+     * A part of the settings that does not fit into one object of the store.
+     *
+     * @param bytes its size
+     * @param limitBytes what the store takes
+     */
+    record ChunkTooLarge(int bytes, int limitBytes) implements ConfigFailure {
+        @Override
+        public String message() {
+            return "a part of the settings has " + bytes + " bytes: expected at most " + limitBytes;
+        }
+    }
+
+    /**
+     * A data centre that the accepted configuration does not have.
+     *
+     * @param name the name asked for
+     * @param known those it has
+     */
+    record UnknownDataCentre(String name, List<String> known) implements ConfigFailure {
+        @Override
+        public String message() {
+            return "data centre \"" + name + "\": expected one of " + known;
+        }
+    }
+
+    /** There is nothing accepted to work on. */
+    record NothingAccepted() implements ConfigFailure {
+        @Override
+        public String message() {
+            return "no configuration has been accepted";
+        }
+    }
+
+    /** There is no earlier configuration to go back to. */
+    record NothingToUndo() implements ConfigFailure {
+        @Override
+        public String message() {
+            return "no earlier configuration is kept";
         }
     }
 
--- a/rhubarbward-core/src/main/java/io/rhubarbward/config/DataCentre.java
+++ b/rhubarbward-core/src/main/java/io/rhubarbward/config/DataCentre.java
@@ -17,8 +17,19 @@
     /** Whether operators let a data centre take new work. */
     public enum State {
         @JsonProperty("in")
-        IN,
+        IN("in"),
         @JsonProperty("out")
-        OUT
+        OUT("out");
+
+        private final String mSetting;
+
+        State(String setting) {
+            mSetting = setting;
+        }
+
+        /** Returns the state as settings spell it. */
+        String setting() {
+            return mSetting;
+        }
     }
 }
--- a/rhubarbward-core/src/main/java/io/rhubarbward/config/SettingsReader.java
+++ b/rhubarbward-core/src/main/java/io/rhubarbward/config/SettingsReader.java
@@ -64,6 +64,14 @@
         return bind(merged);
     }
 
+    /** Merges checked trees over the defaults; nothing tells where a value stands. */
+    Either<ConfigFailure, Settings> readTrees(List<ObjectNode> trees) {
+        SettingsDocument defaults = parseDefaults();
+        ObjectNode root = defaults.root().deepCopy();
+        trees.forEach(tree -> mergeObject(root, tree));
+        return bind(new SettingsDocument("accepted", root, Map.of()));
+    }
+
     /** Reads one text as the record, such as a process's own settings. */
     public static <T> Either<ConfigFailure, T> readAs(Class<T> type, SettingsText text) {
         return SettingsDocument.parse(text.name(), text.text())
@@ -93,6 +101,20 @@
         return new SettingsDocument(above.name(), root, locations);
     }
 
+    /** Adds a fragment to the tree; a null stays, since it has yet to take an entry out. */
+    static void mergeFragment(ObjectNode target, ObjectNode fragment) {
+        fragment.properties()
+                .forEach(
+                        entry -> {
+                            if (entry.getValue() instanceof ObjectNode object
+                                    && target.get(entry.getKey()) instanceof ObjectNode existing) {
+                                existing.setAll(object);
+                            } else {
+                                target.set(entry.getKey(), entry.getValue());
+                            }
+                        });
+    }
+
     private static void mergeObject(ObjectNode target, ObjectNode source) {
         source.properties().forEach(entry -> mergeEntry(target, entry.getKey(), entry.getValue()));
     }
--- a/rhubarbward-core/src/main/java/io/rhubarbward/platform/memory/MemoryObjectStore.java
+++ b/rhubarbward-core/src/main/java/io/rhubarbward/platform/memory/MemoryObjectStore.java
@@ -59,6 +59,25 @@
         return mFaults;
     }
 
+    /** Returns the objects as they are now, for {@link #restore}. */
+    public Backup backup() {
+        return new Backup(List.copyOf(mObjects.values()), mRevision);
+    }
+
+    /** Puts the objects of a backup in place of all others; watches are not told. */
+    public void restore(Backup backup) {
+        mObjects.clear();
+        backup.objects().forEach(object -> mObjects.put(object.key().path(), object));
+        mChanges.clear();
+        mRevision = backup.revision();
+        mForgottenRevision = mRevision;
+    }
+
+    /** Returns how many watches wait now. */
+    public int waitingWatches() {
+        return mWaiters.size();
+    }
+
     /** Returns how many reads, lists and watches were called. */
     public long reads() {
         return mReads;
@@ -210,6 +229,18 @@
         return answer;
     }
 
+    /**
+     * The objects at one time.
+     *
+     * @param objects the objects
+     * @param revision the store's revision
+     */
+    public record Backup(List<StoredObject> objects, long revision) {
+        public Backup {
+            objects = List.copyOf(objects);
+        }
+    }
+
     /**
      * A write or a deletion.
      *
