Add config undo and status, and the datacentre commands

Cause: operators had no way to undo, to see where a generation is in force, or to take a data centre out without editing files.

Change: `config undo`, `config status [--wait] [--json]` and `datacentre out|in|list`; a generation that is not in force everywhere gives exit code 10.

--- a/rhubarbward-daemon/src/main/java/io/rhubarbward/cli/ConfigCommand.java
+++ b/rhubarbward-daemon/src/main/java/io/rhubarbward/cli/ConfigCommand.java
@@ -2,15 +2,16 @@
 
 import io.rhubarbward.config.ConfigFailure;
 import io.rhubarbward.config.ConfigStore;
-import io.rhubarbward.config.Configuration;
+import io.rhubarbward.config.GenerationReport;
+import io.rhubarbward.config.GenerationStatus;
 import io.rhubarbward.config.Settings;
 import io.rhubarbward.config.SettingsReader;
 import io.rhubarbward.config.SettingsText;
-import io.rhubarbward.daemon.PlatformConnection;
-import io.rhubarbward.event.SystemEventLog;
 import io.vavr.control.Either;
+import java.time.Duration;
 import java.util.List;
 import java.util.Map;
+import java.util.OptionalLong;
 import java.util.UUID;
 import java.util.concurrent.CompletionStage;
 import java.util.function.Function;
@@ -35,10 +36,15 @@
         addFiles(check);
         Subparser apply = action(actions, "apply", "accept settings files", this::apply);
         addFiles(apply);
-        addPlatform(apply);
+        PlatformCalls.addArgument(apply);
+        addOn(apply, "the generation that the files were made on; default the newest");
+        Subparser undo = action(actions, "undo", "accept what was in force before", this::undo);
+        PlatformCalls.addArgument(undo);
+        addOn(undo, "the generation to be undone; default the newest");
         Subparser show = action(actions, "show", "show what is accepted", this::show);
-        addPlatform(show);
+        PlatformCalls.addArgument(show);
         show.addArgument("--site").required(true);
+        addStatus(action(actions, "status", "show where it is in force", this::status));
     }
 
     private Subparser action(Subparsers actions, String name, String help, Action action) {
@@ -57,8 +63,24 @@
                 .help("a site's overlay; once for each site");
     }
 
-    private static void addPlatform(Subparser parser) {
-        parser.addArgument("--platform").required(true).metavar("HOST:PORT");
+    private static void addOn(Subparser parser, String help) {
+        parser.addArgument("--on").type(Long.class).metavar("GENERATION").help(help);
+    }
+
+    private static void addStatus(Subparser status) {
+        PlatformCalls.addArgument(status);
+        status.addArgument("--generation").type(Long.class).help("default the newest accepted");
+        status.addArgument("--wait")
+                .type(Integer.class)
+                .setDefault(0)
+                .metavar("SECONDS")
+                .help("wait so long at most until it is in force everywhere");
+        status.addArgument("--json").action(Arguments.storeTrue());
+    }
+
+    private static OptionalLong optionalLong(Namespace arguments, String name) {
+        Long value = arguments.getLong(name);
+        return value == null ? OptionalLong.empty() : OptionalLong.of(value);
     }
 
     @Override
@@ -94,23 +116,80 @@
                 arguments,
                 console,
                 files ->
-                        withStore(
+                        change(
                                 arguments,
                                 console,
                                 store ->
                                         store.apply(
                                                 files.base(),
                                                 files.overlays(),
-                                                UUID.randomUUID().toString()),
-                                generation -> console.print("accepted generation " + generation)));
+                                                UUID.randomUUID().toString(),
+                                                optionalLong(arguments, "on"))));
+    }
+
+    private ExitCode undo(Namespace arguments, Console console) {
+        return change(
+                arguments,
+                console,
+                store -> store.undo(UUID.randomUUID().toString(), optionalLong(arguments, "on")));
+    }
+
+    private static ExitCode change(
+            Namespace arguments,
+            Console console,
+            Function<ConfigStore, CompletionStage<Either<ConfigFailure, Long>>> call) {
+        return PlatformCalls.run(
+                arguments,
+                console,
+                platform -> call.apply(new ConfigStore(platform.store())),
+                generation -> {
+                    console.print("accepted generation " + generation);
+                    return ExitCode.OK;
+                });
     }
 
     private ExitCode show(Namespace arguments, Console console) {
-        return this.<Configuration>withStore(
+        return PlatformCalls.run(
                 arguments,
                 console,
-                store -> store.read(arguments.getString("site")),
-                console::printJson);
+                platform -> new ConfigStore(platform.store()).read(arguments.getString("site")),
+                configuration -> {
+                    console.printJson(configuration);
+                    return ExitCode.OK;
+                });
+    }
+
+    private ExitCode status(Namespace arguments, Console console) {
+        return PlatformCalls.run(
+                arguments,
+                console,
+                platform ->
+                        new GenerationStatus(platform.store(), platform.timers())
+                                .await(
+                                        optionalLong(arguments, "generation"),
+                                        Duration.ofSeconds(arguments.getInt("wait"))),
+                report -> {
+                    if (arguments.getBoolean("json")) {
+                        console.printJson(report);
+                    } else {
+                        print(console, report);
+                    }
+                    return report.inForce() ? ExitCode.OK : ExitCode.NOT_IN_FORCE;
+                });
+    }
+
+    private static void print(Console console, GenerationReport report) {
+        console.print("generation " + report.generation());
+        report.dataCentres()
+                .forEach(
+                        part ->
+                                console.print(
+                                        "%s: in force at %d of %d routers; behind: %s"
+                                                .formatted(
+                                                        part.dataCentre(),
+                                                        part.routers() - part.behind().size(),
+                                                        part.routers(),
+                                                        part.behind())));
     }
 
     private static ExitCode withFiles(
@@ -124,25 +203,6 @@
         return files.fold(failure -> fail(console, failure), use);
     }
 
-    private <T> ExitCode withStore(
-            Namespace arguments,
-            Console console,
-            Function<ConfigStore, CompletionStage<Either<ConfigFailure, T>>> call,
-            java.util.function.Consumer<T> show) {
-        String address = arguments.getString("platform");
-        try (PlatformConnection platform =
-                new PlatformConnection(address, new SystemEventLog("rhubarbward"))) {
-            Either<ConfigFailure, T> result =
-                    call.apply(new ConfigStore(platform.store())).toCompletableFuture().join();
-            return result.fold(
-                    failure -> fail(console, failure),
-                    value -> {
-                        show.accept(value);
-                        return ExitCode.OK;
-                    });
-        }
-    }
-
     private static ExitCode fail(Console console, ConfigFailure failure) {
         return console.fail(ExitCode.of(failure), failure.message());
     }
--- a/rhubarbward-daemon/src/main/java/io/rhubarbward/cli/ExitCode.java
+++ b/rhubarbward-daemon/src/main/java/io/rhubarbward/cli/ExitCode.java
@@ -11,7 +11,8 @@
     CONFLICT(4, "another operator's change came first"),
     PLATFORM(5, "the platform did not carry it out"),
     UNREACHABLE(6, "the process asked did not answer"),
-    CUT_REQUESTS(7, "a planned stop had to cut requests");
+    CUT_REQUESTS(7, "a planned stop had to cut requests"),
+    NOT_IN_FORCE(10, "the configuration is not in force everywhere");
 
     private final int mStatus;
     private final String mMeaning;
@@ -36,8 +37,14 @@
         if (failure instanceof ConfigFailure.ChangedMeanwhile) {
             return CONFLICT;
         }
+        if (failure instanceof ConfigFailure.UnknownDataCentre) {
+            return USAGE;
+        }
         boolean platform =
                 failure instanceof ConfigFailure.Platform
+                        || failure instanceof ConfigFailure.Unsettled
+                        || failure instanceof ConfigFailure.NothingAccepted
+                        || failure instanceof ConfigFailure.NothingToUndo
                         || failure instanceof ConfigFailure.Corrupt;
         return platform ? PLATFORM : INVALID_SETTINGS;
     }
--- a/rhubarbward-daemon/src/main/java/io/rhubarbward/cli/Main.java
+++ b/rhubarbward-daemon/src/main/java/io/rhubarbward/cli/Main.java
@@ -18,6 +18,7 @@
                     new DemoCommand(),
                     new StandinCommand(),
                     new ConfigCommand(),
+                    new DataCentreCommand(),
                     new DumpCommand());
 
     private Main() {}
