Add planned rollouts of backend server versions

Cause: a new version's engines got traffic as soon as they stood on the VM list, and nothing could move it back.

Change: rollouts are platform objects moves/NAME; relays watch them and gossip brings their share to every router. A hash of the chat against the share chooses the version. Routers count calls by version and route and stop at once on plain faults; the controller, a role under a lease with a fencing number, judges by a paired sequential test, steps on and takes back by conditional update, and orders engines.

Ruled out: a fixed threshold on the raw error ratio, which condemns a good version in a bad minute; messages for each request to agree on a cohort.

--- /dev/null
+++ b/rhubarbward-core/src/main/java/io/rhubarbward/move/Moves.java
@@ -0,0 +1,203 @@
+package io.rhubarbward.move;
+
+import io.rhubarbward.config.Settings;
+import io.rhubarbward.engine.BackendRegistry;
+import io.rhubarbward.event.EventLog;
+import io.rhubarbward.hash.RendezvousHash;
+import io.rhubarbward.membership.Membership;
+import io.rhubarbward.membership.Peer;
+import io.rhubarbward.membership.PeerTransport;
+import io.rhubarbward.platform.ObjectStore;
+import io.rhubarbward.request.CallObserver;
+import io.rhubarbward.routing.VersionFilter;
+import io.rhubarbward.state.StateSource;
+import io.rhubarbward.timer.TimerService;
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.function.Function;
+import java.util.function.Supplier;
+import java.util.random.RandomGenerator;
+import java.util.stream.Stream;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * A router's part in planned rollouts: follows them, counts its calls, and may be their controller.
+ *
+ * <p>The first live router in rendezvous order judges all rollouts; the lease under which it acts
+ * on the record makes it harmless when two think that they are the first.
+ */
+public final class Moves implements StateSource {
+    private static final String CONTROLLER_KEY = "move/controller";
+    private static final Duration TICK = Duration.ofSeconds(1);
+    private static final int REPORTS_PER_SECOND = 50;
+    private static final int MAX_ROWS = 64;
+
+    private final String mVm;
+    private final Membership mMembership;
+    private final PeerTransport mPeers;
+    private final TimerService mTimers;
+    private final RolloutBoard mBoard;
+    private final RolloutGossip mGossip;
+    private final CohortFilter mFilter;
+    private final VersionTally mTally;
+    private final MoveLease mLease;
+    private final RolloutController mController;
+    private final Map<String, Long> mLastReports = new HashMap<>();
+    private long mReports;
+    private long mTicks;
+    private boolean mControls;
+
+    /** Takes part on behalf of the router. */
+    public Moves(
+            Self self,
+            ObjectStore store,
+            EngineOrders orders,
+            Membership membership,
+            PeerTransport peers,
+            BackendRegistry registry,
+            Supplier<Optional<Settings>> settings) {
+        mVm = self.vm();
+        mMembership = membership;
+        mPeers = peers;
+        mTimers = self.timers();
+        mBoard = new RolloutBoard(self.events());
+        mGossip =
+                new RolloutGossip(
+                        mVm,
+                        mBoard,
+                        store,
+                        membership,
+                        peers,
+                        mTimers,
+                        self.random(),
+                        self.events());
+        mFilter = new CohortFilter(mBoard, registry, settings, mVm);
+        mTally = new VersionTally(mBoard, registry, mTimers, this::onPlainFault);
+        mLease = new MoveLease(mVm + "-" + self.incarnation(), store, mTimers, self.events());
+        EngineOrderer orderer = new EngineOrderer(orders, mLease, mTimers, self.events());
+        mController =
+                new RolloutController(
+                        new RolloutController.Platform(
+                                mBoard, mGossip, new RolloutStore(store), mLease, orderer),
+                        registry,
+                        settings,
+                        () -> membership.peers().size() + 1,
+                        mTimers,
+                        self.events());
+    }
+
+    /** Starts to take part. */
+    public void start() {
+        mGossip.start();
+        mPeers.subscribe(VersionReport.class, this::onReport);
+        mTimers.every(TICK, this::tick);
+    }
+
+    /** Returns which version each request may go to. */
+    public VersionFilter filter() {
+        return mFilter;
+    }
+
+    /** Returns what is to be told how each call to a backend server ended. */
+    public CallObserver observer() {
+        return mTally;
+    }
+
+    /** Returns whether this router has heard which rollouts there are. */
+    public boolean known() {
+        return mBoard.known();
+    }
+
+    private void tick() {
+        if (mTicks++ % reportTicks() == 0) {
+            report();
+        }
+        boolean controls = controller().equals(mVm);
+        if (controls) {
+            mController.tick();
+        } else if (mControls) {
+            mController.handOver();
+        }
+        mControls = controls;
+    }
+
+    /** Keeps what the controller hears a second bounded, however many routers there are. */
+    private long reportTicks() {
+        return 1 + mMembership.peers().size() / REPORTS_PER_SECOND;
+    }
+
+    private void onPlainFault(String rollout) {
+        if (mBoard.stopHere(rollout)) {
+            report();
+        }
+    }
+
+    private void report() {
+        List<VersionReport.Row> rows = mTally.drain();
+        VersionReport report =
+                new VersionReport(
+                        ++mReports, rows.stream().limit(MAX_ROWS).toList(), mBoard.stops());
+        if (rows.isEmpty() && report.stopped().isEmpty()) {
+            return;
+        }
+        String controller = controller();
+        if (controller.equals(mVm)) {
+            mController.onReport(mVm, report);
+        } else {
+            peer(controller).ifPresent(peer -> mPeers.send(peer, report));
+        }
+    }
+
+    private void onReport(String from, VersionReport report) {
+        @Nullable Long last = mLastReports.put(from, report.sequence());
+        boolean repeated = last != null && last == report.sequence();
+        if (!repeated) {
+            mController.onReport(from, report);
+        }
+    }
+
+    private Optional<Peer> peer(String vm) {
+        return mMembership.peers().stream().filter(peer -> peer.vm().equals(vm)).findFirst();
+    }
+
+    private String controller() {
+        List<String> routers =
+                Stream.concat(Stream.of(mVm), mMembership.peers().stream().map(Peer::vm)).toList();
+        return RendezvousHash.order(CONTROLLER_KEY, routers, Function.identity()).get(0);
+    }
+
+    @Override
+    public String name() {
+        return "move";
+    }
+
+    @Override
+    public Object state() {
+        return Map.of(
+                "known", mBoard.known(),
+                "rollouts", mBoard.words(),
+                "stopped", mBoard.stops(),
+                "controller", controller(),
+                "holdsLease", mLease.holds(),
+                "fence", mLease.fence());
+    }
+
+    /**
+     * Whom this part belongs to, and what it is given.
+     *
+     * @param vm the router's VM
+     * @param incarnation differs at each start of the process
+     * @param timers the time
+     * @param random the source of randomness
+     * @param events the log
+     */
+    public record Self(
+            String vm,
+            long incarnation,
+            TimerService timers,
+            RandomGenerator random,
+            EventLog events) {}
+}
--- /dev/null
+++ b/rhubarbward-core/src/main/java/io/rhubarbward/move/RolloutJudge.java
@@ -0,0 +1,111 @@
+package io.rhubarbward.move;
+
+import java.util.EnumMap;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeMap;
+import java.util.function.Function;
+
+/**
+ * Judges one rollout's new version against the old version's same minutes, route by route.
+ *
+ * <p>A window closes by age and by the number of calls alone, never by how they ended, so that the
+ * evidence keeps its meaning.
+ */
+final class RolloutJudge {
+    private static final long MIN_WINDOW_MILLIS = 5_000;
+    private static final long MAX_WINDOW_MILLIS = 30_000;
+    private static final int MIN_WINDOW_CALLS = 4;
+
+    private final Function<String, JudgementRule> mRules;
+    private final Map<String, RouteEvidence> mRoutes = new TreeMap<>();
+    private VersionPair mUnrecorded = VersionPair.ZERO;
+
+    RolloutJudge(Function<String, JudgementRule> rules) {
+        mRules = rules;
+    }
+
+    /** Returns what was counted and is not in the rollout's record yet. */
+    VersionPair unrecorded() {
+        return mUnrecorded;
+    }
+
+    void recorded(VersionPair counts) {
+        mUnrecorded = mUnrecorded.minus(counts);
+    }
+
+    void count(String route, VersionPair counts, long nowMillis) {
+        mUnrecorded = mUnrecorded.plus(counts);
+        mRoutes.computeIfAbsent(route, r -> new RouteEvidence(nowMillis)).count(counts);
+    }
+
+    /** Closes the windows that are due and returns the first fault found, if any. */
+    Optional<Verdict> judge(long nowMillis) {
+        return mRoutes.entrySet().stream()
+                .flatMap(
+                        entry ->
+                                entry
+                                        .getValue()
+                                        .judge(mRules.apply(entry.getKey()), nowMillis)
+                                        .map(signal -> new Verdict(signal.reason(), entry.getKey()))
+                                        .stream())
+                .findFirst();
+    }
+
+    /**
+     * Why the new version is at fault.
+     *
+     * @param reason what it is worse at
+     * @param route where
+     */
+    record Verdict(RolloutReason reason, String route) {}
+
+    /** The evidence of one route. */
+    private static final class RouteEvidence {
+        private final Map<Signal, FaultDetector> mDetectors = new EnumMap<>(Signal.class);
+        private VersionPair mWindow = VersionPair.ZERO;
+        private long mSinceMillis;
+
+        RouteEvidence(long nowMillis) {
+            mSinceMillis = nowMillis;
+        }
+
+        void count(VersionPair counts) {
+            mWindow = mWindow.plus(counts);
+        }
+
+        Optional<Signal> judge(JudgementRule rule, long nowMillis) {
+            if (!due(nowMillis - mSinceMillis)) {
+                return Optional.empty();
+            }
+            VersionPair window = mWindow;
+            mWindow = VersionPair.ZERO;
+            mSinceMillis = nowMillis;
+            Optional<Signal> fault = Optional.empty();
+            for (Signal signal : Signal.values()) {
+                if (add(signal, window, rule) && fault.isEmpty()) {
+                    fault = Optional.of(signal);
+                }
+            }
+            return fault;
+        }
+
+        private boolean due(long ageMillis) {
+            boolean enough =
+                    mWindow.oldVersion().calls() >= MIN_WINDOW_CALLS
+                            && mWindow.newVersion().calls() >= MIN_WINDOW_CALLS;
+            return ageMillis >= (enough ? MIN_WINDOW_MILLIS : MAX_WINDOW_MILLIS);
+        }
+
+        private boolean add(Signal signal, VersionPair window, JudgementRule rule) {
+            return mDetectors
+                    .computeIfAbsent(signal, s -> new FaultDetector())
+                    .add(
+                            signal.calls(window.newVersion()),
+                            signal.bad(window.newVersion()),
+                            signal.calls(window.oldVersion()),
+                            signal.bad(window.oldVersion()),
+                            signal.acceptedRatio(rule));
+        }
+    }
+}
--- /dev/null
+++ b/rhubarbward-core/src/main/java/io/rhubarbward/move/RolloutWord.java
@@ -0,0 +1,50 @@
+package io.rhubarbward.move;
+
+import java.util.Map;
+
+/**
+ * What every router must know of a rollout.
+ *
+ * @param name its name
+ * @param version the version of the platform's object that said so
+ * @param service whose servers move
+ * @param fromVersion the version that moves away
+ * @param toVersion the version that moves in
+ * @param state where it stands
+ * @param sharePermille the new version's share of the chats
+ * @param plannedMillis when the operator asked, in milliseconds since 1970
+ * @param rules the judgement rules by route
+ */
+public record RolloutWord(
+        String name,
+        long version,
+        String service,
+        String fromVersion,
+        String toVersion,
+        RolloutState state,
+        int sharePermille,
+        long plannedMillis,
+        Map<String, JudgementRule> rules) {
+    public RolloutWord {
+        rules = Map.copyOf(rules);
+    }
+
+    static RolloutWord of(StoredRollout stored) {
+        Rollout rollout = stored.rollout();
+        RolloutPlan plan = rollout.plan();
+        return new RolloutWord(
+                rollout.name(),
+                stored.version(),
+                plan.service(),
+                plan.fromVersion(),
+                plan.toVersion(),
+                rollout.state(),
+                rollout.sharePermille(),
+                plan.plannedMillis(),
+                plan.rules());
+    }
+
+    JudgementRule rule(String route) {
+        return rules.getOrDefault(route, JudgementRule.DEFAULT);
+    }
+}
--- a/rhubarbward-core/src/main/java/io/rhubarbward/node/RouterNode.java
+++ b/rhubarbward-core/src/main/java/io/rhubarbward/node/RouterNode.java
@@ -12,6 +12,7 @@
 import io.rhubarbward.event.LogEvent;
 import io.rhubarbward.membership.Heartbeat;
 import io.rhubarbward.membership.Membership;
+import io.rhubarbward.move.Moves;
 import io.rhubarbward.quota.LocalQuotaService;
 import io.rhubarbward.quota.QuotaCapacity;
 import io.rhubarbward.quota.QuotaKey;
@@ -22,7 +23,6 @@
 import io.rhubarbward.request.RequestMetrics;
 import io.rhubarbward.request.RequestService;
 import io.rhubarbward.routing.BoundedAffinity;
-import io.rhubarbward.routing.VersionFilter;
 import io.rhubarbward.state.StateSource;
 import java.time.Duration;
 import java.util.List;
@@ -54,6 +54,7 @@
     private final BackendRegistry mRegistry;
     private final LoadPoller mPoller;
     private final LocalQuotaService mQuotas;
+    private final Moves mMoves;
     private final Admission mAdmission;
     private final RequestService mRequests;
     private boolean mDraining;
@@ -85,6 +86,20 @@
                         mConfiguration::settings, mRegistry, ports.engines(), ports.timers());
         mQuotas = new LocalQuotaService(this::capacity, ports.timers());
         mAdmission = new Admission(mQuotas);
+        mMoves =
+                new Moves(
+                        new Moves.Self(
+                                identity.vm(),
+                                identity.incarnation(),
+                                ports.timers(),
+                                ports.random(),
+                                ports.events()),
+                        ports.store(),
+                        ports.orders(),
+                        mMembership,
+                        ports.peers(),
+                        mRegistry,
+                        mConfiguration::settings);
         mRequests = new RequestService(mConfiguration, context());
     }
 
@@ -94,12 +109,12 @@
                 mPorts.timers(),
                 mPorts.events(),
                 mAdmission,
-                new BoundedAffinity(VersionFilter.ALL),
+                new BoundedAffinity(mMoves.filter()),
                 mRegistry,
                 mQuotas,
                 mPorts.backends(),
                 new RequestMetrics(mPorts.metrics()),
-                outcome -> {});
+                mMoves.observer());
     }
 
     /** Starts to follow the platform and the engines. */
@@ -110,6 +125,7 @@
         mFollower.start();
         mMembership.start(VM_LIST_PERIOD, HEARTBEAT_PERIOD);
         mPoller.start();
+        mMoves.start();
     }
 
     private void onConfiguration(Configuration configuration) {
@@ -124,7 +140,7 @@
 
     /** Returns whether the balancer may send requests here. */
     public boolean ready() {
-        return !mDraining && mConfiguration.current().isPresent();
+        return !mDraining && mConfiguration.current().isPresent() && mMoves.known();
     }
 
     /** Returns the configuration in force. */
@@ -167,7 +183,7 @@
         Map<String, Object> dump = new TreeMap<>();
         dump.put("identity", mIdentity);
         List<StateSource> sources =
-                List.of(mConfiguration, mMembership, mRegistry, mQuotas, mRequests);
+                List.of(mConfiguration, mMembership, mRegistry, mQuotas, mMoves, mRequests);
         sources.forEach(source -> dump.put(source.name(), source.state()));
         return dump;
     }
--- a/rhubarbward-core/src/main/java/io/rhubarbward/node/RouterPorts.java
+++ b/rhubarbward-core/src/main/java/io/rhubarbward/node/RouterPorts.java
@@ -4,6 +4,7 @@
 import io.rhubarbward.engine.EngineClient;
 import io.rhubarbward.event.EventLog;
 import io.rhubarbward.membership.PeerTransport;
+import io.rhubarbward.move.EngineOrders;
 import io.rhubarbward.platform.ObjectStore;
 import io.rhubarbward.platform.VmList;
 import io.rhubarbward.request.BackendClient;
@@ -20,6 +21,7 @@
  * @param vmList the platform's list of VMs
  * @param backends sends requests to backend servers
  * @param engines asks engines about themselves
+ * @param orders gives orders to engines
  * @param peers carries messages to other routers
  * @param metrics where metrics are registered
  */
@@ -31,5 +33,6 @@
         VmList vmList,
         BackendClient backends,
         EngineClient engines,
+        EngineOrders orders,
         PeerTransport peers,
         PrometheusRegistry metrics) {}
--- /dev/null
+++ b/rhubarbward-core/src/test/java/io/rhubarbward/testing/FakeEngineOrders.java
@@ -0,0 +1,59 @@
+package io.rhubarbward.testing;
+
+import io.rhubarbward.config.BackendServer;
+import io.rhubarbward.move.EngineOrder;
+import io.rhubarbward.move.EngineOrders;
+import io.rhubarbward.timer.TimerService;
+import io.vavr.control.Either;
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
+
+/** Engines' orders; each engine refuses old fencing numbers or ignores them, as declared. */
+public final class FakeEngineOrders implements EngineOrders {
+    private static final Duration DELAY = Duration.ofMillis(1);
+
+    private final TimerService mTimers;
+    private final Map<String, EngineOrder> mTaken = new HashMap<>();
+
+    public FakeEngineOrders(TimerService timers) {
+        mTimers = timers;
+    }
+
+    /** Returns the order under which the engine is. */
+    public Optional<EngineOrder> taken(String engine) {
+        return Optional.ofNullable(mTaken.get(engine));
+    }
+
+    @Override
+    public CompletionStage<Either<OrderFailure, EngineOrder>> give(
+            BackendServer server, EngineOrder order) {
+        EngineOrder held = mTaken.get(server.name());
+        boolean refused =
+                server.fencing() == BackendServer.Fencing.REFUSES_OLD
+                        && held != null
+                        && held.fence() > order.fence();
+        if (!refused) {
+            mTaken.put(server.name(), order);
+        }
+        return later(refused ? Either.left(OrderFailure.OLD_FENCE) : Either.right(order));
+    }
+
+    @Override
+    public CompletionStage<Either<OrderFailure, EngineOrder>> read(BackendServer server) {
+        return later(
+                taken(server.name())
+                        .<Either<OrderFailure, EngineOrder>>map(Either::right)
+                        .orElse(Either.left(OrderFailure.NO_ORDER)));
+    }
+
+    private CompletionStage<Either<OrderFailure, EngineOrder>> later(
+            Either<OrderFailure, EngineOrder> answer) {
+        CompletableFuture<Either<OrderFailure, EngineOrder>> stage = new CompletableFuture<>();
+        mTimers.after(DELAY, () -> stage.complete(answer));
+        return stage;
+    }
+}
--- a/rhubarbward-core/src/test/java/io/rhubarbward/testing/Site.java
+++ b/rhubarbward-core/src/test/java/io/rhubarbward/testing/Site.java
@@ -53,6 +53,7 @@
     private final FakePeers mPeers = new FakePeers(mTimers);
     private final FakeBackends mBackends = new FakeBackends();
     private final FakeEngines mEngines = new FakeEngines();
+    private final FakeEngineOrders mOrders = new FakeEngineOrders(mTimers);
     private final List<Vm> mVms = new ArrayList<>();
     private final List<RouterNode> mRouters = new ArrayList<>();
 
@@ -82,6 +83,7 @@
                                 () -> EitherStage.completed(Either.right(List.copyOf(mVms))),
                                 mBackends,
                                 mEngines,
+                                mOrders,
                                 mPeers.endpoint(vm),
                                 new PrometheusRegistry()));
         mRouters.add(node);
@@ -138,6 +140,10 @@
         return mEngines;
     }
 
+    public FakeEngineOrders orders() {
+        return mOrders;
+    }
+
     public List<Vm> vms() {
         return mVms;
     }
--- a/rhubarbward-daemon/src/main/java/io/rhubarbward/daemon/RouterDaemon.java
+++ b/rhubarbward-daemon/src/main/java/io/rhubarbward/daemon/RouterDaemon.java
@@ -10,6 +10,7 @@
 import io.rhubarbward.net.backend.AsyncBackendClient;
 import io.rhubarbward.net.backend.HttpClients;
 import io.rhubarbward.net.backend.HttpEngineClient;
+import io.rhubarbward.net.backend.HttpEngineOrders;
 import io.rhubarbward.net.http.HttpLimits;
 import io.rhubarbward.net.http.HttpListener;
 import io.rhubarbward.net.peer.ThriftPeerTransport;
@@ -97,6 +98,7 @@
                 new HttpVmList(mControlHttp, settings.platform(), mTimers),
                 new AsyncBackendClient(mBackendHttp, mTimers),
                 new HttpEngineClient(mControlHttp, mTimers),
+                new HttpEngineOrders(mControlHttp, mTimers),
                 mPeers,
                 mMetrics);
     }
--- /dev/null
+++ b/rhubarbward-net/src/main/java/io/rhubarbward/net/peer/MoveCodecs.java
@@ -0,0 +1,143 @@
+package io.rhubarbward.net.peer;
+
+import io.rhubarbward.gen.move.RolloutDigestStruct;
+import io.rhubarbward.gen.move.RolloutNewsStruct;
+import io.rhubarbward.gen.move.RolloutWordStruct;
+import io.rhubarbward.gen.move.RuleStruct;
+import io.rhubarbward.gen.move.VersionReportRowStruct;
+import io.rhubarbward.gen.move.VersionReportStruct;
+import io.rhubarbward.move.JudgementRule;
+import io.rhubarbward.move.RolloutDigest;
+import io.rhubarbward.move.RolloutNews;
+import io.rhubarbward.move.RolloutState;
+import io.rhubarbward.move.RolloutWord;
+import io.rhubarbward.move.VersionFigures;
+import io.rhubarbward.move.VersionPair;
+import io.rhubarbward.move.VersionReport;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+
+/** The codecs of the move slice's messages, kinds 60 to 69. */
+final class MoveCodecs {
+    private static final PeerCodec<RolloutNews, RolloutNewsStruct> NEWS =
+            new PeerCodec<>(
+                    60,
+                    RolloutNews.class,
+                    RolloutNewsStruct::new,
+                    news ->
+                            new RolloutNewsStruct(
+                                    news.words().stream().map(MoveCodecs::struct).toList(),
+                                    news.stopped()),
+                    struct ->
+                            new RolloutNews(
+                                    struct.getWords().stream().map(MoveCodecs::word).toList(),
+                                    struct.getStopped()));
+    private static final PeerCodec<VersionReport, VersionReportStruct> REPORT =
+            new PeerCodec<>(
+                    61,
+                    VersionReport.class,
+                    VersionReportStruct::new,
+                    report ->
+                            new VersionReportStruct(
+                                    report.sequence(),
+                                    report.rows().stream().map(MoveCodecs::struct).toList(),
+                                    report.stopped()),
+                    struct ->
+                            new VersionReport(
+                                    struct.getSequence(),
+                                    struct.getRows().stream().map(MoveCodecs::row).toList(),
+                                    struct.getStopped()));
+    private static final PeerCodec<RolloutDigest, RolloutDigestStruct> DIGEST =
+            new PeerCodec<>(
+                    62,
+                    RolloutDigest.class,
+                    RolloutDigestStruct::new,
+                    digest ->
+                            new RolloutDigestStruct(
+                                    digest.known(), digest.versions(), digest.stopped()),
+                    struct ->
+                            new RolloutDigest(
+                                    struct.isKnown(), struct.getVersions(), struct.getStopped()));
+
+    private MoveCodecs() {}
+
+    static List<PeerCodec<?, ?>> all() {
+        return List.of(NEWS, REPORT, DIGEST);
+    }
+
+    private static RolloutWordStruct struct(RolloutWord word) {
+        Map<String, RuleStruct> rules = new HashMap<>();
+        word.rules().forEach((route, rule) -> rules.put(route, struct(rule)));
+        return new RolloutWordStruct(
+                word.name(),
+                word.version(),
+                word.service(),
+                word.fromVersion(),
+                word.toVersion(),
+                word.state().name(),
+                word.sharePermille(),
+                word.plannedMillis(),
+                rules);
+    }
+
+    private static RolloutWord word(RolloutWordStruct struct) {
+        Map<String, JudgementRule> rules = new HashMap<>();
+        struct.getRules().forEach((route, rule) -> rules.put(route, rule(rule)));
+        return new RolloutWord(
+                struct.getName(),
+                struct.getVersion(),
+                struct.getServiceName(),
+                struct.getFromVersion(),
+                struct.getToVersion(),
+                RolloutState.valueOf(struct.getState()),
+                struct.getSharePermille(),
+                struct.getPlannedMillis(),
+                rules);
+    }
+
+    private static RuleStruct struct(JudgementRule rule) {
+        return new RuleStruct(
+                rule.errorRatio(),
+                rule.firstTokenMillis(),
+                rule.betweenTokensMillis(),
+                rule.slowRatio());
+    }
+
+    private static JudgementRule rule(RuleStruct struct) {
+        return new JudgementRule(
+                struct.getErrorRatio(),
+                struct.getFirstTokenMillis(),
+                struct.getBetweenTokensMillis(),
+                struct.getSlowRatio());
+    }
+
+    private static VersionReportRowStruct struct(VersionReport.Row row) {
+        return new VersionReportRowStruct(
+                row.rollout(),
+                row.route(),
+                counts(row.counts().oldVersion()),
+                counts(row.counts().newVersion()));
+    }
+
+    private static VersionReport.Row row(VersionReportRowStruct struct) {
+        return new VersionReport.Row(
+                struct.getRollout(),
+                struct.getRoute(),
+                new VersionPair(figures(struct.getOldVersion()), figures(struct.getNewVersion())));
+    }
+
+    private static List<Integer> counts(VersionFigures figures) {
+        return List.of(
+                figures.calls(),
+                figures.failures(),
+                figures.timed(),
+                figures.slowFirst(),
+                figures.slowBetween());
+    }
+
+    private static VersionFigures figures(List<Integer> counts) {
+        return new VersionFigures(
+                counts.get(0), counts.get(1), counts.get(2), counts.get(3), counts.get(4));
+    }
+}
--- a/rhubarbward-net/src/main/java/io/rhubarbward/net/peer/PeerCodec.java
+++ b/rhubarbward-net/src/main/java/io/rhubarbward/net/peer/PeerCodec.java
@@ -37,6 +37,9 @@
             return Either.right(fromStruct.apply(struct));
         } catch (TException e) {
             return Either.left(e);
+        } catch (IllegalArgumentException | IndexOutOfBoundsException e) {
+            // A newer peer may say what this version has no word for.
+            return Either.left(new TException(e));
         }
     }
 }
--- a/rhubarbward-net/src/main/java/io/rhubarbward/net/peer/PeerCodecs.java
+++ b/rhubarbward-net/src/main/java/io/rhubarbward/net/peer/PeerCodecs.java
@@ -3,6 +3,7 @@
 import io.rhubarbward.gen.membership.HeartbeatStruct;
 import io.rhubarbward.membership.Heartbeat;
 import java.util.List;
+import java.util.stream.Stream;
 
 /** The codecs of all messages between routers. Kinds are given by slice: ten each. */
 public final class PeerCodecs {
@@ -19,6 +20,6 @@
 
     /** Returns all codecs. */
     public static List<PeerCodec<?, ?>> all() {
-        return List.of(HEARTBEAT);
+        return Stream.concat(Stream.of(HEARTBEAT), MoveCodecs.all().stream()).toList();
     }
 }
--- a/rhubarbward-standin/src/main/java/io/rhubarbward/standin/EngineStandin.java
+++ b/rhubarbward-standin/src/main/java/io/rhubarbward/standin/EngineStandin.java
@@ -21,8 +21,8 @@
  * Stands in for a model engine: answers chats token by token and holds prompts in a small cache.
  *
  * <p>{@code GET /engine/load} reports its load; {@code PUT /engine/profile} with an {@link
- * EngineProfile} changes how it behaves. Its answers name it in {@code x-engine} and say in {@code
- * x-cache} whether the chat's prompt was cached.
+ * EngineProfile} changes how it behaves; {@code POST /engine/orders} gives it an order. Its answers
+ * name it in {@code x-engine} and say in {@code x-cache} whether the chat's prompt was cached.
  */
 public final class EngineStandin implements AutoCloseable {
     private static final ObjectMapper MAPPER = new ObjectMapper();
@@ -36,6 +36,7 @@
     private final TimerService mTimers;
     private final HttpListener mListener;
     private final Map<String, Integer> mCache = new LinkedHashMap<>(16, 0.75f, true);
+    private final OrderBook mOrders = new OrderBook();
     private EngineProfile mProfile;
     private int mRunning;
     private long mServed;
@@ -74,6 +75,8 @@
                     mProfile = MAPPER.readValue(QueryText.body(request), EngineProfile.class);
                     yield JsonAnswer.send(response, OK, mProfile);
                 }
+                case "GET /engine/orders", "POST /engine/orders" ->
+                        mOrders.handle(request, response);
                 case "POST /v1/chat/completions" -> chat(request, response);
                 default -> JsonAnswer.send(response, NOT_FOUND, "text/plain", "unknown path");
             };
