--- a/rhubarbward-core/src/main/java/io/rhubarbward/node/RouterNode.java
+++ b/rhubarbward-core/src/main/java/io/rhubarbward/node/RouterNode.java
@@ -13,6 +13,7 @@
 import io.rhubarbward.event.LogEvent;
 import io.rhubarbward.membership.Heartbeat;
 import io.rhubarbward.membership.Membership;
+import io.rhubarbward.move.Moves;
 import io.rhubarbward.quota.LocalQuotaService;
 import io.rhubarbward.quota.QuotaCapacity;
 import io.rhubarbward.quota.QuotaKey;
@@ -26,7 +27,6 @@
 import io.rhubarbward.request.RequestService;
 import io.rhubarbward.request.claim.ClaimStore;
 import io.rhubarbward.routing.BoundedAffinity;
-import io.rhubarbward.routing.VersionFilter;
 import io.rhubarbward.state.StateSource;
 import java.time.Duration;
 import java.util.List;
@@ -58,6 +58,7 @@
     private final BackendRegistry mRegistry;
     private final LoadPoller mPoller;
     private final LocalQuotaService mQuotas;
+    private final Moves mMoves;
     private final Admission mAdmission;
     private final CallObservers mCallObservers = new CallObservers();
     private final ClaimStore mClaims;
@@ -96,6 +97,20 @@
                         ports.store(),
                         ports.timers(),
                         identity.noncePrefix(ports.random().nextLong()));
+        mMoves =
+                new Moves(
+                        new Moves.Self(
+                                identity.vm(),
+                                identity.incarnation(),
+                                ports.timers(),
+                                ports.random(),
+                                ports.events()),
+                        ports.store(),
+                        ports.orders(),
+                        mMembership,
+                        ports.peers(),
+                        mRegistry,
+                        mConfiguration::settings);
         mRequests = new RequestService(mConfiguration, context());
     }
 
@@ -105,7 +120,7 @@
                 mPorts.timers(),
                 mPorts.events(),
                 mAdmission,
-                new BoundedAffinity(VersionFilter.ALL),
+                new BoundedAffinity(mMoves.filter()),
                 mRegistry,
                 mQuotas,
                 mPorts.backends(),
@@ -123,6 +138,8 @@
         mFollower.start();
         mMembership.start(VM_LIST_PERIOD, HEARTBEAT_PERIOD);
         mPoller.start();
+        mMoves.start();
+        mCallObservers.subscribe(mMoves.observer());
     }
 
     private void countCompleted(CallOutcome outcome) {
@@ -143,7 +160,7 @@
 
     /** Returns whether the balancer may send requests here. */
     public boolean ready() {
-        return !mDraining && mConfiguration.current().isPresent();
+        return !mDraining && mConfiguration.current().isPresent() && mMoves.known();
     }
 
     /** Returns the configuration in force. */
@@ -191,7 +208,14 @@
         Map<String, Object> dump = new TreeMap<>();
         dump.put("identity", mIdentity);
         List<StateSource> sources =
-                List.of(mConfiguration, mMembership, mRegistry, mQuotas, mClaims, mRequests);
+                List.of(
+                        mConfiguration,
+                        mMembership,
+                        mRegistry,
+                        mQuotas,
+                        mClaims,
+                        mMoves,
+                        mRequests);
         sources.forEach(source -> dump.put(source.name(), source.state()));
         return dump;
     }
