Replay rollouts and bad versions

Cause: the promise about bad versions had no check. Change: rollout-start and version-turns-bad in traces.

--- a/rhubarbward-replay/src/main/java/io/rhubarbward/replay/Replay.java
+++ b/rhubarbward-replay/src/main/java/io/rhubarbward/replay/Replay.java
@@ -1,5 +1,6 @@
 package io.rhubarbward.replay;
 
+import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import io.rhubarbward.config.ConfigFailure;
 import io.rhubarbward.config.ConfigStore;
@@ -39,6 +40,7 @@
     public static final String KEY_PREFIX = "replay-key-";
 
     private static final Duration START = Duration.ofSeconds(5);
+    private static final Duration OPERATOR_RETRY = Duration.ofSeconds(1);
     private static final Duration END = Duration.ofMinutes(2);
     private static final long OUT_LIMIT_MILLIS = 3000;
     private static final String MODEL = "assistant-1";
@@ -53,6 +55,7 @@
     private final ReplayFleet mFleet;
     private final ReplayWatch mWatch;
     private final List<ReplayCaller> mCallers = new ArrayList<>();
+    private final ReplayRollouts mRollouts;
     private final ObjectNode mOverlay;
     private int mWrites;
 
@@ -67,6 +70,7 @@
         mFleet =
                 new ReplayFleet(
                         trace.header(), mSettings, mTimers, mStore, mBackends, mMeasures, seed);
+        mRollouts = new ReplayRollouts(mStore, mTimers, mPromises);
         mWatch = new ReplayWatch(mFleet, mBackends, mSettings, mTimers, mPromises, mMeasures);
     }
 
@@ -76,10 +80,10 @@
     }
 
     private ReplayReport run() {
-        apply();
+        mWatch.start();
+        apply(() -> {});
         new TreeMap<>(mTrace.header().routers()).forEach(mFleet::start);
         mTimers.advance(START);
-        mWatch.start();
         mTrace.events()
                 .forEach(
                         event ->
@@ -92,10 +96,9 @@
                                 Promise.ANSWERS_WHOLE,
                                 caller.over(),
                                 () -> "a caller still waits at the end"));
-        return ReplayReport.of(
-                mTrace.header().site(),
-                mPromises,
-                mMeasures.table(mStore.reads(), mStore.writes()));
+        Map<String, Object> measures = mMeasures.table(mStore.reads(), mStore.writes());
+        measures.put("rollouts", mRollouts.ends());
+        return ReplayReport.of(mTrace.header().site(), mPromises, measures);
     }
 
     private long lastMillis() {
@@ -123,6 +126,10 @@
             mFleet.joined(joined.server());
         } else if (event instanceof TraceEvent.Apply change) {
             apply(change.change());
+        } else if (event instanceof TraceEvent.RolloutStart start) {
+            mRollouts.start(start);
+        } else if (event instanceof TraceEvent.VersionTurnsBad bad) {
+            mBackends.badVersions().turnsBad(bad.version(), bad.errorPermille());
         } else {
             playProcess(event);
         }
@@ -186,14 +193,11 @@
 
     private void apply(ObjectNode change) {
         TraceGenerator.merge(mOverlay, change);
-        apply();
-        change.path("dataCentres")
-                .properties()
-                .forEach(
-                        entry ->
-                                dataCentre(
-                                        entry.getKey(),
-                                        entry.getValue().path("state").asText().equals("in")));
+        apply(() -> change.path("dataCentres").properties().forEach(this::dataCentre));
+    }
+
+    private void dataCentre(Map.Entry<String, JsonNode> entry) {
+        dataCentre(entry.getKey(), entry.getValue().path("state").asText().equals("in"));
     }
 
     private void dataCentre(String name, boolean in) {
@@ -210,17 +214,23 @@
                         });
     }
 
-    private void apply() {
+    /** Applies as an operator would: again after a while when the platform did not take it. */
+    private void apply(Runnable onAccepted) {
         String nonce = "replay-" + mWrites++;
         new ConfigStore(mStore)
                 .apply(new SettingsText("base", "{}"), Map.of(site(), text()), nonce)
-                .thenAccept(this::onApplied);
+                .thenAccept(applied -> onApplied(applied, onAccepted));
         mTimers.runDue();
     }
 
-    private void onApplied(Either<ConfigFailure, Long> applied) {
+    private void onApplied(Either<ConfigFailure, Long> applied, Runnable onAccepted) {
         mPromises.note("applied " + applied);
-        applied.peek(mWatch::accepted);
+        if (applied.isLeft()) {
+            mTimers.after(OPERATOR_RETRY, () -> apply(onAccepted));
+            return;
+        }
+        mWatch.accepted(applied.get());
+        onAccepted.run();
     }
 
     private SettingsText text() {
--- a/rhubarbward-replay/src/main/java/io/rhubarbward/replay/ReplayBackends.java
+++ b/rhubarbward-replay/src/main/java/io/rhubarbward/replay/ReplayBackends.java
@@ -32,6 +32,7 @@
     private final TimerService mTimers;
     private final PromiseLog mPromises;
     private final Measures mMeasures;
+    private final BadVersions mBadVersions;
     private final Map<String, ReplayServer> mServers = new TreeMap<>();
     private final Map<String, Closing> mClosings = new HashMap<>();
     private final Map<String, Integer> mRunsByKey = new HashMap<>();
@@ -43,6 +44,7 @@
         mTimers = timers;
         mPromises = promises;
         mMeasures = measures;
+        mBadVersions = new BadVersions(promises);
         settings.backendServers().values().forEach(server -> add(server, settings));
     }
 
@@ -72,6 +74,10 @@
         mClosings.remove(server);
     }
 
+    BadVersions badVersions() {
+        return mBadVersions;
+    }
+
     void restart(String server) {
         known(server).restart().forEach(ReplayRun::lose);
     }
@@ -95,7 +101,11 @@
         checkStart(server, id);
         request.headers().first(CHAT_HEADER).ifPresent(chat -> mMeasures.chat(chat, hit));
         long rest = TOKEN_MILLIS * mTokensById.getOrDefault(id, 1);
-        run.start(hit ? HIT_MILLIS : MISS_MILLIS, rest);
+        if (mBadVersions.start(request.server().version(), id, mTimers.nowMillis())) {
+            run.startFailing(HIT_MILLIS);
+        } else {
+            run.start(hit ? HIT_MILLIS : MISS_MILLIS, rest);
+        }
         return run;
     }
 
--- a/rhubarbward-replay/src/main/java/io/rhubarbward/replay/ReplayCaller.java
+++ b/rhubarbward-replay/src/main/java/io/rhubarbward/replay/ReplayCaller.java
@@ -12,6 +12,7 @@
 final class ReplayCaller implements CallerResponse {
     private static final ObjectMapper MAPPER = new ObjectMapper();
     private static final int OK = 200;
+    private static final int BACKEND_ERROR = 500;
 
     private final String mId;
     private final ReplayBackends mBackends;
@@ -60,6 +61,10 @@
     }
 
     private void checkRefusal(String body) {
+        if (mStatus == BACKEND_ERROR) {
+            mMeasures.refused("the engine's own error");
+            return;
+        }
         JsonNode problem = problem(body);
         mMeasures.refused(problem.path("code").asText());
         if (problem.path("run").asText().equals("not-run")) {
--- a/rhubarbward-replay/src/main/java/io/rhubarbward/replay/ReplayFleet.java
+++ b/rhubarbward-replay/src/main/java/io/rhubarbward/replay/ReplayFleet.java
@@ -30,6 +30,7 @@
     private final MemoryObjectStore mStore;
     private final ReplayBackends mBackends;
     private final ReplayPeers mPeers;
+    private final ReplayOrders mOrders = new ReplayOrders();
     private final SplittableRandom mRandom;
     private final Map<String, Vm> mVms = new TreeMap<>();
     private final Map<String, RouterNode> mRouters = new TreeMap<>();
@@ -99,6 +100,7 @@
                                         : Either.right(mVisibleVms)),
                 mBackends,
                 mBackends,
+                mOrders,
                 mPeers.open(vm),
                 new PrometheusRegistry());
     }
--- /dev/null
+++ b/rhubarbward-replay/src/main/java/io/rhubarbward/replay/ReplayOrders.java
@@ -0,0 +1,31 @@
+package io.rhubarbward.replay;
+
+import io.rhubarbward.config.BackendServer;
+import io.rhubarbward.move.EngineOrder;
+import io.rhubarbward.move.EngineOrders;
+import io.rhubarbward.platform.EitherStage;
+import io.vavr.control.Either;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.CompletionStage;
+
+/** Engines that take every order, whatever its fencing number. */
+final class ReplayOrders implements EngineOrders {
+    private final Map<String, EngineOrder> mTaken = new HashMap<>();
+
+    @Override
+    public CompletionStage<Either<OrderFailure, EngineOrder>> give(
+            BackendServer server, EngineOrder order) {
+        mTaken.put(server.name(), order);
+        return EitherStage.completed(Either.right(order));
+    }
+
+    @Override
+    public CompletionStage<Either<OrderFailure, EngineOrder>> read(BackendServer server) {
+        return EitherStage.completed(
+                Optional.ofNullable(mTaken.get(server.name()))
+                        .<Either<OrderFailure, EngineOrder>>map(Either::right)
+                        .orElse(Either.left(OrderFailure.NO_ORDER)));
+    }
+}
--- a/rhubarbward-replay/src/main/java/io/rhubarbward/replay/ReplayRun.java
+++ b/rhubarbward-replay/src/main/java/io/rhubarbward/replay/ReplayRun.java
@@ -12,6 +12,7 @@
 /** One request on one backend server, answered token by token. */
 final class ReplayRun implements BackendCall {
     private static final int OK = 200;
+    private static final int ERROR = 500;
 
     private final String mId;
     private final BackendListener mListener;
@@ -30,6 +31,20 @@
         mOnEnd = onEnd;
     }
 
+    /** Answers with an error after the time. */
+    void startFailing(long afterMillis) {
+        mTimers.after(
+                Duration.ofMillis(afterMillis),
+                () -> {
+                    if (end(false)) {
+                        mListener.onHead(
+                                ERROR, HeaderFields.of("content-type", "application/json"));
+                        part("{}");
+                        mListener.onComplete();
+                    }
+                });
+    }
+
     /** Answers after the first token's time and that of all others. */
     void start(long firstTokenMillis, long restMillis) {
         mTimers.after(Duration.ofMillis(firstTokenMillis), this::head);
--- a/rhubarbward-replay/src/main/java/io/rhubarbward/replay/TraceEvent.java
+++ b/rhubarbward-replay/src/main/java/io/rhubarbward/replay/TraceEvent.java
@@ -20,7 +20,9 @@
     @JsonSubTypes.Type(value = TraceEvent.PlatformDown.class, name = "platform-down"),
     @JsonSubTypes.Type(value = TraceEvent.PlatformUp.class, name = "platform-up"),
     @JsonSubTypes.Type(value = TraceEvent.PlatformLosesAnswers.class, name = "platform-loses"),
-    @JsonSubTypes.Type(value = TraceEvent.Apply.class, name = "apply")
+    @JsonSubTypes.Type(value = TraceEvent.Apply.class, name = "apply"),
+    @JsonSubTypes.Type(value = TraceEvent.RolloutStart.class, name = "rollout-start"),
+    @JsonSubTypes.Type(value = TraceEvent.VersionTurnsBad.class, name = "version-turns-bad")
 })
 public sealed interface TraceEvent {
     /** Returns when it happened, in milliseconds since the trace began. */
@@ -136,4 +138,35 @@
      * @param change the settings that change
      */
     record Apply(long atMillis, ObjectNode change) implements TraceEvent {}
+
+    /**
+     * Operators start a planned rollout.
+     *
+     * @param atMillis when
+     * @param name its name
+     * @param service whose servers move
+     * @param fromVersion the version that has the work
+     * @param toVersion the version that is to get it
+     * @param finishMillis from now until it must be finished
+     * @param watchMillis how long the new version is judged after that
+     */
+    record RolloutStart(
+            long atMillis,
+            String name,
+            String service,
+            String fromVersion,
+            String toVersion,
+            long finishMillis,
+            long watchMillis)
+            implements TraceEvent {}
+
+    /**
+     * A version fails a part of its requests from now on.
+     *
+     * @param atMillis when
+     * @param version which
+     * @param errorPermille how many of a thousand
+     */
+    record VersionTurnsBad(long atMillis, String version, int errorPermille)
+            implements TraceEvent {}
 }
--- a/rhubarbward-replay/src/main/java/io/rhubarbward/replay/TraceGenerator.java
+++ b/rhubarbward-replay/src/main/java/io/rhubarbward/replay/TraceGenerator.java
@@ -29,6 +29,8 @@
     private static final int TURNS = 5;
     private static final int SURGE_REQUESTS = 1500;
     private static final long SURGE_MILLIS = 6000;
+    private static final long BACKGROUND_MILLIS = 500;
+    private static final int BACKGROUND_CHATS = 400;
     private static final int VM_LIST_LAG_MILLIS = 2000;
     private static final int ROUTERS = 9;
 
@@ -56,6 +58,7 @@
         for (int order = 0; order < mSite.orders(); order++) {
             order("order-" + order);
         }
+        background();
         surge(PERIOD_STARTS[2] + 20_000);
         faults();
         mEvents.sort(Comparator.comparingLong(TraceEvent::atMillis));
@@ -85,6 +88,17 @@
         return start + mRandom.nextLong(PERIOD_MILLIS);
     }
 
+    /** A few chats at any time, also between the busy periods. */
+    private void background() {
+        long end = PERIOD_STARTS[PERIOD_STARTS.length - 1] + PERIOD_MILLIS;
+        for (long at = MINUTE; at < end; at += mRandom.nextLong(2 * BACKGROUND_MILLIS)) {
+            String chat = "steady-" + mRandom.nextInt(BACKGROUND_CHATS);
+            String account = mSite.account(mRandom.nextInt(mSite.accounts()));
+            int tokens = mRandom.nextInt(20, 100);
+            request(at, account, chat, "POST", "/v1/chat/completions", null, tokens);
+        }
+    }
+
     /** One account sends at many times its rate. */
     private void surge(long at) {
         for (int request = 0; request < SURGE_REQUESTS; request++) {
@@ -96,6 +110,13 @@
 
     private void faults() {
         long[] start = PERIOD_STARTS;
+        mSite.servers("2").forEach(s -> mEvents.add(new TraceEvent.BackendLeaving(0, s)));
+        mSite.servers("3").forEach(s -> mEvents.add(new TraceEvent.BackendLeaving(0, s)));
+        mEvents.add(rollout(start[1] + 10_000, "bad", "2"));
+        join(start[1] + 15_000, "2");
+        mEvents.add(new TraceEvent.VersionTurnsBad(start[1] + 60_000, "2", 400));
+        mEvents.add(rollout(start[3], "good", "3"));
+        join(start[3] + 5_000, "3");
         mEvents.add(new TraceEvent.EngineRestart(start[1] + 20_000, mSite.engine(0)));
         mEvents.add(new TraceEvent.PlatformLosesAnswers(start[1] + 30_000, 3));
         mEvents.add(new TraceEvent.EngineRestart(start[1] + 50_000, mSite.engine(1)));
@@ -111,6 +132,15 @@
         mEvents.add(new TraceEvent.PlatformUp(start[4] + 60_000));
     }
 
+    private void join(long at, String version) {
+        mSite.servers(version).forEach(s -> mEvents.add(new TraceEvent.BackendJoined(at, s)));
+    }
+
+    private static TraceEvent rollout(long at, String name, String toVersion) {
+        return new TraceEvent.RolloutStart(
+                at, name, "assistant", "1", toVersion, 20 * MINUTE, 10 * MINUTE);
+    }
+
     private ObjectNode dataCentre(String state) {
         ObjectNode change = MAPPER.createObjectNode();
         change.putObject("dataCentres").putObject(mSite.dataCentre(2)).put("state", state);
@@ -159,7 +189,8 @@
         services(settings.putObject("services"));
         ObjectNode servers = settings.putObject("backendServers");
         for (int index = 0; index < mSite.engines(); index++) {
-            server(servers, mSite.engine(index), "assistant", index);
+            server(servers, mSite.engine(index), "assistant", index)
+                    .put("version", mSite.version(index));
         }
         for (int index = 0; index < ReplaySite.PLAIN_SERVERS; index++) {
             server(servers, "orders-" + (index + 1), "orders", index);
@@ -189,8 +220,8 @@
                 .put("burst", perSecond * 2);
     }
 
-    private void server(ObjectNode servers, String name, String service, int index) {
-        servers.putObject(name)
+    private ObjectNode server(ObjectNode servers, String name, String service, int index) {
+        return servers.putObject(name)
                 .put("service", service)
                 .put("dataCentre", mSite.dataCentre(index))
                 .put("address", "10.0." + index + ".1:8000");
