Let one router of a data centre ask each engine for all

Cause: every router asked every engine each second. At 1,200 routers and 3,300 replicas that is 157 questions a second from each router.

Change: an engine's first owner asks and tells the peers of its data centre; the second owner asks when reports are a period late, any router when they are two periods late (3 s old in a site of up to 64 engines), at most 16 engines a second. An engine found cold or leaving is told at once; a later start of the ramp wins over an older one everywhere.

LoadSharingTest: 9 routers ask an engine at most 61 times in 60 s.

--- a/rhubarbward-core/src/main/java/io/rhubarbward/engine/Backend.java
+++ b/rhubarbward-core/src/main/java/io/rhubarbward/engine/Backend.java
@@ -70,7 +70,7 @@
     /** Takes an observation; returns why the engine is cold again, if it is. */
     Optional<ColdReason> observe(EngineObservation next) {
         if (outdated(next)) {
-            return Optional.empty();
+            return takeRampStart(next);
         }
         Optional<ColdReason> reason = mProgress.coldReason(next);
         reason.ifPresent(cold -> mFirstTokens.clear());
@@ -80,6 +80,16 @@
         return reason;
     }
 
+    /** A peer that found the engine cold may know it by no newer report than this router's. */
+    private Optional<ColdReason> takeRampStart(EngineObservation next) {
+        if (!mProgress.rampBeganLater(next)) {
+            return Optional.empty();
+        }
+        mProgress = mProgress.withRampStart(next.rampStart());
+        mFirstTokens.clear();
+        return Optional.of(ColdReason.TOLD_BY_PEER);
+    }
+
     private boolean outdated(EngineObservation next) {
         if (mReport == null) {
             return false;
--- a/rhubarbward-core/src/main/java/io/rhubarbward/engine/BackendRegistry.java
+++ b/rhubarbward-core/src/main/java/io/rhubarbward/engine/BackendRegistry.java
@@ -18,6 +18,7 @@
 import java.util.TreeMap;
 import java.util.function.BiConsumer;
 import java.util.function.Consumer;
+import java.util.stream.Collectors;
 import java.util.stream.Stream;
 import org.jspecify.annotations.Nullable;
 
@@ -40,6 +41,7 @@
     private final Map<String, Backend> mBackends = new TreeMap<>();
     private final Map<String, BackendState> mLoggedStates = new HashMap<>();
     private final List<BiConsumer<String, ColdReason>> mOnCold = new ArrayList<>();
+    private Map<Integer, List<String>> mNamesByShortForm = Map.of();
     private Map<String, BackendServer> mDeclared = Map.of();
     private Optional<Settings> mSettings = Optional.empty();
     private List<Vm> mVms = List.of();
@@ -151,6 +153,12 @@
         return Optional.ofNullable(mBackends.get(server)).map(Backend::progress);
     }
 
+    /** Returns the server whose name has the short form; none if two servers share it. */
+    Optional<String> byShortForm(int shortForm) {
+        List<String> names = mNamesByShortForm.getOrDefault(shortForm, List.of());
+        return names.size() == 1 ? Optional.of(names.get(0)) : Optional.empty();
+    }
+
     private boolean takesWork(String dataCentre) {
         return mSettings.map(settings -> settings.takesWork(dataCentre)).orElse(false);
     }
@@ -171,6 +179,9 @@
         List<String> leaving =
                 backendVms().filter(vm -> vm.state() == Vm.State.LEAVING).map(Vm::name).toList();
         known.values().forEach(this::add);
+        mNamesByShortForm =
+                mBackends.keySet().stream()
+                        .collect(Collectors.groupingBy(EngineObservation::shortForm));
         mBackends.forEach(
                 (name, backend) -> backend.listed(known.containsKey(name), leaving.contains(name)));
         mBackends.values().forEach(this::logState);
--- a/rhubarbward-core/src/main/java/io/rhubarbward/engine/EngineProgress.java
+++ b/rhubarbward-core/src/main/java/io/rhubarbward/engine/EngineProgress.java
@@ -52,6 +52,17 @@
                 incarnation, previousIncarnation, served, served, 0, cachedTokens);
     }
 
+    /** Returns whether the observer knows of a later cold start of the same incarnation. */
+    boolean rampBeganLater(EngineObservation observation) {
+        return incarnation != null
+                && incarnation == observation.incarnation()
+                && observation.rampStart() > rampStart;
+    }
+
+    EngineProgress withRampStart(long start) {
+        return new EngineProgress(incarnation, previousIncarnation, served, start, 0, cachedTokens);
+    }
+
     /** Returns whether the observation is of a process that this engine has replaced. */
     boolean outdated(EngineObservation observation) {
         return previousIncarnation != null && previousIncarnation == observation.incarnation();
@@ -71,9 +82,7 @@
         if (cacheEmptied(next)) {
             return Optional.of(ColdReason.CACHE_EMPTIED);
         }
-        return next.rampStart() > rampStart
-                ? Optional.of(ColdReason.TOLD_BY_PEER)
-                : Optional.empty();
+        return rampBeganLater(next) ? Optional.of(ColdReason.TOLD_BY_PEER) : Optional.empty();
     }
 
     private boolean cacheEmptied(EngineObservation next) {
--- a/rhubarbward-core/src/main/java/io/rhubarbward/node/RouterNode.java
+++ b/rhubarbward-core/src/main/java/io/rhubarbward/node/RouterNode.java
@@ -86,7 +86,14 @@
         mRegistry = new BackendRegistry(ports.events(), ports.timers());
         mPoller =
                 new LoadPoller(
-                        mConfiguration::settings, mRegistry, ports.engines(), ports.timers());
+                        identity.vm(),
+                        identity.dataCentre(),
+                        mConfiguration::settings,
+                        mRegistry,
+                        mMembership,
+                        ports.peers(),
+                        ports.engines(),
+                        ports.timers());
         mQuotas = new LocalQuotaService(this::capacity, ports.timers());
         mAdmission = new Admission(mQuotas);
         mRequests = new RequestService(mConfiguration, context());
--- a/rhubarbward-net/src/main/java/io/rhubarbward/net/peer/PeerCodecs.java
+++ b/rhubarbward-net/src/main/java/io/rhubarbward/net/peer/PeerCodecs.java
@@ -19,6 +19,6 @@
 
     /** Returns all codecs. */
     public static List<PeerCodec<?, ?>> all() {
-        return List.of(HEARTBEAT);
+        return List.of(HEARTBEAT, EngineCodecs.LOAD_SHARE);
     }
 }
