Lease shared limits from a custodian for each key

Cause: every router granted from its own counts, so N routers gave an engine N times its capacity, and an account N times its rate.

Change: the first live router in rendezvous order is a key's custodian. Holders ask it for a unit for each request that needs one; asks to a custodian travel together, and each states all that is held, so that a lost, doubled or late message does no harm. A unit stays its holder's while the request runs and the holder is heard; no unit is held idle. A new, restarted or woken custodian first asks all running routers what they hold. One unit of 16 is kept for routers that reach no custodian.

--- a/rhubarbward-core/src/main/java/io/rhubarbward/node/RouterNode.java
+++ b/rhubarbward-core/src/main/java/io/rhubarbward/node/RouterNode.java
@@ -12,7 +12,7 @@
 import io.rhubarbward.event.LogEvent;
 import io.rhubarbward.membership.Heartbeat;
 import io.rhubarbward.membership.Membership;
-import io.rhubarbward.quota.LocalQuotaService;
+import io.rhubarbward.quota.LeasedQuotaService;
 import io.rhubarbward.quota.QuotaCapacity;
 import io.rhubarbward.quota.QuotaKey;
 import io.rhubarbward.request.CallerListener;
@@ -53,7 +53,7 @@
     private final Membership mMembership;
     private final BackendRegistry mRegistry;
     private final LoadPoller mPoller;
-    private final LocalQuotaService mQuotas;
+    private final LeasedQuotaService mQuotas;
     private final Admission mAdmission;
     private final RequestService mRequests;
     private boolean mDraining;
@@ -83,7 +83,15 @@
         mPoller =
                 new LoadPoller(
                         mConfiguration::settings, mRegistry, ports.engines(), ports.timers());
-        mQuotas = new LocalQuotaService(this::capacity, ports.timers());
+        mQuotas =
+                new LeasedQuotaService(
+                        mMembership,
+                        ports.peers(),
+                        this::capacity,
+                        () -> mConfiguration.settings().map(Settings::quota),
+                        identity.incarnation(),
+                        ports.timers(),
+                        ports.events());
         mAdmission = new Admission(mQuotas);
         mRequests = new RequestService(mConfiguration, context());
     }
@@ -108,6 +116,7 @@
         mConfiguration.subscribe(this::onConfiguration);
         mMembership.subscribe(mRegistry::observe);
         mFollower.start();
+        mQuotas.start();
         mMembership.start(VM_LIST_PERIOD, HEARTBEAT_PERIOD);
         mPoller.start();
     }
--- a/rhubarbward-core/src/main/java/io/rhubarbward/quota/QuotaCapacity.java
+++ b/rhubarbward-core/src/main/java/io/rhubarbward/quota/QuotaCapacity.java
@@ -22,4 +22,9 @@
     public boolean rate() {
         return perSecond > 0;
     }
+
+    /** Returns whether there is no limit, so that nobody needs to be asked. */
+    public boolean unlimited() {
+        return concurrency == Integer.MAX_VALUE;
+    }
 }
--- a/rhubarbward-core/src/main/java/io/rhubarbward/quota/QuotaKey.java
+++ b/rhubarbward-core/src/main/java/io/rhubarbward/quota/QuotaKey.java
@@ -1,10 +1,33 @@
 package io.rhubarbward.quota;
 
+import java.util.Optional;
+
 /** What a shared limit is on. */
 public sealed interface QuotaKey {
     /** Returns the key as one line of text, the same at every router. */
     String text();
 
+    /** Returns the key that has the text, if there is one. */
+    static Optional<QuotaKey> parse(String text) {
+        String[] parts = text.split("/", 3);
+        if (parts.length < 2) {
+            return Optional.empty();
+        }
+        QuotaKey key =
+                switch (parts[0]) {
+                    case "backend" -> new BackendConcurrency(after(text, parts[0]));
+                    case "account" -> new AccountRate(after(text, parts[0]));
+                    case "retry" -> new RetryBudget(after(text, parts[0]));
+                    case "version" -> new VersionShare(parts[1], parts.length > 2 ? parts[2] : "");
+                    default -> null;
+                };
+        return Optional.ofNullable(key);
+    }
+
+    private static String after(String text, String kind) {
+        return text.substring(kind.length() + 1);
+    }
+
     /**
      * Requests that a backend server carries at once.
      *
--- /dev/null
+++ b/rhubarbward-core/src/test/java/io/rhubarbward/quota/QuotaLeaseTest.java
@@ -0,0 +1,209 @@
+package io.rhubarbward.quota;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import io.rhubarbward.testing.QuotaFleet;
+import io.rhubarbward.testing.QuotaFleet.Router;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+
+final class QuotaLeaseTest {
+    private static final int CAPACITY = 16;
+    // One unit of 16 is kept for routers that reach no custodian.
+    private static final int USABLE = 15;
+    private static final int ROUND_TRIP_MILLIS = 10;
+    private static final int LEASE_MILLIS = 3000;
+    private static final int DEAD_MILLIS = 5000;
+
+    private QuotaFleet mFleet = start(9);
+
+    private static QuotaFleet start(int routers) {
+        return QuotaFleet.start(routers, QuotaCapacity.concurrency(CAPACITY));
+    }
+
+    private void askEverywhere(int requests) {
+        mFleet.routers().forEach(router -> router.ask(requests));
+        mFleet.advance(ROUND_TRIP_MILLIS);
+    }
+
+    @Test
+    void everyUnitFindsItsRequestAmongManyRoutersThatEachSeeASliver() {
+        mFleet = start(57);
+        askEverywhere(1);
+        assertThat(mFleet.running()).isEqualTo(USABLE);
+        List<Router> first = mFleet.routers().stream().filter(r -> r.running() > 0).toList();
+        first.forEach(Router::finishAll);
+        mFleet.advance(ROUND_TRIP_MILLIS);
+        mFleet.routers().stream().filter(r -> !first.contains(r)).forEach(Router::ask);
+        mFleet.advance(ROUND_TRIP_MILLIS);
+        assertThat(mFleet.running()).isEqualTo(USABLE);
+    }
+
+    @Test
+    void aColdEngineGetsOneRequestFromAllRoutersTogether() {
+        mFleet.capacity(QuotaFleet.ENGINE, QuotaCapacity.concurrency(1));
+        askEverywhere(2);
+        assertThat(mFleet.running()).isEqualTo(1);
+    }
+
+    @Test
+    void anEngineThatTurnsColdOrLeavesGetsNothingNewFromTheNextMessageOn() {
+        askEverywhere(1);
+        mFleet.capacity(QuotaFleet.ENGINE, QuotaCapacity.concurrency(1));
+        askEverywhere(1);
+        assertThat(mFleet.running()).isEqualTo(9);
+        mFleet.capacity(QuotaFleet.ENGINE, QuotaCapacity.concurrency(0));
+        mFleet.routers().forEach(Router::finishAll);
+        askEverywhere(1);
+        assertThat(mFleet.running()).isEqualTo(0);
+    }
+
+    @Test
+    void aRunningRequestKeepsItsUnitForAsLongAsItRuns() {
+        mFleet.holder().ask(USABLE);
+        mFleet.advance(20 * LEASE_MILLIS);
+        askEverywhere(1);
+        assertThat(mFleet.running()).isEqualTo(USABLE);
+    }
+
+    @Test
+    void theUnitsOfADeadHolderComeBackAfterOneLease() {
+        Router holder = mFleet.holder();
+        holder.ask(USABLE);
+        mFleet.advance(ROUND_TRIP_MILLIS);
+        holder.crash();
+        mFleet.custodian().ask();
+        assertThat(mFleet.running()).isEqualTo(0);
+        mFleet.advance(LEASE_MILLIS + ROUND_TRIP_MILLIS);
+        mFleet.custodian().ask(USABLE);
+        assertThat(mFleet.running()).isEqualTo(USABLE);
+    }
+
+    @Test
+    void aRestartedHolderHoldsNothing() {
+        Router holder = mFleet.holder();
+        holder.ask(USABLE);
+        mFleet.advance(ROUND_TRIP_MILLIS);
+        Router next = holder.restart();
+        mFleet.advance(ROUND_TRIP_MILLIS);
+        next.ask(USABLE);
+        mFleet.advance(2 * ROUND_TRIP_MILLIS);
+        assertThat(mFleet.running()).isEqualTo(USABLE);
+    }
+
+    @Test
+    void anotherCustodianLearnsWhatIsOutBeforeItGrants() {
+        Router first = mFleet.custodian();
+        mFleet.routers().stream().filter(router -> router != first).forEach(Router::ask);
+        mFleet.advance(ROUND_TRIP_MILLIS);
+        first.crash();
+        for (int millis = 0; millis < DEAD_MILLIS; millis += ROUND_TRIP_MILLIS) {
+            mFleet.routers().stream().filter(router -> router != first).forEach(Router::ask);
+            mFleet.advance(ROUND_TRIP_MILLIS);
+            assertThat(mFleet.running()).isAtMost(CAPACITY);
+        }
+        assertThat(mFleet.running()).isAtLeast(USABLE);
+    }
+
+    @Test
+    void aRestartedCustodianLearnsWhatIsOutBeforeItGrants() {
+        Router custodian = mFleet.custodian();
+        mFleet.holder().ask(10);
+        mFleet.advance(ROUND_TRIP_MILLIS);
+        Router next = custodian.restart();
+        next.ask(CAPACITY);
+        mFleet.advance(2000);
+        askEverywhere(CAPACITY);
+        assertThat(mFleet.running()).isEqualTo(USABLE);
+    }
+
+    @Test
+    void aCustodianThatWakesPastItsLeasesGrantsNothingThatOthersHave() {
+        Router custodian = mFleet.custodian();
+        mFleet.routers().stream().filter(router -> router != custodian).forEach(Router::ask);
+        mFleet.advance(ROUND_TRIP_MILLIS);
+        custodian.pause();
+        // These wait at the custodian until it wakes, when nobody waits for them any more.
+        mFleet.routers().stream().filter(r -> r != custodian).forEach(r -> r.ask(2));
+        mFleet.advance(2 * DEAD_MILLIS);
+        mFleet.routers().stream().filter(r -> r != custodian).forEach(r -> r.ask(2));
+        mFleet.advance(ROUND_TRIP_MILLIS);
+        // One of those who reached no custodian has the reserve.
+        assertThat(mFleet.running()).isEqualTo(CAPACITY);
+        custodian.wake();
+        custodian.ask(USABLE);
+        mFleet.advance(1000);
+        assertThat(mFleet.running()).isEqualTo(CAPACITY);
+    }
+
+    @Test
+    void aPausedHolderWakesAndItsRunningRequestsCountFirst() {
+        Router holder = mFleet.holder();
+        holder.ask(10);
+        mFleet.advance(ROUND_TRIP_MILLIS);
+        holder.pause();
+        mFleet.advance(2 * DEAD_MILLIS);
+        holder.wake();
+        mFleet.advance(ROUND_TRIP_MILLIS);
+        mFleet.custodian().ask(CAPACITY);
+        assertThat(mFleet.running()).isEqualTo(USABLE);
+    }
+
+    @Test
+    void twoCustodiansAtOnceGrantNoMoreThanTheCapacityEach() {
+        List<String> left = mFleet.routers().stream().map(Router::vm).limit(4).toList();
+        mFleet.peers().cut((from, to) -> left.contains(from) != left.contains(to));
+        mFleet.advance(2 * DEAD_MILLIS);
+        askEverywhere(CAPACITY);
+        assertThat(mFleet.running()).isAtMost(2 * CAPACITY);
+        assertThat(mFleet.running()).isAtLeast(2 * USABLE);
+        mFleet.peers().cut((from, to) -> false);
+        mFleet.advance(DEAD_MILLIS);
+        int before = mFleet.running();
+        askEverywhere(1);
+        assertThat(mFleet.running()).isEqualTo(before);
+        mFleet.routers().forEach(Router::finishAll);
+        mFleet.advance(ROUND_TRIP_MILLIS);
+        askEverywhere(CAPACITY);
+        assertThat(mFleet.running()).isEqualTo(USABLE);
+    }
+
+    @Test
+    void routersThatReachNoCustodianTakeNoMoreThanTheReserve() {
+        Router custodian = mFleet.custodian();
+        custodian.ask();
+        mFleet.advance(ROUND_TRIP_MILLIS);
+        mFleet.peers().cut((from, to) -> from.equals(custodian.vm()) || to.equals(custodian.vm()));
+        mFleet.routers().stream().filter(r -> r != custodian).forEach(r -> r.ask(CAPACITY));
+        custodian.ask(CAPACITY);
+        mFleet.advance(1000);
+        assertThat(mFleet.running()).isEqualTo(CAPACITY);
+    }
+
+    @Test
+    void aColdEngineHasNoReserve() {
+        mFleet.capacity(QuotaFleet.ENGINE, QuotaCapacity.concurrency(1));
+        Router custodian = mFleet.custodian();
+        mFleet.peers().cut((from, to) -> from.equals(custodian.vm()) || to.equals(custodian.vm()));
+        mFleet.routers().stream().filter(r -> r != custodian).forEach(Router::ask);
+        mFleet.advance(1000);
+        assertThat(mFleet.running()).isEqualTo(0);
+    }
+
+    @Test
+    void anAccountsRateHoldsAcrossAllRouters() {
+        QuotaKey account = new QuotaKey.AccountRate("acme");
+        mFleet.capacity(account, QuotaCapacity.rate(10, 20));
+        for (int second = 0; second < 10; second++) {
+            mFleet.routers().forEach(router -> router.ask(account));
+            mFleet.advance(1000);
+        }
+        // 90 asks in 10 s: 20 at once and 10 a second pass.
+        assertThat(mFleet.running()).isEqualTo(90);
+        mFleet.routers()
+                .forEach(router -> List.of(1, 2, 3, 4, 5).forEach(n -> router.ask(account)));
+        mFleet.advance(ROUND_TRIP_MILLIS);
+        assertThat(mFleet.running()).isAtMost(90 + 20);
+        assertThat(mFleet.running()).isAtLeast(90 + 10);
+    }
+}
--- /dev/null
+++ b/rhubarbward-core/src/test/java/io/rhubarbward/testing/QuotaFleet.java
@@ -0,0 +1,219 @@
+package io.rhubarbward.testing;
+
+import io.rhubarbward.config.QuotaSettings;
+import io.rhubarbward.event.EventLog;
+import io.rhubarbward.membership.Heartbeat;
+import io.rhubarbward.membership.Membership;
+import io.rhubarbward.membership.PeerTransport;
+import io.rhubarbward.platform.EitherStage;
+import io.rhubarbward.platform.PlatformFailure;
+import io.rhubarbward.platform.Vm;
+import io.rhubarbward.quota.LeasedQuotaService;
+import io.rhubarbward.quota.QuotaCapacity;
+import io.rhubarbward.quota.QuotaKey;
+import io.rhubarbward.quota.QuotaService.QuotaPermit;
+import io.rhubarbward.timer.VirtualTimerService;
+import io.vavr.control.Either;
+import java.time.Duration;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+
+/** Routers' membership and quota leases on virtual time, and the requests that hold units. */
+public final class QuotaFleet {
+    public static final QuotaKey ENGINE = new QuotaKey.BackendConcurrency("engine");
+    public static final QuotaSettings SETTINGS = new QuotaSettings(3000, 0.0625);
+
+    private final VirtualTimerService mTimers = new VirtualTimerService();
+    private final FakePeers mPeers = new FakePeers(mTimers);
+    private final List<Vm> mVms = new ArrayList<>();
+    private final List<Router> mRouters = new ArrayList<>();
+    private final Map<QuotaKey, QuotaCapacity> mCapacities = new HashMap<>();
+    private boolean mPlatformDown;
+
+    /** Starts routers which all know each other. */
+    public static QuotaFleet start(int routers, QuotaCapacity engine) {
+        QuotaFleet fleet = new QuotaFleet();
+        fleet.capacity(ENGINE, engine);
+        for (int number = 1; number <= routers; number++) {
+            fleet.list("entry-" + number);
+        }
+        fleet.mVms.forEach(vm -> fleet.mRouters.add(fleet.new Router(vm.name(), 1)));
+        fleet.advance(3000);
+        return fleet;
+    }
+
+    private void list(String vm) {
+        mVms.add(new Vm(vm, "dc", Vm.Role.ROUTER, vm + ":1", Vm.State.LIVE, null, null));
+    }
+
+    /** Starts one more router, which the VM list shows at once. */
+    public Router add(String vm) {
+        list(vm);
+        Router router = new Router(vm, 1);
+        mRouters.add(router);
+        return router;
+    }
+
+    public void capacity(QuotaKey key, QuotaCapacity capacity) {
+        mCapacities.put(key, capacity);
+    }
+
+    public void platformDown(boolean down) {
+        mPlatformDown = down;
+    }
+
+    public void advance(long millis) {
+        mTimers.advance(Duration.ofMillis(millis));
+    }
+
+    public FakePeers peers() {
+        return mPeers;
+    }
+
+    public List<Router> routers() {
+        return mRouters;
+    }
+
+    public Router router(String vm) {
+        return mRouters.stream().filter(router -> router.vm().equals(vm)).findFirst().get();
+    }
+
+    /** Returns the engine's custodian, as its owner sees it. */
+    public Router custodian() {
+        return router(mRouters.get(0).membership().siteOwner(ENGINE.text()).orElseThrow());
+    }
+
+    /** Returns a router that is not the engine's custodian. */
+    public Router holder() {
+        Router custodian = custodian();
+        return mRouters.stream().filter(router -> router != custodian).findFirst().get();
+    }
+
+    /** Returns the requests that run at the engine. */
+    public int running() {
+        return mRouters.stream().mapToInt(Router::running).sum();
+    }
+
+    private Either<PlatformFailure, List<Vm>> read() {
+        return mPlatformDown
+                ? Either.left(new PlatformFailure.Unavailable(PlatformFailure.Reason.NO_CONNECTION))
+                : Either.right(List.copyOf(mVms));
+    }
+
+    /** One router and its running requests. */
+    public final class Router {
+        private final String mVm;
+        private final PausableTimers mOwnTimers = new PausableTimers(mTimers);
+        private final Membership mMembership;
+        private final LeasedQuotaService mQuotas;
+        private final Deque<QuotaPermit> mRunning = new ArrayDeque<>();
+        private int mRefused;
+
+        Router(String vm, long incarnation) {
+            mVm = vm;
+            PeerTransport transport = mPeers.endpoint(vm);
+            mMembership =
+                    new Membership(
+                            vm,
+                            "dc",
+                            () -> EitherStage.completed(read()),
+                            transport,
+                            () -> new Heartbeat(incarnation, 0),
+                            mOwnTimers,
+                            EventLog.none());
+            mQuotas =
+                    new LeasedQuotaService(
+                            mMembership,
+                            transport,
+                            key -> mCapacities.getOrDefault(key, QuotaCapacity.concurrency(0)),
+                            () -> Optional.of(SETTINGS),
+                            incarnation,
+                            mOwnTimers,
+                            EventLog.none());
+            mQuotas.start();
+            mMembership.start(Duration.ofSeconds(2), Duration.ofSeconds(1));
+        }
+
+        public String vm() {
+            return mVm;
+        }
+
+        public Membership membership() {
+            return mMembership;
+        }
+
+        public LeasedQuotaService quotas() {
+            return mQuotas;
+        }
+
+        public int running() {
+            return mRunning.size();
+        }
+
+        public int refused() {
+            return mRefused;
+        }
+
+        /** Starts a request at the engine, once a unit is granted. */
+        public void ask() {
+            ask(ENGINE);
+        }
+
+        public void ask(QuotaKey key) {
+            mQuotas.acquire(key)
+                    .thenAccept(
+                            granted -> granted.peek(mRunning::add).peekLeft(refusal -> mRefused++));
+        }
+
+        public void ask(int requests) {
+            for (int request = 0; request < requests; request++) {
+                ask();
+            }
+        }
+
+        /** Ends the oldest running request, if there is one. */
+        public void finish() {
+            if (!mRunning.isEmpty()) {
+                mRunning.remove().release();
+            }
+        }
+
+        public void finishAll() {
+            while (!mRunning.isEmpty()) {
+                finish();
+            }
+        }
+
+        /** Kills the process: its requests end, and nobody is told. */
+        public void crash() {
+            mOwnTimers.stop();
+            mPeers.remove(mVm);
+            mRunning.clear();
+        }
+
+        /** Kills the process and starts another on the VM. */
+        public Router restart() {
+            crash();
+            Router next = new Router(mVm, 2);
+            mRouters.set(mRouters.indexOf(this), next);
+            return next;
+        }
+
+        /** Stops the process for a while; its requests run on at the engine. */
+        public void pause() {
+            mOwnTimers.pause();
+            mPeers.pause(mVm);
+        }
+
+        /** Wakes the process; what was sent to it comes before its own timers. */
+        public void wake() {
+            mPeers.resume(mVm);
+            mOwnTimers.resume();
+        }
+    }
+}
