--- a/rhubarbward-net/src/main/java/io/rhubarbward/net/peer/EngineCodecs.java
+++ b/rhubarbward-net/src/main/java/io/rhubarbward/net/peer/EngineCodecs.java
@@ -4,6 +4,7 @@
 import io.rhubarbward.engine.SharedLoad;
 import io.rhubarbward.gen.engine.LoadShareStruct;
 import io.rhubarbward.gen.engine.SharedLoadStruct;
+import java.util.List;
 
 /** The codecs of the engine slice's messages: kinds 30 to 39. */
 final class EngineCodecs {
@@ -21,6 +22,10 @@
 
     private EngineCodecs() {}
 
+    static List<PeerCodec<?, ?>> all() {
+        return List.of(LOAD_SHARE);
+    }
+
     private static SharedLoadStruct struct(SharedLoad load) {
         SharedLoadStruct struct =
                 new SharedLoadStruct(
