Check what is whole, open and cold in replays as the promises mean it

Cause: 179 answers of keys sent again were called wrong although they are the first run's; servers of two versions were compared with each other; a data centre that was out counted no check. Change: the checks; replay and trace on the command line; a trace states what a cold engine truly bears, so that a test can break the promise on purpose.

--- a/rhubarbward-daemon/src/main/java/io/rhubarbward/cli/ExitCode.java
+++ b/rhubarbward-daemon/src/main/java/io/rhubarbward/cli/ExitCode.java
@@ -12,6 +12,7 @@
     PLATFORM(5, "the platform did not carry it out"),
     UNREACHABLE(6, "the process asked did not answer"),
     CUT_REQUESTS(7, "a planned stop had to cut requests"),
+    PROMISE_BROKEN(30, "a replay broke a promise"),
     NOT_IN_FORCE(10, "the configuration is not in force everywhere");
 
     private final int mStatus;
--- a/rhubarbward-daemon/src/main/java/io/rhubarbward/cli/Main.java
+++ b/rhubarbward-daemon/src/main/java/io/rhubarbward/cli/Main.java
@@ -21,6 +21,8 @@
                     new StandinCommand(),
                     new ConfigCommand(),
                     new DataCentreCommand(),
+                    new ReplayCommand(),
+                    new TraceCommand(),
                     new DumpCommand());
 
     private Main() {}
--- a/rhubarbward-replay/src/main/java/io/rhubarbward/replay/PromiseLog.java
+++ b/rhubarbward-replay/src/main/java/io/rhubarbward/replay/PromiseLog.java
@@ -5,10 +5,11 @@
 import java.util.EnumMap;
 import java.util.List;
 import java.util.Map;
-import java.util.Optional;
 import java.util.function.LongSupplier;
 
-/** Counts checks and breaches of each promise and keeps the first breach with what led to it. */
+/**
+ * Counts checks and breaches of each promise and keeps each one's first breach with what led to it.
+ */
 final class PromiseLog {
     private static final int KEPT_EVENTS = 40;
 
@@ -16,7 +17,7 @@
     private final Map<Promise, Long> mChecks = new EnumMap<>(Promise.class);
     private final Map<Promise, Long> mBreaches = new EnumMap<>(Promise.class);
     private final Deque<String> mRecent = new ArrayDeque<>();
-    private Optional<Breach> mFirst = Optional.empty();
+    private final Map<Promise, Breach> mFirsts = new EnumMap<>(Promise.class);
 
     PromiseLog(LongSupplier nowMillis) {
         mNowMillis = nowMillis;
@@ -34,15 +35,14 @@
         mChecks.merge(promise, 1L, Long::sum);
         if (!holds) {
             mBreaches.merge(promise, 1L, Long::sum);
-            if (mFirst.isEmpty()) {
-                mFirst =
-                        Optional.of(
-                                new Breach(
-                                        promise,
-                                        mNowMillis.getAsLong(),
-                                        detail.get(),
-                                        List.copyOf(mRecent)));
-            }
+            mFirsts.computeIfAbsent(
+                    promise,
+                    broken ->
+                            new Breach(
+                                    broken,
+                                    mNowMillis.getAsLong(),
+                                    detail.get(),
+                                    List.copyOf(mRecent)));
         }
     }
 
@@ -54,8 +54,9 @@
         return mBreaches.getOrDefault(promise, 0L);
     }
 
-    Optional<Breach> first() {
-        return mFirst;
+    /** Returns the first breach of each broken promise. */
+    List<Breach> firsts() {
+        return List.copyOf(mFirsts.values());
     }
 
     /**
--- a/rhubarbward-replay/src/main/java/io/rhubarbward/replay/Replay.java
+++ b/rhubarbward-replay/src/main/java/io/rhubarbward/replay/Replay.java
@@ -66,7 +66,9 @@
                 new SettingsReader()
                         .read(List.of(text()))
                         .getOrElseThrow(f -> new IllegalArgumentException(f.message()));
-        mBackends = new ReplayBackends(mTimers, mSettings, mPromises, mMeasures);
+        mBackends =
+                new ReplayBackends(
+                        mTimers, mSettings, trace.header().coldBears(), mPromises, mMeasures);
         mFleet =
                 new ReplayFleet(
                         trace.header(), mSettings, mTimers, mStore, mBackends, mMeasures, seed);
--- a/rhubarbward-replay/src/main/java/io/rhubarbward/replay/ReplayBackends.java
+++ b/rhubarbward-replay/src/main/java/io/rhubarbward/replay/ReplayBackends.java
@@ -28,6 +28,7 @@
     private static final long MISS_MILLIS = 400;
     private static final long TOKEN_MILLIS = 25;
     private static final int COLD_COMPLETIONS = 4;
+    private static final int WARM_COMPLETIONS = 120;
 
     private final TimerService mTimers;
     private final PromiseLog mPromises;
@@ -36,24 +37,34 @@
     private final Map<String, ReplayServer> mServers = new TreeMap<>();
     private final Map<String, Closing> mClosings = new HashMap<>();
     private final Map<String, Integer> mRunsByKey = new HashMap<>();
+    private final Map<String, String> mRanByKey = new HashMap<>();
     private final Map<String, Integer> mTokensById = new HashMap<>();
     private final Map<String, String> mKeysById = new HashMap<>();
     private final Set<String> mStartedIds = new HashSet<>();
 
-    ReplayBackends(TimerService timers, Settings settings, PromiseLog promises, Measures measures) {
+    ReplayBackends(
+            TimerService timers,
+            Settings settings,
+            int coldBears,
+            PromiseLog promises,
+            Measures measures) {
         mTimers = timers;
         mPromises = promises;
         mMeasures = measures;
         mBadVersions = new BadVersions(promises);
-        settings.backendServers().values().forEach(server -> add(server, settings));
+        settings.backendServers().values().forEach(server -> add(server, settings, coldBears));
     }
 
-    private void add(BackendServer server, Settings settings) {
+    private void add(BackendServer server, Settings settings, int coldBears) {
         Service service = Objects.requireNonNull(settings.services().get(server.service()));
-        int completions = service.kind() == Service.Kind.ENGINE ? COLD_COMPLETIONS : 0;
+        boolean engine = service.kind() == Service.Kind.ENGINE;
         mServers.put(
                 server.name(),
-                new ReplayServer(server.name(), service.coldConcurrency(), completions));
+                new ReplayServer(
+                        server.name(),
+                        coldBears,
+                        engine ? COLD_COMPLETIONS : 0,
+                        engine ? WARM_COMPLETIONS : 0));
     }
 
     /** Tells the truth about a request before a router sees it. */
@@ -64,11 +75,26 @@
         }
     }
 
+    /**
+     * Returns whether the answer is whole and the request's own; a key that was sent again is
+     * answered by its first run.
+     */
+    boolean ownAnswer(String id, String body) {
+        String key = mKeysById.get(id);
+        String ran = key == null ? id : mRanByKey.getOrDefault(key, id);
+        return body.equals(ReplayRun.wholeAnswer(ran));
+    }
+
     /** No new work may come to the server from the time on, or the promise is broken. */
     void close(String server, long fromMillis, Promise promise) {
         mClosings.put(server, new Closing(fromMillis, promise));
     }
 
+    /** Returns whether the server is closed or about to be. */
+    boolean closed(String server) {
+        return mClosings.containsKey(server);
+    }
+
     /** New work may come to the server again. */
     void open(String server) {
         mClosings.remove(server);
@@ -114,13 +140,21 @@
                 Promise.COLD_SPARED,
                 !server.overloadedCold(),
                 () -> server.name() + " is cold and carries " + server.running());
-        Closing closing = mClosings.getOrDefault(server.name(), Closing.NONE);
-        mPromises.check(
-                closing.promise(),
-                mTimers.nowMillis() < closing.fromMillis(),
-                () -> server.name() + " got " + id + " and is closed since " + closing);
+        Closing closing = mClosings.get(server.name());
+        mClosings.values().stream()
+                .map(Closing::promise)
+                .distinct()
+                .forEach(
+                        promise ->
+                                mPromises.check(
+                                        promise,
+                                        closing == null
+                                                || closing.promise() != promise
+                                                || mTimers.nowMillis() < closing.fromMillis(),
+                                        () -> server.name() + " got " + id + ", " + closing));
         String key = mKeysById.get(id);
         if (key != null) {
+            mRanByKey.putIfAbsent(key, id);
             int runs = mRunsByKey.merge(key, 1, Integer::sum);
             mPromises.check(Promise.RUN_ONCE, runs <= 1, () -> key + " ran " + runs + " times");
         }
@@ -136,7 +170,5 @@
     }
 
     /** From when on a server gets no new work, and by which promise. */
-    private record Closing(long fromMillis, Promise promise) {
-        static final Closing NONE = new Closing(Long.MAX_VALUE, Promise.LEAVING_GETS_NOTHING);
-    }
+    private record Closing(long fromMillis, Promise promise) {}
 }
--- a/rhubarbward-replay/src/main/java/io/rhubarbward/replay/ReplayCaller.java
+++ b/rhubarbward-replay/src/main/java/io/rhubarbward/replay/ReplayCaller.java
@@ -55,7 +55,7 @@
             mMeasures.answered();
             mPromises.check(
                     Promise.ANSWERS_WHOLE,
-                    body.equals(ReplayRun.wholeAnswer(mId)),
+                    mBackends.ownAnswer(mId, body),
                     () -> mId + " was answered " + body);
         }
     }
--- a/rhubarbward-replay/src/main/java/io/rhubarbward/replay/ReplayReport.java
+++ b/rhubarbward-replay/src/main/java/io/rhubarbward/replay/ReplayReport.java
@@ -3,7 +3,6 @@
 import java.util.Arrays;
 import java.util.List;
 import java.util.Map;
-import java.util.Optional;
 import java.util.stream.Collectors;
 
 /**
@@ -11,13 +10,13 @@
  *
  * @param site the trace's site
  * @param promises for each promise, how often it was checked and broken
- * @param firstBreach the first breach, with what led to it
+ * @param firstBreaches the first breach of each broken promise, with what led to it
  * @param measures the users' measures by name
  */
 public record ReplayReport(
         String site,
         List<Kept> promises,
-        Optional<PromiseLog.Breach> firstBreach,
+        List<PromiseLog.Breach> firstBreaches,
         Map<String, Object> measures) {
     static ReplayReport of(String site, PromiseLog log, Map<String, Object> measures) {
         List<Kept> kept =
@@ -29,12 +28,12 @@
                                                 log.checks(promise),
                                                 log.breaches(promise)))
                         .toList();
-        return new ReplayReport(site, kept, log.first(), measures);
+        return new ReplayReport(site, kept, log.firsts(), measures);
     }
 
     /** Returns whether every promise that was checked held. */
     public boolean held() {
-        return firstBreach.isEmpty();
+        return firstBreaches.isEmpty();
     }
 
     /** Returns how often the promise was checked. */
@@ -64,7 +63,8 @@
                 measures.entrySet().stream()
                         .map(entry -> String.format("%-40s %s", entry.getKey(), entry.getValue()))
                         .collect(Collectors.joining("\n"));
-        String breach = firstBreach.map(ReplayReport::show).orElse("");
+        String breach =
+                firstBreaches.stream().map(ReplayReport::show).collect(Collectors.joining());
         return "site " + site + "\n" + kept + "\n\n" + measured + breach;
     }
 
--- a/rhubarbward-replay/src/main/java/io/rhubarbward/replay/ReplayServer.java
+++ b/rhubarbward-replay/src/main/java/io/rhubarbward/replay/ReplayServer.java
@@ -14,15 +14,17 @@
     private final String mName;
     private final int mColdConcurrency;
     private final int mColdCompletions;
+    private final int mWarmCompletions;
     private final Map<String, Boolean> mCache = new LinkedHashMap<>(16, 0.75f, true);
     private final Set<ReplayRun> mRunning = new HashSet<>();
     private int mIncarnation = 1;
     private long mServed;
 
-    ReplayServer(String name, int coldConcurrency, int coldCompletions) {
+    ReplayServer(String name, int coldConcurrency, int coldCompletions, int warmCompletions) {
         mName = name;
         mColdConcurrency = coldConcurrency;
         mColdCompletions = coldCompletions;
+        mWarmCompletions = warmCompletions;
     }
 
     String name() {
@@ -38,6 +40,11 @@
         return mServed < mColdCompletions;
     }
 
+    /** Returns whether it is still on its way from cold to its full load. */
+    boolean warming() {
+        return mServed < mWarmCompletions;
+    }
+
     /** Returns whether it carries more than a cold server can bear. */
     boolean overloadedCold() {
         return cold() && mRunning.size() > mColdConcurrency;
--- a/rhubarbward-replay/src/main/java/io/rhubarbward/replay/ReplayWatch.java
+++ b/rhubarbward-replay/src/main/java/io/rhubarbward/replay/ReplayWatch.java
@@ -8,8 +8,8 @@
 import java.time.Duration;
 import java.util.HashMap;
 import java.util.IntSummaryStatistics;
+import java.util.List;
 import java.util.Map;
-import java.util.Set;
 import java.util.stream.Collectors;
 import java.util.stream.StreamSupport;
 
@@ -26,7 +26,7 @@
     private final PromiseLog mPromises;
     private final Measures mMeasures;
     private final double mBound;
-    private final Set<String> mEngines;
+    private final Map<String, String> mVersions;
     private final Map<RouterNode, Long> mGenerations = new HashMap<>();
     private final Map<String, Integer> mWindow = new HashMap<>();
     private long mWindowEnd;
@@ -47,11 +47,10 @@
         mPromises = promises;
         mMeasures = measures;
         mBound = settings.routing().boundedLoadMultiple();
-        mEngines =
+        mVersions =
                 settings.backendServers().values().stream()
                         .filter(s -> kind(settings, s.service()) == Service.Kind.ENGINE)
-                        .map(s -> s.name())
-                        .collect(Collectors.toSet());
+                        .collect(Collectors.toMap(s -> s.name(), s -> s.version()));
     }
 
     private static Service.Kind kind(Settings settings, String service) {
@@ -108,7 +107,8 @@
 
     private void lookAtLoad() {
         StreamSupport.stream(mBackends.servers().spliterator(), false)
-                .filter(server -> mEngines.contains(server.name()) && !server.cold())
+                .filter(server -> mVersions.containsKey(server.name()))
+                .filter(server -> !server.warming() && !mBackends.closed(server.name()))
                 .forEach(server -> mWindow.merge(server.name(), server.running(), Integer::sum));
         if (mTimers.nowMillis() >= mWindowEnd) {
             mWindowEnd = mTimers.nowMillis() + LOAD_WINDOW_MILLIS;
@@ -117,12 +117,23 @@
     }
 
     private void closeWindow() {
+        mWindow.keySet().stream()
+                .collect(Collectors.groupingBy(server -> String.valueOf(mVersions.get(server))))
+                .values()
+                .forEach(this::checkLoads);
+        mWindow.clear();
+    }
+
+    /** Compares servers of one version: a rollout loads two versions differently on purpose. */
+    private void checkLoads(List<String> servers) {
         double looks = (double) LOAD_WINDOW_MILLIS / PERIOD.toMillis();
         IntSummaryStatistics sums =
-                mWindow.values().stream().mapToInt(Integer::intValue).summaryStatistics();
+                servers.stream()
+                        .mapToInt(server -> mWindow.getOrDefault(server, 0))
+                        .summaryStatistics();
         double mean = sums.getAverage() / looks;
         double largest = sums.getMax() / looks;
-        if (mean >= LEAST_MEAN_LOAD) {
+        if (mean >= LEAST_MEAN_LOAD && servers.size() > 1) {
             mMeasures.skew(largest / mean);
             // One request is the least step by which an engine's load can differ.
             mPromises.check(
@@ -130,6 +141,5 @@
                     largest <= mBound * (mean + 1) + 1,
                     () -> "largest load " + largest + ", mean " + mean + ": " + mWindow);
         }
-        mWindow.clear();
     }
 }
--- a/rhubarbward-replay/src/main/java/io/rhubarbward/replay/TraceGenerator.java
+++ b/rhubarbward-replay/src/main/java/io/rhubarbward/replay/TraceGenerator.java
@@ -32,6 +32,7 @@
     private static final long BACKGROUND_MILLIS = 500;
     private static final int BACKGROUND_CHATS = 400;
     private static final int VM_LIST_LAG_MILLIS = 2000;
+    private static final int COLD_CONCURRENCY = 2;
     private static final int ROUTERS = 9;
 
     private final ReplaySite mSite;
@@ -172,7 +173,8 @@
                 mSeed,
                 routers,
                 settings(),
-                VM_LIST_LAG_MILLIS);
+                VM_LIST_LAG_MILLIS,
+                COLD_CONCURRENCY);
     }
 
     private ObjectNode settings() {
@@ -205,7 +207,7 @@
                 .put("pathPrefix", "/v1/chat/completions")
                 .put("repeatable", true)
                 .put("concurrency", 24)
-                .put("coldConcurrency", 2);
+                .put("coldConcurrency", COLD_CONCURRENCY);
         services.putObject("orders")
                 .put("kind", "plain")
                 .put("pathPrefix", "/orders/")
--- a/rhubarbward-replay/src/main/java/io/rhubarbward/replay/TraceHeader.java
+++ b/rhubarbward-replay/src/main/java/io/rhubarbward/replay/TraceHeader.java
@@ -13,6 +13,7 @@
  * @param routers the routers at the start: VM to data centre
  * @param settings the settings in force at the start
  * @param vmListLagMillis how old the VM list is
+ * @param coldBears requests that an engine in cold start truly bears at once
  */
 public record TraceHeader(
         String format,
@@ -21,7 +22,8 @@
         long seed,
         Map<String, String> routers,
         ObjectNode settings,
-        int vmListLagMillis) {
+        int vmListLagMillis,
+        int coldBears) {
     /** The name of the format. */
     public static final String FORMAT = "rhubarbward-trace";
 
