Name the sender once a connection and hold peers' bytes to the budget

Each message carried its sender's name, each ask two numbers for its process and place, and each permit ordered all routers anew, five times.

Change: the first frame of a connection names its sender; an ask's one sequence starts from the incarnation; owners are kept until the view changes. Traffic with peers, both ways, is held against control.bytesPerSecond: the share is a metric, more than it an event.

Tests: routers that do not know a new custodian for five seconds get nothing from the old one.

--- a/rhubarbward-core/src/main/java/io/rhubarbward/membership/Membership.java
+++ b/rhubarbward-core/src/main/java/io/rhubarbward/membership/Membership.java
@@ -12,6 +12,7 @@
 import io.vavr.control.Either;
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -54,6 +55,8 @@
     private Map<String, Boolean> mLastView = Map.of();
     private boolean mPlatformAvailable = true;
     private boolean mListRead;
+    // Ordering all routers for each request is the dearest step of a permit; emptied each second.
+    private final Map<String, Optional<String>> mSiteOwners = new HashMap<>();
 
     /** Watches on behalf of the router on the named VM. */
     public Membership(
@@ -135,7 +138,7 @@
 
     /** Returns the first live router of the whole site in rendezvous order for the key. */
     public Optional<String> siteOwner(String key) {
-        return siteOwners(key, 1).stream().findFirst();
+        return mSiteOwners.computeIfAbsent(key, k -> siteOwners(k, 1).stream().findFirst());
     }
 
     /** Returns whether this router is the key's first owner. */
@@ -193,6 +196,7 @@
             mEvents.log(LogEvent.PROCESS_WAS_PAUSED);
             mTable.grace(now);
             mOwnDamping.returned(now);
+            mSiteOwners.clear();
             // Those who took this router for dead hear of it before they are asked for anything.
             mTable.members().forEach(this::sendHeartbeat);
             mListeners.forEach(MembershipListener::onAwake);
@@ -201,6 +205,7 @@
 
     private void tick() {
         checkPause();
+        mSiteOwners.clear();
         mTable.judge(mTimers.nowMillis());
         mTable.members().forEach(this::sendHeartbeat);
         mTable.members().stream()
@@ -276,6 +281,7 @@
         Map<String, Boolean> view = mTable.view();
         if (!view.equals(mLastView)) {
             mLastView = view;
+            mSiteOwners.clear();
             mListeners.forEach(MembershipListener::onMembersChanged);
         }
     }
@@ -304,6 +310,7 @@
                 .forEach(this::sendHeartbeat);
         mSubscribers.forEach(subscriber -> subscriber.accept(mVms));
         mLastView = mTable.view();
+        mSiteOwners.clear();
         mListeners.forEach(MembershipListener::onMembersChanged);
     }
 
--- a/rhubarbward-core/src/main/java/io/rhubarbward/quota/KeyHolding.java
+++ b/rhubarbward-core/src/main/java/io/rhubarbward/quota/KeyHolding.java
@@ -56,7 +56,7 @@
         return mHeld + mFallbackHeld + mWaiting.size() == 0 && mPending == null;
     }
 
-    /** Returns whether the custodian has been told twice that nothing is in use. */
+    /** Returns whether the custodian was last told that nothing is in use. */
     boolean idleStated() {
         return mIdleStated;
     }
--- a/rhubarbward-core/src/main/java/io/rhubarbward/quota/LeasedQuotaService.java
+++ b/rhubarbward-core/src/main/java/io/rhubarbward/quota/LeasedQuotaService.java
@@ -86,6 +86,11 @@
         return mHolder.acquire(key);
     }
 
+    /** Returns the units that this router has of custodians, over all limits on concurrency. */
+    public int held() {
+        return mHolder.held();
+    }
+
     private void refresh() {
         mContext.membership().checkPause();
         mHolder.refresh();
--- a/rhubarbward-core/src/main/java/io/rhubarbward/quota/QuotaCustodian.java
+++ b/rhubarbward-core/src/main/java/io/rhubarbward/quota/QuotaCustodian.java
@@ -26,7 +26,7 @@
     private final QuotaPeers mPeers;
     private final Map<String, KeyLedger> mLedgers = new TreeMap<>();
     private final Map<String, TokenBucket> mBuckets = new HashMap<>();
-    private final Map<String, Newest> mNewest = new HashMap<>();
+    private final Map<String, Long> mNewest = new HashMap<>();
     // Starts from the incarnation, so that it grows across restarts too.
     private long mQueryNumber;
 
@@ -38,11 +38,10 @@
 
     /** Takes a holder's ask and answers the claims that want units, some of them later. */
     void onAsk(String holder, QuotaAsk ask) {
-        Newest newest = new Newest(ask.incarnation(), ask.sequence());
-        if (!newest.after(mNewest.get(holder))) {
+        if (ask.sequence() <= mNewest.getOrDefault(holder, Long.MIN_VALUE)) {
             return;
         }
-        mNewest.put(holder, newest);
+        mNewest.put(holder, ask.sequence());
         List<String> learning = new ArrayList<>();
         List<Grant> grants =
                 ask.claims().stream()
@@ -225,18 +224,4 @@
                                         "units", ledger.units())));
         return Map.of("keys", keys, "rates", mBuckets.size());
     }
-
-    /**
-     * The newest ask of a holder.
-     *
-     * @param incarnation the holder's process
-     * @param sequence the ask's place among those of the process
-     */
-    private record Newest(long incarnation, long sequence) {
-        boolean after(@org.jspecify.annotations.Nullable Newest other) {
-            return other == null
-                    || incarnation > other.incarnation
-                    || (incarnation == other.incarnation && sequence > other.sequence);
-        }
-    }
 }
--- a/rhubarbward-core/src/main/java/io/rhubarbward/quota/QuotaHolder.java
+++ b/rhubarbward-core/src/main/java/io/rhubarbward/quota/QuotaHolder.java
@@ -33,18 +33,18 @@
     private final QuotaContext mContext;
     private final QuotaPeers mPeers;
     private final FallbackQuota mFallback;
-    private final long mIncarnation;
     private final Map<String, KeyHolding> mHoldings = new HashMap<>();
     private final Map<String, Set<KeyHolding>> mUnsent = new HashMap<>();
     private final Map<String, Long> mUnreachableUntil = new HashMap<>();
     private final Map<String, Long> mAnswers = new HashMap<>();
+    // Starts from the incarnation, in milliseconds, so that it grows across restarts too.
     private long mSequence;
 
     QuotaHolder(QuotaContext context, QuotaPeers peers, long incarnation) {
         mContext = context;
         mPeers = peers;
         mFallback = new FallbackQuota(context);
-        mIncarnation = incarnation;
+        mSequence = incarnation;
     }
 
     CompletionStage<Either<QuotaRefusal, QuotaPermit>> acquire(QuotaKey key) {
@@ -125,11 +125,7 @@
         Long answers = mAnswers.remove(custodian);
         mPeers.send(
                 custodian,
-                new QuotaAsk(
-                        mIncarnation,
-                        sequence,
-                        answers == null ? QuotaAsk.NO_QUERY : answers,
-                        claims));
+                new QuotaAsk(sequence, answers == null ? QuotaAsk.NO_QUERY : answers, claims));
     }
 
     /** A router that is only told what is held, as a new custodian may be, is asked for nothing. */
@@ -263,6 +259,10 @@
         List.copyOf(mHoldings.values()).forEach(this::schedule);
     }
 
+    int held() {
+        return mHoldings.values().stream().mapToInt(KeyHolding::held).sum();
+    }
+
     Map<String, Object> state() {
         Map<String, Integer> held = new TreeMap<>();
         mHoldings.values().stream()
--- a/rhubarbward-core/src/test/java/io/rhubarbward/quota/DisturbedQuotaTest.java
+++ b/rhubarbward-core/src/test/java/io/rhubarbward/quota/DisturbedQuotaTest.java
@@ -33,6 +33,9 @@
             assertWithMessage("seed %s, step %s", seed, step)
                     .that(fleet.running())
                     .isAtMost(CAPACITY);
+            assertWithMessage("leased, seed %s, step %s", seed, step)
+                    .that(fleet.leased())
+                    .isAtMost(CAPACITY - 1);
         }
         fleet.peers().calm();
         fleet.routers().forEach(Router::finishAll);
--- a/rhubarbward-core/src/test/java/io/rhubarbward/quota/QuotaLeaseTest.java
+++ b/rhubarbward-core/src/test/java/io/rhubarbward/quota/QuotaLeaseTest.java
@@ -2,9 +2,13 @@
 
 import static com.google.common.truth.Truth.assertThat;
 
+import io.rhubarbward.hash.RendezvousHash;
 import io.rhubarbward.testing.QuotaFleet;
 import io.rhubarbward.testing.QuotaFleet.Router;
 import java.util.List;
+import java.util.function.Function;
+import java.util.stream.IntStream;
+import java.util.stream.Stream;
 import org.junit.jupiter.api.Test;
 
 final class QuotaLeaseTest {
@@ -149,6 +153,56 @@
         assertThat(mFleet.running()).isEqualTo(USABLE);
     }
 
+    @Test
+    void routersThatDoNotKnowTheNewCustodianForFiveSecondsGetNothingFromTheOldOne() {
+        Router old = mFleet.custodian();
+        List<String> unaware =
+                mFleet.routers().stream()
+                        .filter(router -> router != old)
+                        .map(Router::vm)
+                        .limit(4)
+                        .toList();
+        askEverywhere(1);
+        String name = nameOfTheNextCustodian();
+        mFleet.peers()
+                .cut(
+                        (from, to) ->
+                                (from.equals(name) && unaware.contains(to))
+                                        || (to.equals(name) && unaware.contains(from)));
+        int before = running(unaware);
+        Router next = mFleet.add(name);
+        for (int millis = 0; millis < DEAD_MILLIS; millis += 100) {
+            askEverywhere(1);
+            mFleet.advance(90);
+            assertThat(running(unaware)).isAtMost(before + CAPACITY - USABLE);
+            assertThat(mFleet.running()).isAtMost(2 * CAPACITY);
+        }
+        mFleet.peers().cut((from, to) -> false);
+        mFleet.advance(DEAD_MILLIS);
+        int after = mFleet.running();
+        askEverywhere(1);
+        assertThat(mFleet.custodian()).isEqualTo(next);
+        assertThat(mFleet.running()).isEqualTo(after);
+    }
+
+    private int running(List<String> vms) {
+        return vms.stream().mapToInt(vm -> mFleet.router(vm).running()).sum();
+    }
+
+    private String nameOfTheNextCustodian() {
+        List<String> names = mFleet.routers().stream().map(Router::vm).toList();
+        return IntStream.iterate(1, n -> n + 1)
+                .mapToObj(n -> "entry-new-" + n)
+                .filter(name -> first(names, name).equals(name))
+                .findFirst()
+                .orElseThrow();
+    }
+
+    private static String first(List<String> names, String added) {
+        List<String> all = Stream.concat(names.stream(), Stream.of(added)).toList();
+        return RendezvousHash.order(QuotaFleet.ENGINE.text(), all, Function.identity()).get(0);
+    }
+
     @Test
     void twoCustodiansAtOnceGrantNoMoreThanTheCapacityEach() {
         List<String> left = mFleet.routers().stream().map(Router::vm).limit(4).toList();
--- a/rhubarbward-core/src/test/java/io/rhubarbward/testing/QuotaFleet.java
+++ b/rhubarbward-core/src/test/java/io/rhubarbward/testing/QuotaFleet.java
@@ -28,6 +28,8 @@
     public static final QuotaKey ENGINE = new QuotaKey.BackendConcurrency("engine");
     public static final QuotaSettings SETTINGS = new QuotaSettings(3000, 0.0625);
 
+    private static final long INCARNATION = 1_796_000_000_000L;
+
     private final VirtualTimerService mTimers = new VirtualTimerService();
     private final FakePeers mPeers = new FakePeers(mTimers);
     private final List<Vm> mVms = new ArrayList<>();
@@ -42,7 +44,7 @@
         for (int number = 1; number <= routers; number++) {
             fleet.list("entry-" + number);
         }
-        fleet.mVms.forEach(vm -> fleet.mRouters.add(fleet.new Router(vm.name(), 1)));
+        fleet.mVms.forEach(vm -> fleet.mRouters.add(fleet.new Router(vm.name(), INCARNATION)));
         fleet.advance(3000);
         return fleet;
     }
@@ -54,7 +56,7 @@
     /** Starts one more router, which the VM list shows at once. */
     public Router add(String vm) {
         list(vm);
-        Router router = new Router(vm, 1);
+        Router router = new Router(vm, INCARNATION);
         mRouters.add(router);
         return router;
     }
@@ -99,6 +101,11 @@
         return mRouters.stream().mapToInt(Router::running).sum();
     }
 
+    /** Returns the requests that run on units of a custodian, not of the reserve. */
+    public int leased() {
+        return mRouters.stream().mapToInt(router -> router.quotas().held()).sum();
+    }
+
     private Either<PlatformFailure, List<Vm>> read() {
         return mPlatformDown
                 ? Either.left(new PlatformFailure.Unavailable(PlatformFailure.Reason.NO_CONNECTION))
@@ -199,7 +206,7 @@
         /** Kills the process and starts another on the VM. */
         public Router restart() {
             crash();
-            Router next = new Router(mVm, 2);
+            Router next = new Router(mVm, INCARNATION + mTimers.nowMillis());
             mRouters.set(mRouters.indexOf(this), next);
             return next;
         }
--- a/rhubarbward-daemon/src/main/java/io/rhubarbward/daemon/RouterDaemon.java
+++ b/rhubarbward-daemon/src/main/java/io/rhubarbward/daemon/RouterDaemon.java
@@ -61,6 +61,7 @@
                         events,
                         mMetrics);
         mNode = new RouterNode(identity(settings), ports(settings));
+        mPeers.budget(this::controlBytesPerSecond);
         mCallers =
                 HttpListener.open(
                         mGroup,
@@ -110,6 +111,12 @@
                 .orElse(HttpLimits.INTERNAL);
     }
 
+    private int controlBytesPerSecond() {
+        return mNode.configuration()
+                .map(configuration -> configuration.settings().control().bytesPerSecond())
+                .orElse(0);
+    }
+
     /** Returns the port that callers use. */
     public int callersPort() {
         return mCallers.port();
--- a/rhubarbward-net/src/main/java/io/rhubarbward/gen/peer/Envelope.java
+++ b/rhubarbward-net/src/main/java/io/rhubarbward/gen/peer/Envelope.java
@@ -17,7 +17,7 @@
   private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY = new EnvelopeStandardSchemeFactory();
   private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY = new EnvelopeTupleSchemeFactory();
 
-  private @org.apache.thrift.annotation.Nullable java.lang.String sender; // required
+  private @org.apache.thrift.annotation.Nullable java.lang.String sender; // optional
   private int kind; // required
   private @org.apache.thrift.annotation.Nullable java.nio.ByteBuffer body; // required
 
@@ -92,10 +92,11 @@
   // isset id assignments
   private static final int __KIND_ISSET_ID = 0;
   private byte __isset_bitfield = 0;
+  private static final _Fields optionals[] = {_Fields.SENDER};
   public static final java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> metaDataMap;
   static {
     java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> tmpMap = new java.util.EnumMap<_Fields, org.apache.thrift.meta_data.FieldMetaData>(_Fields.class);
-    tmpMap.put(_Fields.SENDER, new org.apache.thrift.meta_data.FieldMetaData("sender", org.apache.thrift.TFieldRequirementType.REQUIRED, 
+    tmpMap.put(_Fields.SENDER, new org.apache.thrift.meta_data.FieldMetaData("sender", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
         new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.STRING)));
     tmpMap.put(_Fields.KIND, new org.apache.thrift.meta_data.FieldMetaData("kind", org.apache.thrift.TFieldRequirementType.REQUIRED, 
         new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I32)));
@@ -109,12 +110,10 @@
   }
 
   public Envelope(
-    java.lang.String sender,
     int kind,
     java.nio.ByteBuffer body)
   {
     this();
-    this.sender = sender;
     this.kind = kind;
     setKindIsSet(true);
     this.body = org.apache.thrift.TBaseHelper.copyBinary(body);
@@ -420,13 +419,15 @@
     java.lang.StringBuilder sb = new java.lang.StringBuilder("Envelope(");
     boolean first = true;
 
-    sb.append("sender:");
-    if (this.sender == null) {
-      sb.append("null");
-    } else {
-      sb.append(this.sender);
+    if (isSetSender()) {
+      sb.append("sender:");
+      if (this.sender == null) {
+        sb.append("null");
+      } else {
+        sb.append(this.sender);
+      }
+      first = false;
     }
-    first = false;
     if (!first) sb.append(", ");
     sb.append("kind:");
     sb.append(this.kind);
@@ -445,9 +446,6 @@
 
   public void validate() throws org.apache.thrift.TException {
     // check for required fields
-    if (sender == null) {
-      throw new org.apache.thrift.protocol.TProtocolException("Required field 'sender' was not present! Struct: " + toString());
-    }
     // alas, we cannot check 'kind' because it's a primitive and you chose the non-beans generator.
     if (body == null) {
       throw new org.apache.thrift.protocol.TProtocolException("Required field 'body' was not present! Struct: " + toString());
@@ -537,9 +535,11 @@
 
       oprot.writeStructBegin(STRUCT_DESC);
       if (struct.sender != null) {
-        oprot.writeFieldBegin(SENDER_FIELD_DESC);
-        oprot.writeString(struct.sender);
-        oprot.writeFieldEnd();
+        if (struct.isSetSender()) {
+          oprot.writeFieldBegin(SENDER_FIELD_DESC);
+          oprot.writeString(struct.sender);
+          oprot.writeFieldEnd();
+        }
       }
       oprot.writeFieldBegin(KIND_FIELD_DESC);
       oprot.writeI32(struct.kind);
@@ -567,20 +567,30 @@
     @Override
     public void write(org.apache.thrift.protocol.TProtocol prot, Envelope struct) throws org.apache.thrift.TException {
       org.apache.thrift.protocol.TTupleProtocol oprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
-      oprot.writeString(struct.sender);
       oprot.writeI32(struct.kind);
       oprot.writeBinary(struct.body);
+      java.util.BitSet optionals = new java.util.BitSet();
+      if (struct.isSetSender()) {
+        optionals.set(0);
+      }
+      oprot.writeBitSet(optionals, 1);
+      if (struct.isSetSender()) {
+        oprot.writeString(struct.sender);
+      }
     }
 
     @Override
     public void read(org.apache.thrift.protocol.TProtocol prot, Envelope struct) throws org.apache.thrift.TException {
       org.apache.thrift.protocol.TTupleProtocol iprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
-      struct.sender = iprot.readString();
-      struct.setSenderIsSet(true);
       struct.kind = iprot.readI32();
       struct.setKindIsSet(true);
       struct.body = iprot.readBinary();
       struct.setBodyIsSet(true);
+      java.util.BitSet incoming = iprot.readBitSet(1);
+      if (incoming.get(0)) {
+        struct.sender = iprot.readString();
+        struct.setSenderIsSet(true);
+      }
     }
   }
 
--- a/rhubarbward-net/src/main/java/io/rhubarbward/gen/quota/QuotaAskStruct.java
+++ b/rhubarbward-net/src/main/java/io/rhubarbward/gen/quota/QuotaAskStruct.java
@@ -10,25 +10,22 @@
 public class QuotaAskStruct implements org.apache.thrift.TBase<QuotaAskStruct, QuotaAskStruct._Fields>, java.io.Serializable, Cloneable, Comparable<QuotaAskStruct> {
   private static final org.apache.thrift.protocol.TStruct STRUCT_DESC = new org.apache.thrift.protocol.TStruct("QuotaAskStruct");
 
-  private static final org.apache.thrift.protocol.TField INCARNATION_FIELD_DESC = new org.apache.thrift.protocol.TField("incarnation", org.apache.thrift.protocol.TType.I64, (short)1);
-  private static final org.apache.thrift.protocol.TField SEQUENCE_FIELD_DESC = new org.apache.thrift.protocol.TField("sequence", org.apache.thrift.protocol.TType.I64, (short)2);
-  private static final org.apache.thrift.protocol.TField CLAIMS_FIELD_DESC = new org.apache.thrift.protocol.TField("claims", org.apache.thrift.protocol.TType.LIST, (short)3);
-  private static final org.apache.thrift.protocol.TField ANSWERS_FIELD_DESC = new org.apache.thrift.protocol.TField("answers", org.apache.thrift.protocol.TType.I64, (short)4);
+  private static final org.apache.thrift.protocol.TField SEQUENCE_FIELD_DESC = new org.apache.thrift.protocol.TField("sequence", org.apache.thrift.protocol.TType.I64, (short)1);
+  private static final org.apache.thrift.protocol.TField CLAIMS_FIELD_DESC = new org.apache.thrift.protocol.TField("claims", org.apache.thrift.protocol.TType.LIST, (short)2);
+  private static final org.apache.thrift.protocol.TField ANSWERS_FIELD_DESC = new org.apache.thrift.protocol.TField("answers", org.apache.thrift.protocol.TType.I64, (short)3);
 
   private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY = new QuotaAskStructStandardSchemeFactory();
   private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY = new QuotaAskStructTupleSchemeFactory();
 
-  private long incarnation; // required
   private long sequence; // required
   private @org.apache.thrift.annotation.Nullable java.util.List<ClaimStruct> claims; // required
   private long answers; // optional
 
   /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
   public enum _Fields implements org.apache.thrift.TFieldIdEnum {
-    INCARNATION((short)1, "incarnation"),
-    SEQUENCE((short)2, "sequence"),
-    CLAIMS((short)3, "claims"),
-    ANSWERS((short)4, "answers");
+    SEQUENCE((short)1, "sequence"),
+    CLAIMS((short)2, "claims"),
+    ANSWERS((short)3, "answers");
 
     private static final java.util.Map<java.lang.String, _Fields> byName = new java.util.HashMap<java.lang.String, _Fields>();
 
@@ -44,13 +41,11 @@
     @org.apache.thrift.annotation.Nullable
     public static _Fields findByThriftId(int fieldId) {
       switch(fieldId) {
-        case 1: // INCARNATION
-          return INCARNATION;
-        case 2: // SEQUENCE
+        case 1: // SEQUENCE
           return SEQUENCE;
-        case 3: // CLAIMS
+        case 2: // CLAIMS
           return CLAIMS;
-        case 4: // ANSWERS
+        case 3: // ANSWERS
           return ANSWERS;
         default:
           return null;
@@ -95,16 +90,13 @@
   }
 
   // isset id assignments
-  private static final int __INCARNATION_ISSET_ID = 0;
-  private static final int __SEQUENCE_ISSET_ID = 1;
-  private static final int __ANSWERS_ISSET_ID = 2;
+  private static final int __SEQUENCE_ISSET_ID = 0;
+  private static final int __ANSWERS_ISSET_ID = 1;
   private byte __isset_bitfield = 0;
   private static final _Fields optionals[] = {_Fields.ANSWERS};
   public static final java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> metaDataMap;
   static {
     java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> tmpMap = new java.util.EnumMap<_Fields, org.apache.thrift.meta_data.FieldMetaData>(_Fields.class);
-    tmpMap.put(_Fields.INCARNATION, new org.apache.thrift.meta_data.FieldMetaData("incarnation", org.apache.thrift.TFieldRequirementType.REQUIRED, 
-        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
     tmpMap.put(_Fields.SEQUENCE, new org.apache.thrift.meta_data.FieldMetaData("sequence", org.apache.thrift.TFieldRequirementType.REQUIRED, 
         new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
     tmpMap.put(_Fields.CLAIMS, new org.apache.thrift.meta_data.FieldMetaData("claims", org.apache.thrift.TFieldRequirementType.REQUIRED, 
@@ -120,13 +112,10 @@
   }
 
   public QuotaAskStruct(
-    long incarnation,
     long sequence,
     java.util.List<ClaimStruct> claims)
   {
     this();
-    this.incarnation = incarnation;
-    setIncarnationIsSet(true);
     this.sequence = sequence;
     setSequenceIsSet(true);
     this.claims = claims;
@@ -137,7 +126,6 @@
    */
   public QuotaAskStruct(QuotaAskStruct other) {
     __isset_bitfield = other.__isset_bitfield;
-    this.incarnation = other.incarnation;
     this.sequence = other.sequence;
     if (other.isSetClaims()) {
       java.util.List<ClaimStruct> __this__claims = new java.util.ArrayList<ClaimStruct>(other.claims.size());
@@ -156,8 +144,6 @@
 
   @Override
   public void clear() {
-    setIncarnationIsSet(false);
-    this.incarnation = 0;
     setSequenceIsSet(false);
     this.sequence = 0;
     this.claims = null;
@@ -165,29 +151,6 @@
     this.answers = 0;
   }
 
-  public long getIncarnation() {
-    return this.incarnation;
-  }
-
-  public QuotaAskStruct setIncarnation(long incarnation) {
-    this.incarnation = incarnation;
-    setIncarnationIsSet(true);
-    return this;
-  }
-
-  public void unsetIncarnation() {
-    __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __INCARNATION_ISSET_ID);
-  }
-
-  /** Returns true if field incarnation is set (has been assigned a value) and false otherwise */
-  public boolean isSetIncarnation() {
-    return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __INCARNATION_ISSET_ID);
-  }
-
-  public void setIncarnationIsSet(boolean value) {
-    __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __INCARNATION_ISSET_ID, value);
-  }
-
   public long getSequence() {
     return this.sequence;
   }
@@ -278,14 +241,6 @@
   @Override
   public void setFieldValue(_Fields field, @org.apache.thrift.annotation.Nullable java.lang.Object value) {
     switch (field) {
-    case INCARNATION:
-      if (value == null) {
-        unsetIncarnation();
-      } else {
-        setIncarnation((java.lang.Long)value);
-      }
-      break;
-
     case SEQUENCE:
       if (value == null) {
         unsetSequence();
@@ -317,9 +272,6 @@
   @Override
   public java.lang.Object getFieldValue(_Fields field) {
     switch (field) {
-    case INCARNATION:
-      return getIncarnation();
-
     case SEQUENCE:
       return getSequence();
 
@@ -341,8 +293,6 @@
     }
 
     switch (field) {
-    case INCARNATION:
-      return isSetIncarnation();
     case SEQUENCE:
       return isSetSequence();
     case CLAIMS:
@@ -366,15 +316,6 @@
     if (this == that)
       return true;
 
-    boolean this_present_incarnation = true;
-    boolean that_present_incarnation = true;
-    if (this_present_incarnation || that_present_incarnation) {
-      if (!(this_present_incarnation && that_present_incarnation))
-        return false;
-      if (this.incarnation != that.incarnation)
-        return false;
-    }
-
     boolean this_present_sequence = true;
     boolean that_present_sequence = true;
     if (this_present_sequence || that_present_sequence) {
@@ -409,8 +350,6 @@
   public int hashCode() {
     int hashCode = 1;
 
-    hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(incarnation);
-
     hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(sequence);
 
     hashCode = hashCode * 8191 + ((isSetClaims()) ? 131071 : 524287);
@@ -432,16 +371,6 @@
 
     int lastComparison = 0;
 
-    lastComparison = java.lang.Boolean.compare(isSetIncarnation(), other.isSetIncarnation());
-    if (lastComparison != 0) {
-      return lastComparison;
-    }
-    if (isSetIncarnation()) {
-      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.incarnation, other.incarnation);
-      if (lastComparison != 0) {
-        return lastComparison;
-      }
-    }
     lastComparison = java.lang.Boolean.compare(isSetSequence(), other.isSetSequence());
     if (lastComparison != 0) {
       return lastComparison;
@@ -496,10 +425,6 @@
     java.lang.StringBuilder sb = new java.lang.StringBuilder("QuotaAskStruct(");
     boolean first = true;
 
-    sb.append("incarnation:");
-    sb.append(this.incarnation);
-    first = false;
-    if (!first) sb.append(", ");
     sb.append("sequence:");
     sb.append(this.sequence);
     first = false;
@@ -523,7 +448,6 @@
 
   public void validate() throws org.apache.thrift.TException {
     // check for required fields
-    // alas, we cannot check 'incarnation' because it's a primitive and you chose the non-beans generator.
     // alas, we cannot check 'sequence' because it's a primitive and you chose the non-beans generator.
     if (claims == null) {
       throw new org.apache.thrift.protocol.TProtocolException("Required field 'claims' was not present! Struct: " + toString());
@@ -569,15 +493,7 @@
           break;
         }
         switch (schemeField.id) {
-          case 1: // INCARNATION
-            if (schemeField.type == org.apache.thrift.protocol.TType.I64) {
-              struct.incarnation = iprot.readI64();
-              struct.setIncarnationIsSet(true);
-            } else { 
-              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
-            }
-            break;
-          case 2: // SEQUENCE
+          case 1: // SEQUENCE
             if (schemeField.type == org.apache.thrift.protocol.TType.I64) {
               struct.sequence = iprot.readI64();
               struct.setSequenceIsSet(true);
@@ -585,7 +501,7 @@
               org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
             break;
-          case 3: // CLAIMS
+          case 2: // CLAIMS
             if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
               {
                 org.apache.thrift.protocol.TList _list0 = iprot.readListBegin();
@@ -604,7 +520,7 @@
               org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
             break;
-          case 4: // ANSWERS
+          case 3: // ANSWERS
             if (schemeField.type == org.apache.thrift.protocol.TType.I64) {
               struct.answers = iprot.readI64();
               struct.setAnswersIsSet(true);
@@ -620,9 +536,6 @@
       iprot.readStructEnd();
 
       // check for required fields of primitive type, which can't be checked in the validate method
-      if (!struct.isSetIncarnation()) {
-        throw new org.apache.thrift.protocol.TProtocolException("Required field 'incarnation' was not found in serialized data! Struct: " + toString());
-      }
       if (!struct.isSetSequence()) {
         throw new org.apache.thrift.protocol.TProtocolException("Required field 'sequence' was not found in serialized data! Struct: " + toString());
       }
@@ -634,9 +547,6 @@
       struct.validate();
 
       oprot.writeStructBegin(STRUCT_DESC);
-      oprot.writeFieldBegin(INCARNATION_FIELD_DESC);
-      oprot.writeI64(struct.incarnation);
-      oprot.writeFieldEnd();
       oprot.writeFieldBegin(SEQUENCE_FIELD_DESC);
       oprot.writeI64(struct.sequence);
       oprot.writeFieldEnd();
@@ -675,7 +585,6 @@
     @Override
     public void write(org.apache.thrift.protocol.TProtocol prot, QuotaAskStruct struct) throws org.apache.thrift.TException {
       org.apache.thrift.protocol.TTupleProtocol oprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
-      oprot.writeI64(struct.incarnation);
       oprot.writeI64(struct.sequence);
       {
         oprot.writeI32(struct.claims.size());
@@ -697,8 +606,6 @@
     @Override
     public void read(org.apache.thrift.protocol.TProtocol prot, QuotaAskStruct struct) throws org.apache.thrift.TException {
       org.apache.thrift.protocol.TTupleProtocol iprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
-      struct.incarnation = iprot.readI64();
-      struct.setIncarnationIsSet(true);
       struct.sequence = iprot.readI64();
       struct.setSequenceIsSet(true);
       {
--- a/rhubarbward-net/src/main/java/io/rhubarbward/net/peer/QuotaCodecs.java
+++ b/rhubarbward-net/src/main/java/io/rhubarbward/net/peer/QuotaCodecs.java
@@ -43,7 +43,7 @@
                 ask.claims().stream()
                         .map(claim -> new ClaimStruct(claim.key(), claim.held(), claim.wanted()))
                         .toList();
-        QuotaAskStruct struct = new QuotaAskStruct(ask.incarnation(), ask.sequence(), claims);
+        QuotaAskStruct struct = new QuotaAskStruct(ask.sequence(), claims);
         if (ask.answers() != QuotaAsk.NO_QUERY) {
             struct.setAnswers(ask.answers());
         }
@@ -56,7 +56,7 @@
                         .map(c -> new Claim(c.getKey(), c.getHeld(), c.getWanted()))
                         .toList();
         long answers = struct.isSetAnswers() ? struct.getAnswers() : QuotaAsk.NO_QUERY;
-        return new QuotaAsk(struct.getIncarnation(), struct.getSequence(), answers, claims);
+        return new QuotaAsk(struct.getSequence(), answers, claims);
     }
 
     private static QuotaAnswerStruct answer(QuotaAnswer answer) {
--- a/rhubarbward-net/src/main/java/io/rhubarbward/net/peer/ThriftPeerTransport.java
+++ b/rhubarbward-net/src/main/java/io/rhubarbward/net/peer/ThriftPeerTransport.java
@@ -26,24 +26,18 @@
 import io.rhubarbward.event.EventField;
 import io.rhubarbward.event.EventLog;
 import io.rhubarbward.event.LogEvent;
-import io.rhubarbward.gen.peer.Envelope;
 import io.rhubarbward.membership.Peer;
 import io.rhubarbward.membership.PeerMessage;
 import io.rhubarbward.membership.PeerTransport;
 import io.rhubarbward.timer.TimerService;
 import java.net.InetSocketAddress;
-import java.nio.ByteBuffer;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.function.BiConsumer;
-import java.util.function.Function;
-import java.util.stream.Collectors;
-import org.apache.thrift.TDeserializer;
-import org.apache.thrift.TException;
-import org.apache.thrift.TSerializer;
-import org.apache.thrift.protocol.TCompactProtocol;
+import java.util.function.IntSupplier;
 
 /**
  * Carries messages between routers as Thrift structs in length-prefixed frames.
@@ -53,7 +47,6 @@
  */
 public final class ThriftPeerTransport implements PeerTransport, AutoCloseable {
     private static final int MAX_FRAME_BYTES = 2_000_000;
-    private static final int LENGTH_BYTES = 4;
     private static final int CONNECT_TIMEOUT_MILLIS = 1000;
 
     private final String mOwnVm;
@@ -63,8 +56,9 @@
     private final Counter mBytes;
     private final Channel mServer;
     private final ChannelGroup mConnections = new DefaultChannelGroup(GlobalEventExecutor.INSTANCE);
-    private final Map<Class<?>, PeerCodec<?, ?>> mCodecsByType;
-    private final Map<Integer, PeerCodec<?, ?>> mCodecsByKind;
+    private final PeerFrames mFrames = new PeerFrames();
+    private final ControlBudget mBudget;
+    private volatile IntSupplier mBytesPerSecond = () -> 0;
     // Touched on the timer service's thread only.
     private final Map<Class<?>, List<BiConsumer<String, PeerMessage>>> mHandlers = new HashMap<>();
     private final Map<String, ChannelFuture> mOutgoing = new HashMap<>();
@@ -81,21 +75,21 @@
         mGroup = group;
         mTimers = timers;
         mEvents = events;
-        mCodecsByType =
-                PeerCodecs.all().stream()
-                        .collect(Collectors.toMap(PeerCodec::type, Function.identity()));
-        mCodecsByKind =
-                PeerCodecs.all().stream()
-                        .collect(Collectors.toMap(PeerCodec::kind, Function.identity()));
         mBytes =
                 Counter.builder()
                         .name("rhubarbward_peer_bytes_total")
                         .help("Bytes sent to and received from peers, by kind of message.")
                         .labelNames("direction", "kind")
                         .register(metrics);
+        mBudget = new ControlBudget(() -> mBytesPerSecond.getAsInt(), timers, events, metrics);
         mServer = listen(address);
     }
 
+    /** Holds the traffic against the budget, in bytes a second; 0 while it is not known. */
+    public void budget(IntSupplier bytesPerSecond) {
+        mBytesPerSecond = bytesPerSecond;
+    }
+
     private Channel listen(InetSocketAddress address) {
         return new ServerBootstrap()
                 .group(mGroup)
@@ -115,8 +109,12 @@
                 channel.pipeline()
                         .addLast(
                                 new LengthFieldBasedFrameDecoder(
-                                        MAX_FRAME_BYTES, 0, LENGTH_BYTES, 0, LENGTH_BYTES))
-                        .addLast(new LengthFieldPrepender(LENGTH_BYTES))
+                                        MAX_FRAME_BYTES,
+                                        0,
+                                        PeerFrames.LENGTH_BYTES,
+                                        0,
+                                        PeerFrames.LENGTH_BYTES))
+                        .addLast(new LengthFieldPrepender(PeerFrames.LENGTH_BYTES))
                         .addLast(new Receiver());
             }
         };
@@ -136,12 +134,12 @@
 
     @Override
     public void send(Peer to, PeerMessage message) {
-        ChannelFuture connecting = mOutgoing.get(to.vm());
-        if (connecting == null) {
-            connecting = connect(to);
-            mOutgoing.put(to.vm(), connecting);
-        }
-        byte[] frame = frame(message);
+        ChannelFuture known = mOutgoing.get(to.vm());
+        ChannelFuture connecting = known == null ? connect(to) : known;
+        mOutgoing.put(to.vm(), connecting);
+        // A new connection takes its first frame whatever comes, so the name is never dropped
+        // alone.
+        byte[] frame = frame(Optional.of(mOwnVm).filter(vm -> known == null), message);
         connecting.addListener(
                 (ChannelFutureListener)
                         connected -> {
@@ -175,48 +173,34 @@
         }
     }
 
-    private byte[] frame(PeerMessage message) {
-        PeerCodec<?, ?> codec = mCodecsByType.get(message.getClass());
-        if (codec == null) {
-            throw new IllegalArgumentException(message.getClass() + ": expected one with a codec");
-        }
-        try {
-            Envelope envelope =
-                    new Envelope(mOwnVm, codec.kind(), ByteBuffer.wrap(codec.encode(message)));
-            byte[] frame = new TSerializer(new TCompactProtocol.Factory()).serialize(envelope);
-            count("sent", codec, frame.length);
-            return frame;
-        } catch (TException e) {
-            throw new IllegalArgumentException(message + ": expected a serializable message", e);
-        }
+    private byte[] frame(Optional<String> sender, PeerMessage message) {
+        byte[] frame = mFrames.encode(sender, message);
+        count("sent", message, frame.length);
+        return frame;
     }
 
-    private void receive(byte[] frame) {
-        Envelope envelope = new Envelope();
-        try {
-            new TDeserializer(new TCompactProtocol.Factory()).deserialize(envelope, frame);
-        } catch (TException e) {
-            mEvents.log(LogEvent.PEER_MESSAGE_UNREADABLE, e);
-            return;
-        }
-        PeerCodec<?, ?> codec = mCodecsByKind.get(envelope.getKind());
-        if (codec == null) {
-            return;
-        }
-        count("received", codec, frame.length);
-        codec.decode(envelope.getBody())
-                .peek(message -> deliver(codec, envelope.getSender(), message))
+    private void receive(Receiver connection, byte[] frame) {
+        mFrames.decode(frame)
+                .peek(
+                        received ->
+                                received.forEach(
+                                        message -> deliver(connection, message, frame.length)))
                 .peekLeft(e -> mEvents.log(LogEvent.PEER_MESSAGE_UNREADABLE, e));
     }
 
-    private void deliver(PeerCodec<?, ?> codec, String sender, PeerMessage message) {
+    private void deliver(Receiver connection, PeerFrames.Received received, int frameBytes) {
+        count("received", received.message(), frameBytes);
+        String sender = received.sender().orElse(connection.mSender);
+        connection.mSender = sender;
         mHandlers
-                .getOrDefault(codec.type(), List.of())
-                .forEach(handler -> handler.accept(sender, message));
+                .getOrDefault(received.message().getClass(), List.of())
+                .forEach(handler -> handler.accept(sender, received.message()));
     }
 
-    private void count(String direction, PeerCodec<?, ?> codec, int frameBytes) {
-        mBytes.labelValues(direction, codec.type().getSimpleName()).inc(frameBytes + LENGTH_BYTES);
+    private void count(String direction, PeerMessage message, int frameBytes) {
+        int bytes = frameBytes + PeerFrames.LENGTH_BYTES;
+        mBytes.labelValues(direction, message.getClass().getSimpleName()).inc(bytes);
+        mBudget.spend(bytes);
     }
 
     @Override
@@ -226,10 +210,13 @@
     }
 
     private final class Receiver extends SimpleChannelInboundHandler<ByteBuf> {
+        // Touched on the timer service's thread only; nobody until the peer has said its name.
+        private String mSender = "";
+
         @Override
         protected void channelRead0(ChannelHandlerContext context, ByteBuf frame) {
             byte[] bytes = ByteBufUtil.getBytes(frame);
-            mTimers.execute(() -> receive(bytes));
+            mTimers.execute(() -> receive(this, bytes));
         }
 
         @Override
--- a/rhubarbward-net/src/main/thrift/peer.thrift
+++ b/rhubarbward-net/src/main/thrift/peer.thrift
@@ -2,8 +2,8 @@
 namespace java io.rhubarbward.gen.peer
 
 struct Envelope {
-  // The name of the sender's VM.
-  1: required string sender;
+  // The name of the sender's VM; stated once on each connection.
+  1: optional string sender;
   // Which message the body holds; a receiver ignores kinds that it does not know.
   2: required i32 kind;
   3: required binary body;
--- a/rhubarbward-net/src/main/thrift/quota.thrift
+++ b/rhubarbward-net/src/main/thrift/quota.thrift
@@ -9,11 +9,10 @@
 }
 
 struct QuotaAskStruct {
-  1: required i64 incarnation;
-  2: required i64 sequence;
-  3: required list<ClaimStruct> claims;
+  1: required i64 sequence;
+  2: required list<ClaimStruct> claims;
   // The number of the query that this answers, if it answers one.
-  4: optional i64 answers;
+  3: optional i64 answers;
 }
 
 struct GrantStruct {
--- a/rhubarbward-net/src/test/java/io/rhubarbward/net/peer/ThriftPeerTransportTest.java
+++ b/rhubarbward-net/src/test/java/io/rhubarbward/net/peer/ThriftPeerTransportTest.java
@@ -42,6 +42,29 @@
         }
     }
 
+    @Test
+    void everyMessageHasItsSenderThoughOnlyTheFirstNamesIt() throws Exception {
+        try (ThriftPeerTransport first = open("entry-1");
+                ThriftPeerTransport second = open("entry-2")) {
+            CompletableFuture<String> third = new CompletableFuture<>();
+            mTimers.execute(
+                    () ->
+                            second.subscribe(
+                                    Heartbeat.class,
+                                    (from, message) -> {
+                                        if (message.generation() == 3) {
+                                            third.complete(from);
+                                        }
+                                    }));
+            Peer to = new Peer("entry-2", "dc-a", "127.0.0.1:" + second.port());
+            for (int generation = 1; generation <= 3; generation++) {
+                Heartbeat heartbeat = new Heartbeat(7, generation);
+                mTimers.execute(() -> first.send(to, heartbeat));
+            }
+            assertThat(third.get(60, TimeUnit.SECONDS)).isEqualTo("entry-1");
+        }
+    }
+
     private ThriftPeerTransport open(String vm) {
         return new ThriftPeerTransport(
                 vm,
