Hold the bound on load at the engine's custodian

Cause: each router held the bound by late reports.

Change: the bound is part of the capacity that the custodian grants, whose count is exact; the mean comes from the reports. Chats follow their rendezvous order, the home's data centre first; requests without a chat go round.

--- a/rhubarbward-core/src/main/java/io/rhubarbward/engine/BackendRegistry.java
+++ b/rhubarbward-core/src/main/java/io/rhubarbward/engine/BackendRegistry.java
@@ -138,16 +138,28 @@
     }
 
     /**
-     * Returns how many requests the server may carry at once; 0 if it is unknown or its data centre
-     * is out, so that a router that has not heard of it yet gets no share from one that has.
+     * Returns how many requests the server may carry at once: what it bears, within the bound on
+     * its load; 0 if it is unknown or its data centre is out, so that a router that has not heard
+     * of it yet gets no share from one that has.
      */
     public int capacity(String server) {
         return status(server)
                 .filter(status -> takesWork(status.server().dataCentre()))
-                .map(BackendStatus::capacity)
+                .map(this::boundedCapacity)
                 .orElse(0);
     }
 
+    private int boundedCapacity(BackendStatus status) {
+        double multiple =
+                mSettings.map(settings -> settings.routing().boundedLoadMultiple()).orElse(1.0);
+        List<BackendStatus> open =
+                servers(status.server().service()).stream()
+                        .filter(other -> other.state().takesNewWork())
+                        .filter(other -> takesWork(other.server().dataCentre()))
+                        .toList();
+        return LoadBound.of(multiple, open).capacity(status);
+    }
+
     /** Returns how far an engine has come on its ramp, if it is known. */
     Optional<EngineProgress> progress(String server) {
         return Optional.ofNullable(mBackends.get(server)).map(Backend::progress);
--- a/rhubarbward-core/src/main/java/io/rhubarbward/routing/BoundedAffinity.java
+++ b/rhubarbward-core/src/main/java/io/rhubarbward/routing/BoundedAffinity.java
@@ -6,18 +6,24 @@
 import io.rhubarbward.hash.RendezvousHash;
 import java.util.Comparator;
 import java.util.List;
-import java.util.function.Predicate;
-import java.util.stream.Stream;
+import java.util.Optional;
+import java.util.stream.IntStream;
 
 /**
- * Sends each chat to the same backend server while that one's load stays near the mean.
+ * Sends each chat to the same backend server for as long as that one has room.
  *
- * <p>Servers below the bound come first, each part in the chat's rendezvous order. Requests without
- * a chat go to the least loaded first. Data centres that are out are left out; the router's own
- * data centre goes before others for requests without a chat.
+ * <p>A chat's home is the first server in its rendezvous order, on which all routers agree without
+ * a message. Servers of the home's data centre go before others. A server whose load is past the
+ * bound grants no permit, and the request goes to the next in the order: see {@link
+ * io.rhubarbward.engine.BackendRegistry#capacity}. Nothing here looks at reported load, because
+ * routers that see the same late figures all choose the same seemingly idle server.
+ *
+ * <p>Requests without a chat go round the servers with the fewest of this router's own requests.
+ * Data centres that are out are left out.
  */
 public final class BoundedAffinity implements RoutingPolicy {
     private final VersionFilter mVersions;
+    private int mTurn;
 
     /** Sends requests to the versions that the filter admits. */
     public BoundedAffinity(VersionFilter versions) {
@@ -27,36 +33,41 @@
     @Override
     public List<BackendServer> candidates(
             RouteQuery query, Settings settings, List<BackendStatus> servers) {
-        List<BackendStatus> open =
+        List<BackendStatus> eligible =
                 servers.stream()
-                        .filter(status -> status.state().takesNewWork())
                         .filter(status -> mVersions.admits(status.server(), query))
                         .filter(status -> settings.takesWork(status.server().dataCentre()))
                         .toList();
         List<BackendStatus> ordered =
                 query.chat()
-                        .map(chat -> RendezvousHash.order(chat, open, s -> s.server().name()))
-                        .orElseGet(() -> byLoad(open, query.homeDataCentre()));
-        Predicate<BackendStatus> belowBound = belowBound(settings, open);
-        return Stream.concat(
-                        ordered.stream().filter(belowBound),
-                        ordered.stream().filter(belowBound.negate()))
+                        .map(chat -> chatOrder(chat, eligible))
+                        .orElseGet(() -> fewestFirst(eligible, query.homeDataCentre()));
+        return ordered.stream()
+                .filter(status -> status.state().takesNewWork())
                 .map(BackendStatus::server)
                 .toList();
     }
 
-    private static List<BackendStatus> byLoad(List<BackendStatus> open, String home) {
-        return open.stream()
-                .sorted(
-                        Comparator.comparingInt(BackendStatus::load)
-                                .thenComparing(s -> !s.server().dataCentre().equals(home)))
-                .toList();
+    /** Takes the home from all servers, so that a home that flaps keeps its data centre. */
+    private static List<BackendStatus> chatOrder(String chat, List<BackendStatus> eligible) {
+        List<BackendStatus> order =
+                RendezvousHash.order(chat, eligible, status -> status.server().name());
+        Optional<String> home =
+                order.stream().findFirst().map(status -> status.server().dataCentre());
+        Comparator<BackendStatus> homeFirst =
+                Comparator.comparing(
+                        status -> !home.equals(Optional.of(status.server().dataCentre())));
+        return order.stream().sorted(homeFirst).toList();
     }
 
-    private static Predicate<BackendStatus> belowBound(
-            Settings settings, List<BackendStatus> open) {
-        double mean = open.stream().mapToInt(BackendStatus::load).average().orElse(0);
-        double bound = Math.ceil((mean + 1) * settings.routing().boundedLoadMultiple());
-        return status -> status.load() < bound;
+    private List<BackendStatus> fewestFirst(List<BackendStatus> eligible, String home) {
+        int first = mTurn++;
+        Comparator<BackendStatus> byOwnLoad =
+                Comparator.comparingDouble(
+                        status -> (double) status.inFlight() / Math.max(1, status.capacity()));
+        return IntStream.range(0, eligible.size())
+                .mapToObj(i -> eligible.get(Math.floorMod(first + i, eligible.size())))
+                .sorted(byOwnLoad.thenComparing(s -> !s.server().dataCentre().equals(home)))
+                .toList();
     }
 }
--- /dev/null
+++ b/rhubarbward-core/src/test/java/io/rhubarbward/routing/BoundedAffinityTest.java
@@ -0,0 +1,89 @@
+package io.rhubarbward.routing;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import io.rhubarbward.engine.LoadReport;
+import io.rhubarbward.testing.FakeBackends.Sent;
+import io.rhubarbward.testing.RecordingResponse;
+import io.rhubarbward.testing.Site;
+import java.time.Duration;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.function.Function;
+import java.util.stream.Collectors;
+import java.util.stream.IntStream;
+import org.junit.jupiter.api.Test;
+
+final class BoundedAffinityTest {
+    private static final int SERVED = 1_000_000;
+    private static final int CHATS = 200;
+    private static final List<String> ENGINES = List.of("engine-1", "engine-2", "engine-3");
+
+    private final Site mSite = Site.start(1);
+
+    @Test
+    void aHotChatStaysWithinTheBoundOfTheMean() {
+        ENGINES.forEach(engine -> report(engine, 6));
+        mSite.advance(Duration.ofSeconds(2));
+        for (int i = 0; i < 12; i++) {
+            mSite.router(0).serve(Site.chat("hot"), new RecordingResponse());
+        }
+        mSite.advance(Duration.ZERO);
+        double mean = 6 + 12.0 / ENGINES.size();
+        assertThat(sentTo().values().stream().mapToLong(count -> count).max().orElse(0))
+                .isAtMost((long) Math.ceil(1.25 * (mean + 1)));
+    }
+
+    @Test
+    void chatsKeepTheirEngineWhileAnotherFlaps() {
+        Map<String, String> before = engines();
+        mSite.engines().silence("engine-1");
+        mSite.advance(Duration.ofSeconds(5));
+        Map<String, String> during = engines();
+        assertThat(during.values()).doesNotContain("engine-1");
+        before.entrySet().stream()
+                .filter(entry -> !entry.getValue().equals("engine-1"))
+                .forEach(e -> assertThat(during).containsEntry(e.getKey(), e.getValue()));
+        mSite.engines().idle("engine-1", "first");
+        mSite.advance(Duration.ofSeconds(2));
+        assertThat(engines()).isEqualTo(before);
+    }
+
+    @Test
+    void aChatWhoseEngineIsLostStaysInItsDataCentre() {
+        Map<String, String> before = engines();
+        mSite.engines().silence("engine-1");
+        mSite.advance(Duration.ofSeconds(5));
+        Map<String, String> during = engines();
+        Set<String> moved = new HashSet<>(before.keySet());
+        moved.removeIf(chat -> !"engine-1".equals(before.get(chat)));
+        assertThat(moved).isNotEmpty();
+        moved.forEach(chat -> assertThat(during).containsEntry(chat, "engine-2"));
+    }
+
+    private void report(String engine, int running) {
+        mSite.engines().report(engine, new LoadReport("first", running, 0, SERVED, 0));
+    }
+
+    private Map<String, Long> sentTo() {
+        return mSite.backends().sent().stream()
+                .collect(Collectors.groupingBy(Sent::server, Collectors.counting()));
+    }
+
+    /** Returns each chat's engine, seen by one request at a time. */
+    private Map<String, String> engines() {
+        return IntStream.range(0, CHATS)
+                .mapToObj(i -> "chat-" + i)
+                .collect(Collectors.toMap(Function.identity(), this::engine));
+    }
+
+    private String engine(String chat) {
+        mSite.router(0).serve(Site.chat(chat), new RecordingResponse());
+        mSite.advance(Duration.ZERO);
+        Sent sent = mSite.backends().last();
+        sent.head(200, "application/json").part("{}").complete();
+        return sent.server();
+    }
+}
