Let requests wait in turns when all engines are full

Cause: a moment's peak was refused at once, a surging account's newest request could take each place that came free, and repeated calls had no limit.

Checked by SurgeTest on virtual time: an account at 50 times its rate gets its rate and burst while all 100 requests of another are answered.

--- a/rhubarbward-core/src/main/java/io/rhubarbward/admission/Admission.java
+++ b/rhubarbward-core/src/main/java/io/rhubarbward/admission/Admission.java
@@ -7,6 +7,7 @@
 import io.rhubarbward.quota.QuotaService;
 import io.rhubarbward.quota.QuotaService.QuotaPermit;
 import io.rhubarbward.quota.QuotaService.QuotaRefusal;
+import io.rhubarbward.timer.TimerService;
 import io.vavr.control.Either;
 import java.util.Map;
 import java.util.Optional;
@@ -17,15 +18,20 @@
 /** Says who a caller is and whether its account may start a request now. */
 public final class Admission {
     private final QuotaService mQuotas;
+    private final RetryBudget mRetryBudget;
+    private final WaitingRoom mWaitingRoom;
     private Map<String, ClientAccount> mAccountsByKey = Map.of();
 
     /** Asks the quota service for the accounts' rates. */
-    public Admission(QuotaService quotas) {
+    public Admission(QuotaService quotas, TimerService timers) {
         mQuotas = quotas;
+        mRetryBudget = new RetryBudget(quotas);
+        mWaitingRoom = new WaitingRoom(timers);
     }
 
     /** Takes the accounts that the settings declare. */
     public void configure(Settings settings) {
+        mWaitingRoom.configure(settings);
         mAccountsByKey =
                 settings.accounts().values().stream()
                         .collect(
@@ -38,6 +44,16 @@
         return Optional.ofNullable(mAccountsByKey.get(Sha256.of(bearerKey)));
     }
 
+    /** Returns the limit on repeated calls. */
+    public RetryBudget retryBudget() {
+        return mRetryBudget;
+    }
+
+    /** Returns where requests wait when all backend servers are full. */
+    public WaitingRoom waitingRoom() {
+        return mWaitingRoom;
+    }
+
     /** Asks for one request of the account's rate. */
     public CompletionStage<Either<QuotaRefusal, QuotaPermit>> admit(ClientAccount account) {
         return mQuotas.acquire(new QuotaKey.AccountRate(account.name()));
--- /dev/null
+++ b/rhubarbward-core/src/main/java/io/rhubarbward/admission/RetryBudget.java
@@ -0,0 +1,27 @@
+package io.rhubarbward.admission;
+
+import io.rhubarbward.quota.QuotaKey;
+import io.rhubarbward.quota.QuotaService;
+import io.vavr.control.Either;
+import java.util.concurrent.CompletionStage;
+
+/**
+ * Limits how many backend calls the whole fleet repeats, so that a fault does not multiply the
+ * load.
+ *
+ * <pre>{@code
+ * budget.acquire("assistant").thenAccept(granted -> { if (granted) tryNext(); });
+ * }</pre>
+ */
+public final class RetryBudget {
+    private final QuotaService mQuotas;
+
+    RetryBudget(QuotaService quotas) {
+        mQuotas = quotas;
+    }
+
+    /** Asks for one repeated call of the service; completes with whether it may be made. */
+    public CompletionStage<Boolean> acquire(String service) {
+        return mQuotas.acquire(new QuotaKey.RetryBudget(service)).thenApply(Either::isRight);
+    }
+}
--- a/rhubarbward-core/src/main/java/io/rhubarbward/config/Settings.java
+++ b/rhubarbward-core/src/main/java/io/rhubarbward/config/Settings.java
@@ -16,6 +16,7 @@
  * @param routing how requests are spread
  * @param membership how routers watch each other
  * @param quota how shared limits are leased
+ * @param admission what happens when all backend servers are full or failing
  * @param control what a router may spend on control
  * @param dataCentres the data centres by name
  * @param accounts the client accounts by name
@@ -31,6 +32,7 @@
         RoutingSettings routing,
         MembershipSettings membership,
         QuotaSettings quota,
+        AdmissionSettings admission,
         ControlSettings control,
         Map<String, DataCentre> dataCentres,
         Map<String, ClientAccount> accounts,
--- a/rhubarbward-core/src/main/java/io/rhubarbward/node/RouterNode.java
+++ b/rhubarbward-core/src/main/java/io/rhubarbward/node/RouterNode.java
@@ -98,7 +98,7 @@
                         ports.engines(),
                         ports.timers());
         mQuotas = quotas();
-        mAdmission = new Admission(mQuotas);
+        mAdmission = new Admission(mQuotas, ports.timers());
         mClaims =
                 new ClaimStore(
                         ports.store(),
@@ -156,6 +156,7 @@
         mConfiguration.subscribe(this::onConfiguration);
         mMembership.subscribe(mRegistry::observe);
         mCallObservers.subscribe(this::countCompleted);
+        mAdmission.waitingRoom().start();
         mFollower.start();
         mQuotas.start();
         mMembership.start(VM_LIST_PERIOD, HEARTBEAT_PERIOD);
@@ -165,6 +166,7 @@
     }
 
     private void countCompleted(CallOutcome outcome) {
+        mAdmission.waitingRoom().onRoom(outcome.server().service());
         if (outcome.result() == CallOutcome.Result.ANSWERED) {
             mRegistry.completed(outcome.server().name(), outcome.firstByteMillis());
         }
@@ -252,6 +254,11 @@
         if (key instanceof QuotaKey.BackendConcurrency backend) {
             return QuotaCapacity.concurrency(mRegistry.capacity(backend.backendServer()));
         }
+        if (key instanceof QuotaKey.RetryBudget) {
+            return settings.map(s -> s.admission().retriesPerSecond())
+                    .map(rate -> QuotaCapacity.rate(rate, (int) Math.ceil(rate)))
+                    .orElse(QuotaCapacity.concurrency(0));
+        }
         return QuotaCapacity.concurrency(Integer.MAX_VALUE);
     }
 
--- a/rhubarbward-core/src/main/java/io/rhubarbward/request/Exchange.java
+++ b/rhubarbward-core/src/main/java/io/rhubarbward/request/Exchange.java
@@ -1,5 +1,6 @@
 package io.rhubarbward.request;
 
+import io.rhubarbward.admission.WaitingRoom;
 import io.rhubarbward.config.BackendServer;
 import io.rhubarbward.config.RequestSettings;
 import io.rhubarbward.event.EventField;
@@ -39,6 +40,7 @@
     private Deque<BackendServer> mCandidates = new ArrayDeque<>();
     private int mAttempts;
     private long mRetryAfterMillis = RETRY_AFTER_MILLIS;
+    private final WaitingRoom.Place mPlace;
     private @Nullable Attempt mAttempt;
     private boolean mMayHaveRun;
     private boolean mWritable = true;
@@ -56,6 +58,10 @@
         mOnEnd = onEnd;
         mRelay = new AnswerRelay(request.service(), response);
         mClaim = new ExchangeClaim(request, context.claims());
+        mPlace =
+                context.admission()
+                        .waitingRoom()
+                        .place(request.service().name(), request.account(), new Waiting());
         mDeadline =
                 context.timers()
                         .after(Duration.ofMillis(limits().deadlineMillis()), () -> onDeadline());
@@ -65,7 +71,7 @@
         mContext.admission()
                 .admit(mRequest.account())
                 .thenAccept(
-                        admitted -> admitted.peek(permit -> route()).peekLeft(this::refuseAccount));
+                        admitted -> admitted.peek(permit -> enter()).peekLeft(this::refuseAccount));
     }
 
     private void refuseAccount(QuotaRefusal refusal) {
@@ -76,6 +82,14 @@
                         Math.max(1, refusal.retryAfterMillis())));
     }
 
+    private void enter() {
+        if (!mEnded && mPlace.othersWait()) {
+            mPlace.await();
+        } else {
+            route();
+        }
+    }
+
     private void route() {
         RouteQuery query =
                 new RouteQuery(mRequest.service(), mRequest.chat(), mContext.homeDataCentre());
@@ -103,11 +117,7 @@
         }
         BackendServer server = mCandidates.poll();
         if (server == null) {
-            refuse(
-                    new Refusal(
-                            RefusalCode.OVERLOADED,
-                            "every backend server of " + mRequest.service().name() + " is full",
-                            mRetryAfterMillis));
+            onAllFull();
             return;
         }
         mContext.quotas()
@@ -115,6 +125,22 @@
                 .thenAccept(granted -> onPermit(server, granted));
     }
 
+    private void onAllFull() {
+        if (mAttempts == 0) {
+            mPlace.await();
+        } else {
+            refuseOverloaded();
+        }
+    }
+
+    private void refuseOverloaded() {
+        refuse(
+                new Refusal(
+                        RefusalCode.OVERLOADED,
+                        "every backend server of " + mRequest.service().name() + " is full",
+                        mRetryAfterMillis));
+    }
+
     private void onPermit(BackendServer server, Either<QuotaRefusal, QuotaPermit> granted) {
         if (granted.isLeft()) {
             mRetryAfterMillis = granted.getLeft().retryAfterMillis();
@@ -162,6 +188,7 @@
 
     private void attempt(BackendServer server, QuotaPermit permit) {
         mAttempts++;
+        mPlace.granted();
         mAttempt = new Attempt(mRequest, mContext, server, permit, mWritable, this);
         mAttempt.send();
     }
@@ -206,12 +233,31 @@
         } else if (mRequest.retryPolicy().mayRepeat(failure)
                 && mAttempts < limits().maxAttempts()
                 && !mCandidates.isEmpty()) {
-            tryNext();
+            repeat(failure, refusal);
         } else {
             refuse(refusal);
         }
     }
 
+    /** A call that did not run cost no server anything, so that its repetition is free. */
+    private void repeat(BackendFailure failure, Refusal refusal) {
+        if (failure.provesNotRun()) {
+            tryNext();
+            return;
+        }
+        mContext.admission()
+                .retryBudget()
+                .acquire(mRequest.service().name())
+                .thenAccept(
+                        granted -> {
+                            if (granted) {
+                                tryNext();
+                            } else {
+                                refuse(refusal);
+                            }
+                        });
+    }
+
     private void onDeadline() {
         Refusal refusal =
                 Refusal.of(
@@ -248,6 +294,7 @@
         if (!mEnded) {
             mEnded = true;
             mDeadline.cancel();
+            mPlace.leave();
             if (!mCallerGone) {
                 answer.run();
             }
@@ -286,4 +333,17 @@
     private RequestSettings limits() {
         return mRequest.settings().request();
     }
+
+    /** What a request does that waits because all servers are full. */
+    private final class Waiting implements WaitingRoom.Visitor {
+        @Override
+        public void onTurn() {
+            route();
+        }
+
+        @Override
+        public void onRefused() {
+            refuseOverloaded();
+        }
+    }
 }
