--- a/rhubarbward-core/src/main/java/io/rhubarbward/node/RouterNode.java
+++ b/rhubarbward-core/src/main/java/io/rhubarbward/node/RouterNode.java
@@ -237,6 +237,7 @@
                         mMembership,
                         mRegistry,
                         mQuotas,
+                        mAdmission.waitingRoom(),
                         mClaims,
                         mMoves,
                         mRequests);
--- a/rhubarbward-core/src/test/java/io/rhubarbward/admission/SurgeTest.java
+++ b/rhubarbward-core/src/test/java/io/rhubarbward/admission/SurgeTest.java
@@ -152,6 +152,15 @@
         assertThat(mSite.backends().sent().size() - requests).isAtMost(20 + 2);
     }
 
+    @Test
+    void theDumpShowsHowManyWait() {
+        start();
+        IntStream.range(0, ENGINES_CAPACITY + 10).forEach(i -> serve(Site.KEY));
+        mSite.advance(Duration.ofMillis(50));
+        String dump = String.valueOf(mSite.router(0).state().get("admission"));
+        assertThat(dump).containsMatch("assistant=1[0-9]");
+    }
+
     private void start() {
         mSite.apply(SETTINGS);
         List.of("engine-1", "engine-2", "engine-3")
