Use no idle connection again after one fell silent

Cause: a device between the two ends that has lost track of pooled connections costs one deadline for each of them. A call cancelled before its handle is attached is cancelled then; a target that is no URI is refused as not connected.

--- a/rhubarbward-net/src/main/java/io/rhubarbward/net/backend/AsyncBackendClient.java
+++ b/rhubarbward-net/src/main/java/io/rhubarbward/net/backend/AsyncBackendClient.java
@@ -5,6 +5,8 @@
 import io.rhubarbward.request.BackendListener;
 import io.rhubarbward.request.BackendRequest;
 import io.rhubarbward.timer.TimerService;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
 import org.asynchttpclient.AsyncHttpClient;
 import org.asynchttpclient.RequestBuilder;
 
@@ -12,6 +14,7 @@
 public final class AsyncBackendClient implements BackendClient {
     private final AsyncHttpClient mClient;
     private final TimerService mTimers;
+    private final Map<String, Integer> mGenerations = new ConcurrentHashMap<>();
 
     /** Sends by the client and calls back on the timer service's thread. */
     public AsyncBackendClient(AsyncHttpClient client, TimerService timers) {
@@ -21,15 +24,46 @@
 
     @Override
     public BackendCall send(BackendRequest request, BackendListener listener) {
+        String address = request.server().address();
+        Partition partition = new Partition(address, mGenerations.getOrDefault(address, 0));
         RequestBuilder builder =
                 new RequestBuilder(request.method(), true)
-                        .setUrl("http://" + request.server().address() + request.target());
+                        .setChannelPoolPartitioning((uri, host, proxy) -> partition);
         request.headers().fields().forEach(field -> builder.addHeader(field.name(), field.value()));
         if (request.body().hasRemaining()) {
             builder.setBody(request.body());
         }
-        BackendExchange exchange = new BackendExchange(listener, mTimers);
-        exchange.attach(mClient.executeRequest(builder.build(), exchange));
+        BackendExchange exchange =
+                new BackendExchange(listener, mTimers, () -> dropConnections(partition));
+        try {
+            exchange.attach(
+                    mClient.executeRequest(
+                            builder.setUrl("http://" + address + request.target()).build(),
+                            exchange));
+        } catch (IllegalArgumentException e) {
+            // The target is no URI, which shows before anything is sent.
+            exchange.onThrowable(e);
+        }
         return exchange;
     }
+
+    /**
+     * Leaves every connection of the generation unused from now on; the pool closes them when they
+     * have been idle for long enough. Flushing the pool's partition instead would break the pool's
+     * book-keeping of the connections that are in use.
+     */
+    private void dropConnections(Partition partition) {
+        mGenerations.merge(
+                partition.address(),
+                partition.generation() + 1,
+                (current, next) -> Math.max(current, next));
+    }
+
+    /**
+     * Connections that may serve one another's requests.
+     *
+     * @param address where they lead
+     * @param generation grows each time that one of them fell silent
+     */
+    private record Partition(String address, int generation) {}
 }
--- a/rhubarbward-net/src/main/java/io/rhubarbward/net/backend/BackendExchange.java
+++ b/rhubarbward-net/src/main/java/io/rhubarbward/net/backend/BackendExchange.java
@@ -21,18 +21,30 @@
 final class BackendExchange implements AsyncHandler<Boolean>, BackendCall {
     private final BackendListener mListener;
     private final TimerService mTimers;
+    private final Runnable mOnExpired;
+    private volatile boolean mCancelled;
     private volatile @Nullable ListenableFuture<Boolean> mFuture;
     private volatile @Nullable Channel mChannel;
     private volatile boolean mSent;
     private int mStatus;
 
-    BackendExchange(BackendListener listener, TimerService timers) {
+    /**
+     * Calls the listener on the timer service's thread.
+     *
+     * @param onExpired drops what idle connections there are to the same address
+     */
+    BackendExchange(BackendListener listener, TimerService timers, Runnable onExpired) {
         mListener = listener;
         mTimers = timers;
+        mOnExpired = onExpired;
     }
 
+    /** Takes the call's handle; a call that was cancelled before is cancelled now. */
     void attach(ListenableFuture<Boolean> future) {
         mFuture = future;
+        if (mCancelled) {
+            future.cancel(true);
+        }
     }
 
     @Override
@@ -103,12 +115,19 @@
 
     @Override
     public void cancel() {
+        mCancelled = true;
         ListenableFuture<Boolean> future = mFuture;
         if (future != null) {
             future.cancel(true);
         }
     }
 
+    @Override
+    public void expire() {
+        cancel();
+        mOnExpired.run();
+    }
+
     private void reading(boolean on) {
         Channel channel = mChannel;
         if (channel != null) {
