Give the replay's routers engines without orders

Cause: routers now take a port for orders to engines. Change: the replay's routers get one that reaches no engine.

--- a/rhubarbward-bench/src/main/java/io/rhubarbward/bench/execution/MortalRouter.java
+++ b/rhubarbward-bench/src/main/java/io/rhubarbward/bench/execution/MortalRouter.java
@@ -1,11 +1,14 @@
 package io.rhubarbward.bench.execution;
 
 import io.prometheus.metrics.model.registry.PrometheusRegistry;
+import io.rhubarbward.config.BackendServer;
 import io.rhubarbward.engine.EngineClient;
 import io.rhubarbward.event.EventLog;
 import io.rhubarbward.membership.Peer;
 import io.rhubarbward.membership.PeerMessage;
 import io.rhubarbward.membership.PeerTransport;
+import io.rhubarbward.move.EngineOrder;
+import io.rhubarbward.move.EngineOrders;
 import io.rhubarbward.node.RouterIdentity;
 import io.rhubarbward.node.RouterNode;
 import io.rhubarbward.node.RouterPorts;
@@ -19,6 +22,7 @@
 import io.vavr.control.Either;
 import java.util.List;
 import java.util.SplittableRandom;
+import java.util.concurrent.CompletionStage;
 import java.util.function.BiConsumer;
 
 /** A router that can die: what it asked for still happens, and it learns of nothing. */
@@ -46,6 +50,7 @@
                                 server ->
                                         EitherStage.completed(
                                                 Either.left(EngineClient.EngineFailure.TIMEOUT)),
+                                new NoOrders(),
                                 new NoPeers(),
                                 new PrometheusRegistry()));
         mNode.start();
@@ -71,6 +76,20 @@
         return mTimers.stopped();
     }
 
+    /** Engines that take no orders: the replay has none. */
+    private static final class NoOrders implements EngineOrders {
+        @Override
+        public CompletionStage<Either<OrderFailure, EngineOrder>> give(
+                BackendServer server, EngineOrder order) {
+            return EitherStage.completed(Either.left(OrderFailure.UNREACHABLE));
+        }
+
+        @Override
+        public CompletionStage<Either<OrderFailure, EngineOrder>> read(BackendServer server) {
+            return EitherStage.completed(Either.left(OrderFailure.UNREACHABLE));
+        }
+    }
+
     /** A network without other routers: claims must hold without it. */
     private static final class NoPeers implements PeerTransport {
         @Override
