Quarantine requests that crash engines

Cause: a request that crashes its engine was sent on to the next one, and its caller could begin anew at every router. Change: a request whose engine's connection was lost is suspect by the digest of account and body; it may run once more, at one router at a time; a whole answer clears it, a second crash has it refused for ten minutes (quarantined, 422). Peers are told at the first crash (message 50), and a router that joins is told all. Copies that were on one engine together count as one crash. Ruled out: merging losses on one engine within 5 s as one crash: a request sent again within that time was then not quarantined (aStreamThatIsCutMakesItsRequestSuspectEverywhere failed).

--- a/rhubarbward-core/src/main/java/io/rhubarbward/event/LogEvent.java
+++ b/rhubarbward-core/src/main/java/io/rhubarbward/event/LogEvent.java
@@ -50,6 +50,7 @@
     // 1800: requests.
     REQUEST_REFUSED(1801, DEBUG),
     ANSWER_CUT(1802, WARNING),
+    REQUEST_QUARANTINED(1803, WARNING),
 
     // 1900: moves.
     MOVE_WORD_TAKEN(1901, DEBUG),
--- a/rhubarbward-core/src/main/java/io/rhubarbward/node/RouterNode.java
+++ b/rhubarbward-core/src/main/java/io/rhubarbward/node/RouterNode.java
@@ -25,7 +25,9 @@
 import io.rhubarbward.request.ExchangeContext;
 import io.rhubarbward.request.RequestMetrics;
 import io.rhubarbward.request.RequestService;
+import io.rhubarbward.request.RequestSlice;
 import io.rhubarbward.request.claim.ClaimStore;
+import io.rhubarbward.request.quarantine.Quarantine;
 import io.rhubarbward.routing.BoundedAffinity;
 import io.rhubarbward.state.StateSource;
 import java.time.Duration;
@@ -62,6 +64,7 @@
     private final Admission mAdmission;
     private final CallObservers mCallObservers = new CallObservers();
     private final ClaimStore mClaims;
+    private final Quarantine mQuarantine;
     private final RequestService mRequests;
     private boolean mDraining;
 
@@ -97,6 +100,12 @@
                         ports.store(),
                         ports.timers(),
                         identity.noncePrefix(ports.random().nextLong()));
+        mQuarantine =
+                new Quarantine(
+                        identity.vm(),
+                        ports.timers(),
+                        ports.events(),
+                        notices -> RequestSlice.tell(mMembership, ports.peers(), notices));
         mMoves =
                 new Moves(
                         new Moves.Self(
@@ -126,7 +135,8 @@
                 mPorts.backends(),
                 new RequestMetrics(mPorts.metrics()),
                 mCallObservers,
-                mClaims);
+                mClaims,
+                mQuarantine);
     }
 
     /** Starts to follow the platform and the engines. */
@@ -135,6 +145,7 @@
         mConfiguration.subscribe(this::onConfiguration);
         mMembership.subscribe(mRegistry::observe);
         mCallObservers.subscribe(this::countCompleted);
+        RequestSlice.connect(mQuarantine, mMembership, mPorts.peers());
         mFollower.start();
         mMembership.start(VM_LIST_PERIOD, HEARTBEAT_PERIOD);
         mPoller.start();
--- a/rhubarbward-core/src/main/java/io/rhubarbward/request/Exchange.java
+++ b/rhubarbward-core/src/main/java/io/rhubarbward/request/Exchange.java
@@ -9,6 +9,7 @@
 import io.rhubarbward.quota.QuotaService.QuotaRefusal;
 import io.rhubarbward.request.claim.ClaimVerdict;
 import io.rhubarbward.request.claim.StoredAnswer;
+import io.rhubarbward.request.quarantine.Crash;
 import io.rhubarbward.routing.RouteQuery;
 import io.rhubarbward.timer.TimerService;
 import io.vavr.control.Either;
@@ -34,10 +35,12 @@
     private final AnswerRelay mRelay;
     private final CallerResponse mResponse;
     private final ExchangeClaim mClaim;
+    private final ExchangeSuspicion mSuspicion;
     private final Runnable mOnEnd;
     private final TimerService.Subscription mDeadline;
     private Deque<BackendServer> mCandidates = new ArrayDeque<>();
     private int mAttempts;
+    private long mSentEpochMillis;
     private long mRetryAfterMillis = RETRY_AFTER_MILLIS;
     private @Nullable Attempt mAttempt;
     private boolean mMayHaveRun;
@@ -56,6 +59,7 @@
         mOnEnd = onEnd;
         mRelay = new AnswerRelay(request.service(), response);
         mClaim = new ExchangeClaim(request, context.claims());
+        mSuspicion = new ExchangeSuspicion(request, context.quarantine());
         mDeadline =
                 context.timers()
                         .after(Duration.ofMillis(limits().deadlineMillis()), () -> onDeadline());
@@ -65,7 +69,9 @@
         mContext.admission()
                 .admit(mRequest.account())
                 .thenAccept(
-                        admitted -> admitted.peek(permit -> route()).peekLeft(this::refuseAccount));
+                        admitted ->
+                                admitted.peek(permit -> checkSuspicion())
+                                        .peekLeft(this::refuseAccount));
     }
 
     private void refuseAccount(QuotaRefusal refusal) {
@@ -76,6 +82,12 @@
                         Math.max(1, refusal.retryAfterMillis())));
     }
 
+    private void checkSuspicion() {
+        if (!mEnded) {
+            mSuspicion.refusal().ifPresentOrElse(this::refuse, this::route);
+        }
+    }
+
     private void route() {
         RouteQuery query =
                 new RouteQuery(mRequest.service(), mRequest.chat(), mContext.homeDataCentre());
@@ -162,6 +174,7 @@
 
     private void attempt(BackendServer server, QuotaPermit permit) {
         mAttempts++;
+        mSentEpochMillis = mContext.timers().epochMillis();
         mAttempt = new Attempt(mRequest, mContext, server, permit, mWritable, this);
         mAttempt.send();
     }
@@ -200,13 +213,17 @@
                         failure.refusal(),
                         "backend server failed: " + failure,
                         mMayHaveRun ? 0 : RETRY_AFTER_MILLIS);
-        if (mRelay.begun()) {
+        boolean wanted =
+                !mRelay.begun()
+                        && mRequest.retryPolicy().mayRepeat(failure)
+                        && mAttempts < limits().maxAttempts()
+                        && !mCandidates.isEmpty();
+        Crash crash = new Crash(server.name(), mSentEpochMillis, mContext.timers().epochMillis());
+        if (mSuspicion.mayRetry(failure, crash, wanted)) {
+            tryNext();
+        } else if (mRelay.begun()) {
             mContext.events().log(LogEvent.ANSWER_CUT, EventField.of("failure", failure));
             end(() -> mRelay.cut(refusal));
-        } else if (mRequest.retryPolicy().mayRepeat(failure)
-                && mAttempts < limits().maxAttempts()
-                && !mCandidates.isEmpty()) {
-            tryNext();
         } else {
             refuse(refusal);
         }
@@ -248,6 +265,7 @@
         if (!mEnded) {
             mEnded = true;
             mDeadline.cancel();
+            mSuspicion.end(end == ExchangeClaim.End.ANSWERED);
             if (!mCallerGone) {
                 answer.run();
             }
--- a/rhubarbward-core/src/main/java/io/rhubarbward/request/ExchangeContext.java
+++ b/rhubarbward-core/src/main/java/io/rhubarbward/request/ExchangeContext.java
@@ -6,6 +6,7 @@
 import io.rhubarbward.event.EventLog;
 import io.rhubarbward.quota.QuotaService;
 import io.rhubarbward.request.claim.ClaimStore;
+import io.rhubarbward.request.quarantine.Quarantine;
 import io.rhubarbward.routing.RoutingPolicy;
 import io.rhubarbward.timer.TimerService;
 
@@ -23,6 +24,7 @@
  * @param metrics counts what happens
  * @param observer told how each call to a backend server ended
  * @param claims keeps requests with an idempotency key from running twice
+ * @param quarantine keeps requests that crash engines from crashing more
  */
 public record ExchangeContext(
         String homeDataCentre,
@@ -35,7 +37,8 @@
         BackendClient backends,
         RequestMetrics metrics,
         CallObserver observer,
-        ClaimStore claims) {
+        ClaimStore claims,
+        Quarantine quarantine) {
     private static final String ACCOUNT_HEADER = "x-client-account";
     private static final String PRIORITY_HEADER = "x-priority";
 
--- a/rhubarbward-core/src/main/java/io/rhubarbward/request/RefusalCode.java
+++ b/rhubarbward-core/src/main/java/io/rhubarbward/request/RefusalCode.java
@@ -32,6 +32,9 @@
             return mayHaveRun ? RunState.UNKNOWN : RunState.NOT_RUN;
         }
     },
+    CRASH_SUSPECT(
+            503, RunState.NOT_RUN, "An engine crashed under the request; it is running again"),
+    QUARANTINED(422, RunState.NOT_RUN, "Engines crashed under the request"),
     INVALID_KEY(400, RunState.NOT_RUN, "The idempotency key cannot be used"),
     KEY_REUSED(422, RunState.NOT_RUN, "The idempotency key was used for another request"),
     IN_PROGRESS(409, RunState.UNKNOWN, "The request with this idempotency key is being served"),
--- /dev/null
+++ b/rhubarbward-core/src/main/java/io/rhubarbward/request/quarantine/SuspectNotices.java
@@ -0,0 +1,15 @@
+package io.rhubarbward.request.quarantine;
+
+import io.rhubarbward.membership.PeerMessage;
+import java.util.List;
+
+/**
+ * Tells peers of suspect requests.
+ *
+ * @param notices one for each request
+ */
+public record SuspectNotices(List<SuspectNotice> notices) implements PeerMessage {
+    public SuspectNotices {
+        notices = List.copyOf(notices);
+    }
+}
--- a/rhubarbward-net/src/main/java/io/rhubarbward/net/peer/PeerCodecs.java
+++ b/rhubarbward-net/src/main/java/io/rhubarbward/net/peer/PeerCodecs.java
@@ -1,7 +1,9 @@
 package io.rhubarbward.net.peer;
 
 import io.rhubarbward.gen.membership.HeartbeatStruct;
+import io.rhubarbward.gen.request.SuspectNoticesStruct;
 import io.rhubarbward.membership.Heartbeat;
+import io.rhubarbward.request.quarantine.SuspectNotices;
 import java.util.List;
 import java.util.stream.Stream;
 
@@ -16,10 +18,19 @@
                     message -> new HeartbeatStruct(message.incarnation(), message.generation()),
                     struct -> new Heartbeat(struct.getIncarnation(), struct.getGeneration()));
 
+    // Requests: 50 to 59.
+    private static final PeerCodec<SuspectNotices, SuspectNoticesStruct> SUSPECTS =
+            new PeerCodec<>(
+                    50,
+                    SuspectNotices.class,
+                    SuspectNoticesStruct::new,
+                    SuspectStructs::toStruct,
+                    SuspectStructs::fromStruct);
+
     private PeerCodecs() {}
 
     /** Returns all codecs. */
     public static List<PeerCodec<?, ?>> all() {
-        return Stream.concat(Stream.of(HEARTBEAT), MoveCodecs.all().stream()).toList();
+        return Stream.concat(Stream.of(HEARTBEAT, SUSPECTS), MoveCodecs.all().stream()).toList();
     }
 }
