--- a/rhubarbward-core/src/main/java/io/rhubarbward/node/RouterNode.java
+++ b/rhubarbward-core/src/main/java/io/rhubarbward/node/RouterNode.java
@@ -14,7 +14,7 @@
 import io.rhubarbward.membership.Heartbeat;
 import io.rhubarbward.membership.Membership;
 import io.rhubarbward.move.Moves;
-import io.rhubarbward.quota.LocalQuotaService;
+import io.rhubarbward.quota.LeasedQuotaService;
 import io.rhubarbward.quota.QuotaCapacity;
 import io.rhubarbward.quota.QuotaKey;
 import io.rhubarbward.request.CallObservers;
@@ -59,8 +59,8 @@
     private final Membership mMembership;
     private final BackendRegistry mRegistry;
     private final LoadPoller mPoller;
-    private final LocalQuotaService mQuotas;
     private final Moves mMoves;
+    private final LeasedQuotaService mQuotas;
     private final Admission mAdmission;
     private final CallObservers mCallObservers = new CallObservers();
     private final ClaimStore mClaims;
@@ -92,8 +92,15 @@
         mRegistry = new BackendRegistry(ports.events(), ports.timers());
         mPoller =
                 new LoadPoller(
-                        mConfiguration::settings, mRegistry, ports.engines(), ports.timers());
-        mQuotas = new LocalQuotaService(this::capacity, ports.timers());
+                        identity.vm(),
+                        identity.dataCentre(),
+                        mConfiguration::settings,
+                        mRegistry,
+                        mMembership,
+                        ports.peers(),
+                        ports.engines(),
+                        ports.timers());
+        mQuotas = quotas();
         mAdmission = new Admission(mQuotas);
         mClaims =
                 new ClaimStore(
@@ -106,23 +113,37 @@
                         ports.timers(),
                         ports.events(),
                         notices -> RequestSlice.tell(mMembership, ports.peers(), notices));
-        mMoves =
-                new Moves(
-                        new Moves.Self(
-                                identity.vm(),
-                                identity.incarnation(),
-                                ports.timers(),
-                                ports.random(),
-                                ports.events()),
-                        ports.store(),
-                        ports.orders(),
-                        mMembership,
-                        ports.peers(),
-                        mRegistry,
-                        mConfiguration::settings);
+        mMoves = moves();
         mRequests = new RequestService(mConfiguration, context());
     }
 
+    private LeasedQuotaService quotas() {
+        return new LeasedQuotaService(
+                mMembership,
+                mPorts.peers(),
+                this::capacity,
+                () -> mConfiguration.settings().map(Settings::quota),
+                mIdentity.incarnation(),
+                mPorts.timers(),
+                mPorts.events());
+    }
+
+    private Moves moves() {
+        return new Moves(
+                new Moves.Self(
+                        mIdentity.vm(),
+                        mIdentity.incarnation(),
+                        mPorts.timers(),
+                        mPorts.random(),
+                        mPorts.events()),
+                mPorts.store(),
+                mPorts.orders(),
+                mMembership,
+                mPorts.peers(),
+                mRegistry,
+                mConfiguration::settings);
+    }
+
     private ExchangeContext context() {
         return new ExchangeContext(
                 mIdentity.dataCentre(),
@@ -147,6 +168,7 @@
         mCallObservers.subscribe(this::countCompleted);
         RequestSlice.connect(mQuarantine, mMembership, mPorts.peers());
         mFollower.start();
+        mQuotas.start();
         mMembership.start(VM_LIST_PERIOD, HEARTBEAT_PERIOD);
         mPoller.start();
         mMoves.start();
