Count a request as open until its answer has left

Cause: an exchange ended when its last byte was handed to the caller's connection, so that a planned stop closed connections of callers that read slowly before all had left; a caller that never read held what was buffered for it without a limit. Change: CallerResponse.whenDelivered; the exchange closes when all is delivered and its claim is settled, and cuts what is not read by the deadline (a refusal at the deadline: one silence limit later).

--- a/rhubarbward-core/src/main/java/io/rhubarbward/request/CallerResponse.java
+++ b/rhubarbward-core/src/main/java/io/rhubarbward/request/CallerResponse.java
@@ -6,7 +6,7 @@
  * The way back to one caller.
  *
  * <p>{@link #begin} comes once, then any number of {@link #write}, then {@link #finish} or {@link
- * #abort}. Calls after the end do nothing.
+ * #abort}. After the end, only {@link #abort} does something: it cuts what has not left yet.
  */
 public interface CallerResponse {
     /** Sends the status and header fields. */
@@ -20,4 +20,12 @@
 
     /** Cuts the connection, so that the caller sees that the answer is not whole. */
     void abort();
+
+    /**
+     * Runs the action, on any thread, once all that was written has left for the caller or its
+     * connection is gone; called after the end.
+     */
+    default void whenDelivered(Runnable action) {
+        action.run();
+    }
 }
--- a/rhubarbward-core/src/main/java/io/rhubarbward/request/Exchange.java
+++ b/rhubarbward-core/src/main/java/io/rhubarbward/request/Exchange.java
@@ -37,7 +37,7 @@
     private final ExchangeClaim mClaim;
     private final ExchangeSuspicion mSuspicion;
     private final Runnable mOnEnd;
-    private final TimerService.Subscription mDeadline;
+    private TimerService.Subscription mDeadline;
     private Deque<BackendServer> mCandidates = new ArrayDeque<>();
     private int mAttempts;
     private long mSentEpochMillis;
@@ -47,6 +47,9 @@
     private boolean mWritable = true;
     private boolean mCallerGone;
     private boolean mEnded;
+    private boolean mDelivered;
+    private boolean mSettled;
+    private boolean mClosed;
 
     Exchange(
             AcceptedRequest request,
@@ -230,10 +233,18 @@
     }
 
     private void onDeadline() {
+        if (mEnded) {
+            abortUndelivered();
+            return;
+        }
         Refusal refusal =
                 Refusal.of(
                         RefusalCode.DEADLINE_EXCEEDED,
                         "took longer than " + limits().deadlineMillis() + " ms");
+        // The caller gets as long to read its refusal as a server to say something.
+        mDeadline =
+                mContext.timers()
+                        .after(Duration.ofMillis(limits().silenceMillis()), this::abortUndelivered);
         giveUpAttempt();
         if (!mRelay.begun()) {
             refuse(refusal);
@@ -245,6 +256,12 @@
         }
     }
 
+    private void abortUndelivered() {
+        if (!mDelivered) {
+            mResponse.abort();
+        }
+    }
+
     private void refuse(Refusal refusal) {
         Refusal truthful = refusal.afterSending(mMayHaveRun);
         mContext.events()
@@ -260,16 +277,37 @@
         end(mMayHaveRun ? ExchangeClaim.End.MAY_HAVE_RUN : ExchangeClaim.End.NOT_RUN, answer);
     }
 
-    /** Ends the exchange for the caller at once, and for the router when the claim is settled. */
+    /** Ends the exchange for the caller at once, and for the router when all is delivered. */
     private void end(ExchangeClaim.End end, Runnable answer) {
-        if (!mEnded) {
-            mEnded = true;
+        if (mEnded) {
+            return;
+        }
+        mEnded = true;
+        mSuspicion.end(end == ExchangeClaim.End.ANSWERED);
+        if (mCallerGone) {
+            mDelivered = true;
+        } else {
+            answer.run();
+            mResponse.whenDelivered(() -> mContext.timers().execute(this::onDelivered));
+        }
+        mClaim.settle(end).thenAccept(settled -> onSettled());
+    }
+
+    private void onDelivered() {
+        mDelivered = true;
+        closeIfDone();
+    }
+
+    private void onSettled() {
+        mSettled = true;
+        closeIfDone();
+    }
+
+    private void closeIfDone() {
+        if (mDelivered && mSettled && !mClosed) {
+            mClosed = true;
             mDeadline.cancel();
-            mSuspicion.end(end == ExchangeClaim.End.ANSWERED);
-            if (!mCallerGone) {
-                answer.run();
-            }
-            mClaim.settle(end).thenAccept(settled -> mOnEnd.run());
+            mOnEnd.run();
         }
     }
 
@@ -292,6 +330,10 @@
     @Override
     public void onGone() {
         mCallerGone = true;
+        if (mEnded) {
+            onDelivered();
+            return;
+        }
         if (mClaim.held() && mAttempt != null) {
             mRelay.detach();
             onWritable(true);
--- a/rhubarbward-core/src/test/java/io/rhubarbward/request/ExchangeTest.java
+++ b/rhubarbward-core/src/test/java/io/rhubarbward/request/ExchangeTest.java
@@ -6,6 +6,8 @@
 import io.rhubarbward.testing.RecordingResponse;
 import io.rhubarbward.testing.Site;
 import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
 import org.junit.jupiter.api.Test;
 
 final class ExchangeTest {
@@ -105,6 +107,46 @@
         assertThat(call.paused()).isFalse();
     }
 
+    @Test
+    void aPlannedStopWaitsForAnAnswerThatItsCallerHasNotRead() {
+        mResponse.stick();
+        serve(Site.chat("unread"));
+        mSite.backends().last().head(OK, "application/json").part("{}").complete();
+        List<Integer> cut = new ArrayList<>();
+        mSite.router(0).drain(cut::add);
+        mSite.advance(Duration.ofSeconds(30));
+        assertThat(cut).isEmpty();
+        mResponse.deliver();
+        mSite.advance(Duration.ofSeconds(1));
+        assertThat(cut).containsExactly(0);
+    }
+
+    @Test
+    void anAnswerThatIsNeverReadIsCutAtTheDeadline() {
+        mResponse.stick();
+        serve(Site.chat("unread"));
+        mSite.backends().last().head(OK, "application/json").part("{}").complete();
+        mSite.advance(Duration.ofMillis(299_999));
+        assertThat(mResponse.aborted()).isFalse();
+        mSite.advance(Duration.ofMillis(1));
+        assertThat(mResponse.aborted()).isTrue();
+    }
+
+    @Test
+    void aRefusalThatIsNeverReadIsCutToo() {
+        mResponse.stick();
+        serve(Site.chat("unread"));
+        mSite.backends().last().head(OK, EVENTS);
+        for (int i = 0; i < 30; i++) {
+            mSite.advance(Duration.ofSeconds(10));
+            mSite.backends().last().part("data: {}\n\n");
+        }
+        assertThat(mResponse.finished()).isTrue();
+        assertThat(mResponse.aborted()).isFalse();
+        mSite.advance(Duration.ofSeconds(15));
+        assertThat(mResponse.aborted()).isTrue();
+    }
+
     @Test
     void aCallersKeyIsNotPassedOn() {
         serve(Site.chat("secret"));
--- a/rhubarbward-core/src/test/java/io/rhubarbward/testing/RecordingResponse.java
+++ b/rhubarbward-core/src/test/java/io/rhubarbward/testing/RecordingResponse.java
@@ -12,6 +12,8 @@
     private HeaderFields mHeaders = HeaderFields.NONE;
     private boolean mFinished;
     private boolean mAborted;
+    private boolean mStuck;
+    private Runnable mOnDelivered = () -> {};
 
     @Override
     public void begin(int status, HeaderFields headers) {
@@ -40,6 +42,23 @@
         mAborted = true;
     }
 
+    @Override
+    public void whenDelivered(Runnable action) {
+        mOnDelivered = action;
+        if (!mStuck) {
+            action.run();
+        }
+    }
+
+    /** Lets what is written wait, as for a caller that does not read, until delivered. */
+    public void stick() {
+        mStuck = true;
+    }
+
+    public void deliver() {
+        mOnDelivered.run();
+    }
+
     public int status() {
         return mStatus;
     }
--- a/rhubarbward-net/src/main/java/io/rhubarbward/net/http/NettyResponse.java
+++ b/rhubarbward-net/src/main/java/io/rhubarbward/net/http/NettyResponse.java
@@ -2,6 +2,7 @@
 
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelFutureListener;
 import io.netty.handler.codec.http.DefaultHttpContent;
 import io.netty.handler.codec.http.DefaultHttpResponse;
@@ -15,6 +16,7 @@
 import io.rhubarbward.request.CallerResponse;
 import io.rhubarbward.request.HeaderFields;
 import java.nio.ByteBuffer;
+import org.jspecify.annotations.Nullable;
 
 /** Writes one answer to a connection. */
 final class NettyResponse implements CallerResponse {
@@ -24,6 +26,7 @@
     private final Channel mChannel;
     private final boolean mKeepAlive;
     private final Runnable mOnAnswered;
+    private @Nullable ChannelFuture mLastWrite;
     private boolean mEnded;
 
     NettyResponse(Channel channel, boolean keepAlive, Runnable onAnswered) {
@@ -60,21 +63,31 @@
             return;
         }
         mEnded = true;
-        mChannel.writeAndFlush(new DefaultLastHttpContent())
-                .addListener(
-                        (ChannelFutureListener)
-                                written -> {
-                                    if (mKeepAlive && written.isSuccess()) {
-                                        mOnAnswered.run();
-                                    } else {
-                                        mChannel.close();
-                                    }
-                                });
+        ChannelFuture lastWrite = mChannel.writeAndFlush(new DefaultLastHttpContent());
+        mLastWrite = lastWrite;
+        lastWrite.addListener(
+                (ChannelFutureListener)
+                        written -> {
+                            if (mKeepAlive && written.isSuccess()) {
+                                mOnAnswered.run();
+                            } else {
+                                mChannel.close();
+                            }
+                        });
     }
 
     @Override
     public void abort() {
         mEnded = true;
-        mChannel.close();
+        // Once all has left, the connection may be serving the caller's next request.
+        if (mLastWrite == null || !mLastWrite.isDone()) {
+            mChannel.close();
+        }
+    }
+
+    @Override
+    public void whenDelivered(Runnable action) {
+        ChannelFuture last = mLastWrite != null ? mLastWrite : mChannel.closeFuture();
+        last.addListener(written -> action.run());
     }
 }
