--- a/rhubarbward-core/src/main/java/io/rhubarbward/request/Exchange.java
+++ b/rhubarbward-core/src/main/java/io/rhubarbward/request/Exchange.java
@@ -10,6 +10,7 @@
 import io.rhubarbward.quota.QuotaService.QuotaRefusal;
 import io.rhubarbward.request.claim.ClaimVerdict;
 import io.rhubarbward.request.claim.StoredAnswer;
+import io.rhubarbward.request.quarantine.Crash;
 import io.rhubarbward.routing.RouteQuery;
 import io.rhubarbward.timer.TimerService;
 import io.vavr.control.Either;
@@ -35,10 +36,12 @@
     private final AnswerRelay mRelay;
     private final CallerResponse mResponse;
     private final ExchangeClaim mClaim;
+    private final ExchangeSuspicion mSuspicion;
     private final Runnable mOnEnd;
-    private final TimerService.Subscription mDeadline;
+    private TimerService.Subscription mDeadline;
     private Deque<BackendServer> mCandidates = new ArrayDeque<>();
     private int mAttempts;
+    private long mSentEpochMillis;
     private long mRetryAfterMillis = RETRY_AFTER_MILLIS;
     private final WaitingRoom.Place mPlace;
     private @Nullable Attempt mAttempt;
@@ -46,6 +49,9 @@
     private boolean mWritable = true;
     private boolean mCallerGone;
     private boolean mEnded;
+    private boolean mDelivered;
+    private boolean mSettled;
+    private boolean mClosed;
 
     Exchange(
             AcceptedRequest request,
@@ -62,6 +68,7 @@
                 context.admission()
                         .waitingRoom()
                         .place(request.service().name(), request.account(), new Waiting());
+        mSuspicion = new ExchangeSuspicion(request, context.quarantine());
         mDeadline =
                 context.timers()
                         .after(Duration.ofMillis(limits().deadlineMillis()), () -> onDeadline());
@@ -71,7 +78,9 @@
         mContext.admission()
                 .admit(mRequest.account())
                 .thenAccept(
-                        admitted -> admitted.peek(permit -> enter()).peekLeft(this::refuseAccount));
+                        admitted ->
+                                admitted.peek(permit -> checkSuspicion())
+                                        .peekLeft(this::refuseAccount));
     }
 
     private void refuseAccount(QuotaRefusal refusal) {
@@ -82,6 +91,12 @@
                         Math.max(1, refusal.retryAfterMillis())));
     }
 
+    private void checkSuspicion() {
+        if (!mEnded) {
+            mSuspicion.refusal().ifPresentOrElse(this::refuse, this::enter);
+        }
+    }
+
     private void enter() {
         if (!mEnded && mPlace.othersWait()) {
             mPlace.await();
@@ -189,6 +204,7 @@
     private void attempt(BackendServer server, QuotaPermit permit) {
         mAttempts++;
         mPlace.granted();
+        mSentEpochMillis = mContext.timers().epochMillis();
         mAttempt = new Attempt(mRequest, mContext, server, permit, mWritable, this);
         mAttempt.send();
     }
@@ -227,13 +243,17 @@
                         failure.refusal(),
                         "backend server failed: " + failure,
                         mMayHaveRun ? 0 : RETRY_AFTER_MILLIS);
-        if (mRelay.begun()) {
+        boolean wanted =
+                !mRelay.begun()
+                        && mRequest.retryPolicy().mayRepeat(failure)
+                        && mAttempts < limits().maxAttempts()
+                        && !mCandidates.isEmpty();
+        Crash crash = new Crash(server.name(), mSentEpochMillis, mContext.timers().epochMillis());
+        if (mSuspicion.mayRetry(failure, crash, wanted)) {
+            repeat(failure, refusal);
+        } else if (mRelay.begun()) {
             mContext.events().log(LogEvent.ANSWER_CUT, EventField.of("failure", failure));
             end(() -> mRelay.cut(refusal));
-        } else if (mRequest.retryPolicy().mayRepeat(failure)
-                && mAttempts < limits().maxAttempts()
-                && !mCandidates.isEmpty()) {
-            repeat(failure, refusal);
         } else {
             refuse(refusal);
         }
@@ -259,10 +279,18 @@
     }
 
     private void onDeadline() {
+        if (mEnded) {
+            abortUndelivered();
+            return;
+        }
         Refusal refusal =
                 Refusal.of(
                         RefusalCode.DEADLINE_EXCEEDED,
                         "took longer than " + limits().deadlineMillis() + " ms");
+        // The caller gets as long to read its refusal as a server to say something.
+        mDeadline =
+                mContext.timers()
+                        .after(Duration.ofMillis(limits().silenceMillis()), this::abortUndelivered);
         giveUpAttempt();
         if (!mRelay.begun()) {
             refuse(refusal);
@@ -274,6 +302,12 @@
         }
     }
 
+    private void abortUndelivered() {
+        if (!mDelivered) {
+            mResponse.abort();
+        }
+    }
+
     private void refuse(Refusal refusal) {
         Refusal truthful = refusal.afterSending(mMayHaveRun);
         mContext.events()
@@ -289,16 +323,38 @@
         end(mMayHaveRun ? ExchangeClaim.End.MAY_HAVE_RUN : ExchangeClaim.End.NOT_RUN, answer);
     }
 
-    /** Ends the exchange for the caller at once, and for the router when the claim is settled. */
+    /** Ends the exchange for the caller at once, and for the router when all is delivered. */
     private void end(ExchangeClaim.End end, Runnable answer) {
-        if (!mEnded) {
-            mEnded = true;
+        if (mEnded) {
+            return;
+        }
+        mEnded = true;
+        mPlace.leave();
+        mSuspicion.end(end == ExchangeClaim.End.ANSWERED);
+        if (mCallerGone) {
+            mDelivered = true;
+        } else {
+            answer.run();
+            mResponse.whenDelivered(() -> mContext.timers().execute(this::onDelivered));
+        }
+        mClaim.settle(end).thenAccept(settled -> onSettled());
+    }
+
+    private void onDelivered() {
+        mDelivered = true;
+        closeIfDone();
+    }
+
+    private void onSettled() {
+        mSettled = true;
+        closeIfDone();
+    }
+
+    private void closeIfDone() {
+        if (mDelivered && mSettled && !mClosed) {
+            mClosed = true;
             mDeadline.cancel();
-            mPlace.leave();
-            if (!mCallerGone) {
-                answer.run();
-            }
-            mClaim.settle(end).thenAccept(settled -> mOnEnd.run());
+            mOnEnd.run();
         }
     }
 
@@ -321,6 +377,10 @@
     @Override
     public void onGone() {
         mCallerGone = true;
+        if (mEnded) {
+            onDelivered();
+            return;
+        }
         if (mClaim.held() && mAttempt != null) {
             mRelay.detach();
             onWritable(true);
