Pass configurations on through two relays and peers

Cause: every router watched the platform; a lost watch or a restored store could keep a router behind, and a new VM got nothing during an outage.

Change: the first two live owners of "relay/config" in each data centre watch; a router that takes a generation offers it to four peers, which fetch the head and the chunks they lack and offer it in turn; the generation in each heartbeat repairs what was missed. A head is taken only if it is higher, all its chunks match their names, and its settings are well as a whole. A router that hears no peer for 3 s watches for itself; one that hears nothing at all for 6 s is not ready and still serves what comes. Seeds in the process settings lead a new VM to its peers while the VM list cannot be read. The first relay of a data centre writes one status object with the generations of its routers.

Watches wait for 2 s, so that a lost one or a restored store shows within the 5 s of a change.

--- /dev/null
+++ b/rhubarbward-core/src/main/java/io/rhubarbward/config/ConfigPeers.java
@@ -0,0 +1,178 @@
+package io.rhubarbward.config;
+
+import io.rhubarbward.membership.Heartbeat;
+import io.rhubarbward.membership.Membership;
+import io.rhubarbward.membership.Peer;
+import io.rhubarbward.timer.TimerService;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Random;
+import java.util.TreeMap;
+import java.util.random.RandomGenerator;
+import java.util.stream.Stream;
+
+/** Knows which peers were heard lately, and which generation each has in force. */
+final class ConfigPeers {
+    private static final Duration FRESH = Duration.ofSeconds(3);
+    private static final String RELAY_SEATS = "relay/config";
+
+    private final ConfigIdentity mIdentity;
+    private final Membership mMembership;
+    private final TimerService mTimers;
+    private final RandomGenerator mRandom;
+    private final Map<String, Heard> mHeard = new TreeMap<>();
+    private long mStartMillis;
+    private long mHeardMillis;
+
+    ConfigPeers(
+            ConfigIdentity identity,
+            Membership membership,
+            TimerService timers,
+            RandomGenerator random) {
+        mIdentity = identity;
+        mMembership = membership;
+        mTimers = timers;
+        mRandom = random;
+    }
+
+    void start() {
+        mStartMillis = mTimers.nowMillis();
+        mHeardMillis = mStartMillis;
+    }
+
+    void onHeartbeat(String vm, Heartbeat heartbeat) {
+        heard(vm, heartbeat.generation());
+    }
+
+    /** Remembers that the peer lives and has the generation in force. */
+    void heard(String vm, long generation) {
+        mHeardMillis = mTimers.nowMillis();
+        mHeard.put(vm, new Heard(mHeardMillis, generation));
+    }
+
+    /** Returns when any peer was last heard; the start at first. */
+    long heardMillis() {
+        return mHeardMillis;
+    }
+
+    /** Returns whether no peer was heard lately, nor was there a start. */
+    boolean alone() {
+        return mTimers.nowMillis() - mHeardMillis > FRESH.toMillis();
+    }
+
+    /** Returns whether the platform's list names another router. */
+    boolean knowsAny() {
+        return !mMembership.peers().isEmpty() || !mIdentity.seeds().isEmpty();
+    }
+
+    private boolean fresh(Heard heard) {
+        return mTimers.nowMillis() - heard.atMillis() <= FRESH.toMillis();
+    }
+
+    /** Returns the peers that have a higher generation, those of the own data centre first. */
+    List<Peer> ahead(long generation) {
+        List<Peer> ahead =
+                new ArrayList<>(
+                        mMembership.peers().stream()
+                                .filter(peer -> generation(peer.vm()) > generation)
+                                .toList());
+        Collections.shuffle(ahead, shuffler());
+        ahead.sort(
+                Comparator.comparing((Peer peer) -> !near(peer))
+                        .thenComparing(
+                                Comparator.comparingLong((Peer peer) -> generation(peer.vm()))
+                                        .reversed()));
+        return ahead;
+    }
+
+    /** Returns some peers of the own data centre that have a lower generation. */
+    List<Peer> behind(long generation, int count) {
+        List<Peer> behind =
+                new ArrayList<>(
+                        colleagues().filter(peer -> generation(peer.vm()) < generation).toList());
+        Collections.shuffle(behind, shuffler());
+        return behind.stream().limit(count).toList();
+    }
+
+    private Random shuffler() {
+        return new Random(mRandom.nextLong());
+    }
+
+    private long generation(String vm) {
+        Heard heard = mHeard.get(vm);
+        return heard != null && fresh(heard) ? heard.generation() : 0;
+    }
+
+    private Stream<Peer> colleagues() {
+        return mMembership.peers().stream().filter(this::near);
+    }
+
+    private boolean near(Peer peer) {
+        return peer.dataCentre().equals(mIdentity.dataCentre());
+    }
+
+    /** Returns the peer with the name; one that the platform's list lacks is at the address. */
+    Peer peer(String vm, String replyTo) {
+        return mMembership.peers().stream()
+                .filter(peer -> peer.vm().equals(vm))
+                .findFirst()
+                .orElseGet(() -> new Peer(vm, mIdentity.dataCentre(), replyTo));
+    }
+
+    /** Returns a seed: a router to ask while no other is known. */
+    Optional<Peer> seed() {
+        List<String> seeds = mIdentity.seeds();
+        return seeds.isEmpty()
+                ? Optional.empty()
+                : Optional.of(seeds.get(mRandom.nextInt(seeds.size())))
+                        .map(address -> new Peer(address, mIdentity.dataCentre(), address));
+    }
+
+    /**
+     * Returns the routers that hold the data centre's relay seats: the first owners that live.
+     *
+     * <p>Who was not heard yet counts as live at first, so that a new router does not take a seat
+     * that is held.
+     */
+    List<String> relays(int seats) {
+        boolean settled = mTimers.nowMillis() - mStartMillis > FRESH.toMillis();
+        return mMembership.owners(RELAY_SEATS, Integer.MAX_VALUE).stream()
+                .filter(vm -> vm.equals(mIdentity.vm()) || !settled || live(vm))
+                .limit(seats)
+                .toList();
+    }
+
+    private boolean live(String vm) {
+        Heard heard = mHeard.get(vm);
+        return heard != null && fresh(heard);
+    }
+
+    /** Returns the last generation heard from each router of the own data centre; 0 for none. */
+    Map<String, Long> generations(long own) {
+        Map<String, Long> generations = new TreeMap<>();
+        generations.put(mIdentity.vm(), own);
+        colleagues()
+                .map(Peer::vm)
+                .forEach(
+                        vm ->
+                                generations.put(
+                                        vm,
+                                        Optional.ofNullable(mHeard.get(vm))
+                                                .map(Heard::generation)
+                                                .orElse(0L)));
+        return generations;
+    }
+
+    /**
+     * The newest word of a peer.
+     *
+     * @param atMillis when it came
+     * @param generation what the peer has in force
+     */
+    private record Heard(long atMillis, long generation) {}
+}
--- a/rhubarbward-core/src/main/java/io/rhubarbward/config/SettingsReader.java
+++ b/rhubarbward-core/src/main/java/io/rhubarbward/config/SettingsReader.java
@@ -78,6 +78,17 @@
                 .flatMap(document -> bind(document, document.root(), type));
     }
 
+    /** Reads one text as the record; settings that it lacks come from the defaults. */
+    public static <T> Either<ConfigFailure, T> readAs(
+            Class<T> type, SettingsText defaults, SettingsText text) {
+        return SettingsDocument.parse(defaults.name(), defaults.text())
+                .flatMap(
+                        below ->
+                                SettingsDocument.parse(text.name(), text.text())
+                                        .map(above -> merge(below, above)))
+                .flatMap(document -> bind(document, document.root(), type));
+    }
+
     private static SettingsDocument parseDefaults() {
         return SettingsDocument.parse("defaults.json", defaultsText())
                 .getOrElseThrow(
--- a/rhubarbward-core/src/main/java/io/rhubarbward/node/RouterIdentity.java
+++ b/rhubarbward-core/src/main/java/io/rhubarbward/node/RouterIdentity.java
@@ -1,5 +1,7 @@
 package io.rhubarbward.node;
 
+import java.util.List;
+
 /**
  * Which router this is.
  *
@@ -7,5 +9,22 @@
  * @param site the site whose settings it follows
  * @param dataCentre where it runs
  * @param incarnation differs at each start of the process
+ * @param address host and port at which other routers reach it
+ * @param seeds addresses of routers to ask while the platform's VM list cannot be read
  */
-public record RouterIdentity(String vm, String site, String dataCentre, long incarnation) {}
+public record RouterIdentity(
+        String vm,
+        String site,
+        String dataCentre,
+        long incarnation,
+        String address,
+        List<String> seeds) {
+    public RouterIdentity {
+        seeds = List.copyOf(seeds);
+    }
+
+    /** Identifies a router that is reached only by those who find it in the VM list. */
+    public RouterIdentity(String vm, String site, String dataCentre, long incarnation) {
+        this(vm, site, dataCentre, incarnation, "", List.of());
+    }
+}
--- a/rhubarbward-core/src/main/java/io/rhubarbward/node/RouterNode.java
+++ b/rhubarbward-core/src/main/java/io/rhubarbward/node/RouterNode.java
@@ -2,9 +2,11 @@
 
 import io.rhubarbward.admission.Admission;
 import io.rhubarbward.config.ClientAccount;
-import io.rhubarbward.config.ConfigFollower;
+import io.rhubarbward.config.ConfigDistribution;
+import io.rhubarbward.config.ConfigIdentity;
 import io.rhubarbward.config.Configuration;
 import io.rhubarbward.config.ConfigurationInForce;
+import io.rhubarbward.config.DataCentre;
 import io.rhubarbward.config.Settings;
 import io.rhubarbward.engine.BackendRegistry;
 import io.rhubarbward.engine.LoadPoller;
@@ -49,7 +51,7 @@
     private final RouterIdentity mIdentity;
     private final RouterPorts mPorts;
     private final ConfigurationInForce mConfiguration;
-    private final ConfigFollower mFollower;
+    private final ConfigDistribution mDistribution;
     private final Membership mMembership;
     private final BackendRegistry mRegistry;
     private final LoadPoller mPoller;
@@ -63,13 +65,6 @@
         mIdentity = identity;
         mPorts = ports;
         mConfiguration = new ConfigurationInForce(ports.events());
-        mFollower =
-                new ConfigFollower(
-                        identity.site(),
-                        ports.store(),
-                        mConfiguration,
-                        ports.timers(),
-                        ports.events());
         mMembership =
                 new Membership(
                         identity.vm(),
@@ -79,6 +74,7 @@
                         () -> new Heartbeat(identity.incarnation(), mConfiguration.generation()),
                         ports.timers(),
                         ports.events());
+        mDistribution = distribution();
         mRegistry = new BackendRegistry(ports.events());
         mPoller =
                 new LoadPoller(
@@ -88,6 +84,23 @@
         mRequests = new RequestService(mConfiguration, context());
     }
 
+    private ConfigDistribution distribution() {
+        return new ConfigDistribution(
+                new ConfigIdentity(
+                        mIdentity.vm(),
+                        mIdentity.site(),
+                        mIdentity.dataCentre(),
+                        mIdentity.address(),
+                        mIdentity.seeds()),
+                mConfiguration,
+                mMembership,
+                mPorts.store(),
+                mPorts.peers(),
+                mPorts.timers(),
+                mPorts.random(),
+                mPorts.events());
+    }
+
     private ExchangeContext context() {
         return new ExchangeContext(
                 mIdentity.dataCentre(),
@@ -107,7 +120,7 @@
         mPorts.events().log(LogEvent.ROUTER_STARTED, EventField.of("vm", mIdentity.vm()));
         mConfiguration.subscribe(this::onConfiguration);
         mMembership.subscribe(mRegistry::observe);
-        mFollower.start();
+        mDistribution.start();
         mMembership.start(VM_LIST_PERIOD, HEARTBEAT_PERIOD);
         mPoller.start();
     }
@@ -122,9 +135,19 @@
         return mRequests.serve(request, response);
     }
 
-    /** Returns whether the balancer may send requests here. */
+    /**
+     * Returns whether the balancer may send requests here: not while the router drains, has no
+     * configuration, is cut off from every source of changes, or stands in a data centre that is
+     * out. Requests that come all the same are served.
+     */
     public boolean ready() {
-        return !mDraining && mConfiguration.current().isPresent();
+        return !mDraining
+                && mDistribution.inContact()
+                && mConfiguration.settings().map(this::homeTakesWork).orElse(false);
+    }
+
+    private boolean homeTakesWork(Settings settings) {
+        return settings.dataCentre(mIdentity.dataCentre()).map(DataCentre::takesWork).orElse(true);
     }
 
     /** Returns the configuration in force. */
@@ -155,7 +178,7 @@
 
     private void awaitEnd(long limitMillis, java.util.function.IntConsumer onDrained) {
         if (mRequests.open() == 0 || mPorts.timers().nowMillis() >= limitMillis) {
-            mFollower.stop();
+            mDistribution.stop();
             onDrained.accept(mRequests.open());
         } else {
             mPorts.timers().after(DRAIN_CHECK_PERIOD, () -> awaitEnd(limitMillis, onDrained));
@@ -167,7 +190,7 @@
         Map<String, Object> dump = new TreeMap<>();
         dump.put("identity", mIdentity);
         List<StateSource> sources =
-                List.of(mConfiguration, mMembership, mRegistry, mQuotas, mRequests);
+                List.of(mConfiguration, mDistribution, mMembership, mRegistry, mQuotas, mRequests);
         sources.forEach(source -> dump.put(source.name(), source.state()));
         return dump;
     }
--- a/rhubarbward-core/src/test/java/io/rhubarbward/testing/FakePeers.java
+++ b/rhubarbward-core/src/test/java/io/rhubarbward/testing/FakePeers.java
@@ -46,12 +46,14 @@
         @Override
         public void send(Peer to, PeerMessage message) {
             if (!mCut.test(mVm, to.vm())) {
-                mTimers.after(DELAY, () -> deliver(to.vm(), message));
+                mTimers.after(DELAY, () -> deliver(to, message));
             }
         }
 
-        private void deliver(String to, PeerMessage message) {
-            Endpoint endpoint = mEndpoints.get(to);
+        private void deliver(Peer to, PeerMessage message) {
+            // A seed is known by its address only, which begins with the VM's name here.
+            String vm = to.address().replaceFirst(":.*", "");
+            Endpoint endpoint = mEndpoints.get(vm);
             if (endpoint != null) {
                 endpoint.mHandlers
                         .getOrDefault(message.getClass(), List.of())
--- /dev/null
+++ b/rhubarbward-core/src/test/java/io/rhubarbward/testing/PlatformLink.java
@@ -0,0 +1,91 @@
+package io.rhubarbward.testing;
+
+import io.rhubarbward.platform.EitherStage;
+import io.rhubarbward.platform.ObjectKey;
+import io.rhubarbward.platform.ObjectStore;
+import io.rhubarbward.platform.PlatformFailure;
+import io.rhubarbward.platform.StoredObject;
+import io.rhubarbward.platform.Vm;
+import io.rhubarbward.platform.VmList;
+import io.rhubarbward.platform.WatchBatch;
+import io.rhubarbward.platform.memory.MemoryObjectStore;
+import io.vavr.control.Either;
+import java.time.Duration;
+import java.util.List;
+import java.util.concurrent.CompletionStage;
+import java.util.function.Function;
+import java.util.function.Supplier;
+
+/** One router's connection to the platform, which can be cut. */
+public final class PlatformLink implements ObjectStore, VmList {
+    private final MemoryObjectStore mStore;
+    private final Supplier<List<Vm>> mVms;
+    private boolean mCut;
+
+    PlatformLink(MemoryObjectStore store, Supplier<List<Vm>> vms) {
+        mStore = store;
+        mVms = vms;
+    }
+
+    /** Cuts the connection, or mends it. */
+    public void cut(boolean cut) {
+        mCut = cut;
+    }
+
+    @Override
+    public CompletionStage<Either<PlatformFailure, List<Vm>>> read() {
+        boolean down = mCut || mStore.faults().down();
+        return down ? unavailable() : EitherStage.completed(Either.right(mVms.get()));
+    }
+
+    @Override
+    public CompletionStage<Either<PlatformFailure, StoredObject>> read(ObjectKey key) {
+        return call(store -> store.read(key));
+    }
+
+    @Override
+    public CompletionStage<Either<PlatformFailure, StoredObject>> create(
+            ObjectKey key, String value) {
+        return call(store -> store.create(key, value));
+    }
+
+    @Override
+    public CompletionStage<Either<PlatformFailure, StoredObject>> update(
+            ObjectKey key, String value, long expectedVersion) {
+        return call(store -> store.update(key, value, expectedVersion));
+    }
+
+    @Override
+    public CompletionStage<Either<PlatformFailure, ObjectKey>> delete(
+            ObjectKey key, long expectedVersion) {
+        return call(store -> store.delete(key, expectedVersion));
+    }
+
+    @Override
+    public CompletionStage<Either<PlatformFailure, List<Listed>>> list(String prefix) {
+        return call(store -> store.list(prefix));
+    }
+
+    @Override
+    public CompletionStage<Either<PlatformFailure, WatchBatch>> watch(
+            String prefix, long afterRevision, Duration wait) {
+        return call(store -> store.watch(prefix, afterRevision, wait));
+    }
+
+    private <T> CompletionStage<Either<PlatformFailure, T>> call(
+            Function<ObjectStore, CompletionStage<Either<PlatformFailure, T>>> call) {
+        return mCut
+                ? unavailable()
+                : call.apply(mStore).thenCompose(r -> mCut ? unavailable() : done(r));
+    }
+
+    private static <T> CompletionStage<Either<PlatformFailure, T>> done(
+            Either<PlatformFailure, T> result) {
+        return EitherStage.completed(result);
+    }
+
+    private static <T> CompletionStage<Either<PlatformFailure, T>> unavailable() {
+        return EitherStage.completed(
+                Either.left(new PlatformFailure.Unavailable(PlatformFailure.Reason.NO_CONNECTION)));
+    }
+}
--- a/rhubarbward-core/src/test/java/io/rhubarbward/testing/Site.java
+++ b/rhubarbward-core/src/test/java/io/rhubarbward/testing/Site.java
@@ -4,23 +4,26 @@
 import io.rhubarbward.config.ConfigStore;
 import io.rhubarbward.config.SettingsText;
 import io.rhubarbward.config.Sha256;
-import io.rhubarbward.event.EventLog;
+import io.rhubarbward.event.LogEvent;
 import io.rhubarbward.node.RouterIdentity;
 import io.rhubarbward.node.RouterNode;
 import io.rhubarbward.node.RouterPorts;
-import io.rhubarbward.platform.EitherStage;
 import io.rhubarbward.platform.Vm;
 import io.rhubarbward.platform.memory.MemoryObjectStore;
 import io.rhubarbward.request.CallerRequest;
 import io.rhubarbward.request.HeaderFields;
 import io.rhubarbward.timer.VirtualTimerService;
-import io.vavr.control.Either;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Objects;
+import java.util.Set;
 import java.util.SplittableRandom;
+import java.util.function.BiPredicate;
 
 /** Routers over one platform on virtual time, with fakes for everything outside. */
 public final class Site {
@@ -55,6 +58,9 @@
     private final FakeEngines mEngines = new FakeEngines();
     private final List<Vm> mVms = new ArrayList<>();
     private final List<RouterNode> mRouters = new ArrayList<>();
+    private final Map<String, PlatformLink> mLinks = new HashMap<>();
+    private final Set<String> mDead = new HashSet<>();
+    private final RecordingEvents mEvents = new RecordingEvents();
 
     /** Starts the number of routers in data centre dc-a under {@link #SETTINGS}. */
     public static Site start(int routers) {
@@ -68,30 +74,55 @@
         return site;
     }
 
-    /** Adds and starts a router. */
+    /** Adds and starts a router in data centre dc-a. */
     public RouterNode addRouter(String vm) {
-        mVms.add(new Vm(vm, "dc-a", Vm.Role.ROUTER, vm + ":1", Vm.State.LIVE, null, null));
+        return addRouter(vm, "dc-a", List.of());
+    }
+
+    /** Adds and starts a router that knows the addresses of some others. */
+    public RouterNode addRouter(String vm, String dataCentre, List<String> seeds) {
+        mVms.add(new Vm(vm, dataCentre, Vm.Role.ROUTER, vm + ":1", Vm.State.LIVE, null, null));
+        PlatformLink link = new PlatformLink(mStore, () -> List.copyOf(mVms));
         RouterNode node =
                 new RouterNode(
-                        new RouterIdentity(vm, "site", "dc-a", 1),
+                        new RouterIdentity(vm, "site", dataCentre, 1, vm + ":1", seeds),
                         new RouterPorts(
                                 mTimers,
                                 new SplittableRandom(mVms.size()),
-                                EventLog.none(),
-                                mStore,
-                                () -> EitherStage.completed(Either.right(List.copyOf(mVms))),
+                                mEvents,
+                                link,
+                                link,
                                 mBackends,
                                 mEngines,
                                 mPeers.endpoint(vm),
                                 new PrometheusRegistry()));
         mRouters.add(node);
+        mLinks.put(vm, link);
         node.start();
         return node;
     }
 
+    /** Ends a router without notice; the VM list still shows it. */
+    public void kill(RouterNode router, String vm) {
+        link(vm).cut(true);
+        mRouters.remove(router);
+        mDead.add(vm);
+        cutPeers((from, to) -> false);
+    }
+
+    /** Returns the connection between a router and the platform. */
+    public PlatformLink link(String vm) {
+        return Objects.requireNonNull(mLinks.get(vm));
+    }
+
+    /** Cuts these links between routers, besides those of the dead. */
+    public void cutPeers(BiPredicate<String, String> cut) {
+        mPeers.cut((from, to) -> mDead.contains(from) || mDead.contains(to) || cut.test(from, to));
+    }
+
     /** Accepts the settings as the next generation. */
     public void apply(String settings) {
-        new ConfigStore(mStore)
+        configs()
                 .apply(
                         new SettingsText("base.json", settings),
                         Map.of("site", new SettingsText("overlay.json", "{}")),
@@ -99,6 +130,11 @@
         mTimers.runDue();
     }
 
+    /** Returns the operators' way to accept configurations. */
+    public ConfigStore configs() {
+        return new ConfigStore(mStore);
+    }
+
     /** Returns a chat's request. */
     public static CallerRequest chat(String chat) {
         return request(
@@ -114,6 +150,11 @@
                 StandardCharsets.UTF_8.encode(body));
     }
 
+    /** Returns the events that routers have logged, in order. */
+    public List<LogEvent> logged() {
+        return mEvents.logged();
+    }
+
     public void advance(Duration duration) {
         mTimers.advance(duration);
     }
--- a/rhubarbward-daemon/src/main/java/io/rhubarbward/cli/RouterCommand.java
+++ b/rhubarbward-daemon/src/main/java/io/rhubarbward/cli/RouterCommand.java
@@ -1,7 +1,6 @@
 package io.rhubarbward.cli;
 
 import io.rhubarbward.config.ConfigFailure;
-import io.rhubarbward.config.SettingsReader;
 import io.rhubarbward.daemon.RouterDaemon;
 import io.rhubarbward.daemon.RouterProcessSettings;
 import io.rhubarbward.event.SystemEventLog;
@@ -26,7 +25,7 @@
     public ExitCode run(Namespace arguments, Console console) {
         Either<ConfigFailure, RouterProcessSettings> settings =
                 SettingsFiles.read(arguments.getString("settings"))
-                        .flatMap(text -> SettingsReader.readAs(RouterProcessSettings.class, text));
+                        .flatMap(RouterProcessSettings::read);
         if (settings.isLeft()) {
             ConfigFailure failure = settings.getLeft();
             return console.fail(ExitCode.of(failure), failure.message());
--- a/rhubarbward-daemon/src/main/java/io/rhubarbward/daemon/RouterDaemon.java
+++ b/rhubarbward-daemon/src/main/java/io/rhubarbward/daemon/RouterDaemon.java
@@ -84,8 +84,14 @@
     }
 
     private RouterIdentity identity(RouterProcessSettings settings) {
+        String host = RouterProcessSettings.address(settings.peers()).getHostString();
         return new RouterIdentity(
-                settings.vm(), settings.site(), settings.dataCentre(), mTimers.epochMillis());
+                settings.vm(),
+                settings.site(),
+                settings.dataCentre(),
+                mTimers.epochMillis(),
+                host + ":" + mPeers.port(),
+                settings.seeds());
     }
 
     private RouterPorts ports(RouterProcessSettings settings) {
--- a/rhubarbward-daemon/src/main/java/io/rhubarbward/daemon/RouterProcessSettings.java
+++ b/rhubarbward-daemon/src/main/java/io/rhubarbward/daemon/RouterProcessSettings.java
@@ -1,7 +1,12 @@
 package io.rhubarbward.daemon;
 
+import io.rhubarbward.config.ConfigFailure;
+import io.rhubarbward.config.SettingsReader;
+import io.rhubarbward.config.SettingsText;
+import io.vavr.control.Either;
 import java.net.InetSocketAddress;
 import java.net.URI;
+import java.util.List;
 
 /**
  * What one router process must know before it can ask the platform for anything.
@@ -21,6 +26,8 @@
  * @param callers host and port to listen on for callers and the balancer
  * @param operators host and port to listen on for metrics and dumps
  * @param peers host and port to listen on for other routers
+ * @param seeds host and port of routers to ask while the platform's VM list cannot be read; none by
+ *     default
  */
 public record RouterProcessSettings(
         String vm,
@@ -29,7 +36,31 @@
         String platform,
         String callers,
         String operators,
-        String peers) {
+        String peers,
+        List<String> seeds) {
+    private static final SettingsText DEFAULTS = new SettingsText("defaults", "{\"seeds\": []}");
+
+    public RouterProcessSettings {
+        seeds = List.copyOf(seeds);
+    }
+
+    /** Describes a process that knows no seeds. */
+    public RouterProcessSettings(
+            String vm,
+            String site,
+            String dataCentre,
+            String platform,
+            String callers,
+            String operators,
+            String peers) {
+        this(vm, site, dataCentre, platform, callers, operators, peers, List.of());
+    }
+
+    /** Reads the settings from JSON with comments. */
+    public static Either<ConfigFailure, RouterProcessSettings> read(SettingsText text) {
+        return SettingsReader.readAs(RouterProcessSettings.class, DEFAULTS, text);
+    }
+
     /** Returns the listening address of a setting. */
     static InetSocketAddress address(String hostAndPort) {
         URI uri = URI.create("tcp://" + hostAndPort);
--- a/rhubarbward-net/src/main/java/io/rhubarbward/net/peer/PeerCodecs.java
+++ b/rhubarbward-net/src/main/java/io/rhubarbward/net/peer/PeerCodecs.java
@@ -3,6 +3,7 @@
 import io.rhubarbward.gen.membership.HeartbeatStruct;
 import io.rhubarbward.membership.Heartbeat;
 import java.util.List;
+import java.util.stream.Stream;
 
 /** The codecs of all messages between routers. Kinds are given by slice: ten each. */
 public final class PeerCodecs {
@@ -19,6 +20,8 @@
 
     /** Returns all codecs. */
     public static List<PeerCodec<?, ?>> all() {
-        return List.of(HEARTBEAT);
+        return Stream.<List<PeerCodec<?, ?>>>of(List.of(HEARTBEAT), ConfigCodecs.all())
+                .flatMap(List::stream)
+                .toList();
     }
 }
