Test a data centre that is taken out and comes back

Cause: a data centre that is out must get no new work after 3 s, and running streams must finish.

Measured by DataCentreOutTest with 9 routers: 3 s after the order none of 60 chats goes there, the open stream ends whole, and once back each chat is at its former engine.

--- /dev/null
+++ b/rhubarbward-core/src/test/java/io/rhubarbward/node/DataCentreOutTest.java
@@ -0,0 +1,93 @@
+package io.rhubarbward.node;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import io.rhubarbward.config.DataCentre;
+import io.rhubarbward.testing.FakeBackends;
+import io.rhubarbward.testing.RecordingResponse;
+import io.rhubarbward.testing.Site;
+import java.time.Duration;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.stream.IntStream;
+import org.junit.jupiter.api.Test;
+
+final class DataCentreOutTest {
+    private static final int OK = 200;
+    private static final int ROUTERS = 9;
+    private static final int CHATS = 60;
+    private static final Duration LIMIT = Duration.ofSeconds(3);
+
+    @Test
+    void noNewWorkGoesToADataCentreThatIsOutAndRunningStreamsFinish() {
+        Site site = Site.start(ROUTERS);
+        RecordingResponse response = new RecordingResponse();
+        FakeBackends.Sent running = openStreamIn(site, "engine-3", response);
+        order(site, "dc-b", DataCentre.State.OUT);
+        site.advance(LIMIT);
+        assertThat(serversOfNewChats(site).values()).doesNotContain("engine-3");
+        running.head(OK, "text/event-stream").part("data: end\n\n").complete();
+        assertThat(response.finished()).isTrue();
+        assertThat(response.aborted()).isFalse();
+    }
+
+    @Test
+    void chatsReturnToTheirHomeEngineWhenTheDataCentreIsBack() {
+        Site site = Site.start(ROUTERS);
+        Map<String, String> before = serversOfNewChats(site);
+        assertThat(before.values()).contains("engine-3");
+        order(site, "dc-b", DataCentre.State.OUT);
+        site.advance(LIMIT);
+        assertThat(serversOfNewChats(site).values()).doesNotContain("engine-3");
+        order(site, "dc-b", DataCentre.State.IN);
+        site.advance(LIMIT);
+        assertThat(serversOfNewChats(site)).isEqualTo(before);
+    }
+
+    @Test
+    void routersOfADataCentreThatIsOutAreNotReady() {
+        Site site = Site.start(2);
+        RouterNode elsewhere = site.addRouter("entry-b", "dc-b", List.of());
+        site.advance(LIMIT);
+        assertThat(elsewhere.ready()).isTrue();
+        order(site, "dc-b", DataCentre.State.OUT);
+        site.advance(LIMIT);
+        assertThat(elsewhere.ready()).isFalse();
+        assertThat(site.router(0).ready()).isTrue();
+    }
+
+    private static void order(Site site, String name, DataCentre.State state) {
+        site.configs().dataCentres().order(name, state, name + site.timers().nowMillis());
+        site.timers().runDue();
+    }
+
+    private static FakeBackends.Sent openStreamIn(
+            Site site, String server, RecordingResponse response) {
+        String chat =
+                serversOfNewChats(site).entrySet().stream()
+                        .filter(entry -> entry.getValue().equals(server))
+                        .map(Map.Entry::getKey)
+                        .findFirst()
+                        .orElseThrow();
+        site.router(0).serve(Site.chat(chat), response);
+        site.advance(Duration.ZERO);
+        return site.backends().last();
+    }
+
+    /** Serves each chat to its end, at one router after another. */
+    private static Map<String, String> serversOfNewChats(Site site) {
+        Map<String, String> servers = new TreeMap<>();
+        IntStream.range(0, CHATS)
+                .forEach(
+                        number -> {
+                            String chat = "chat-" + number;
+                            RouterNode router = site.router(number % site.routers().size());
+                            router.serve(Site.chat(chat), new RecordingResponse());
+                            site.advance(Duration.ZERO);
+                            servers.put(chat, site.backends().last().server());
+                            site.backends().last().head(OK, "application/json").complete();
+                        });
+        return servers;
+    }
+}
