--- a/rhubarbward-core/src/main/java/io/rhubarbward/node/RouterIdentity.java
+++ b/rhubarbward-core/src/main/java/io/rhubarbward/node/RouterIdentity.java
@@ -27,4 +27,13 @@
     public RouterIdentity(String vm, String site, String dataCentre, long incarnation) {
         this(vm, site, dataCentre, incarnation, "", List.of());
     }
+
+    /** Returns a text that no other router and no other start of this one uses. */
+    String noncePrefix(long random) {
+        return vm
+                + "."
+                + Long.toString(incarnation, Character.MAX_RADIX)
+                + "."
+                + Long.toHexString(random);
+    }
 }
--- a/rhubarbward-core/src/test/java/io/rhubarbward/testing/Site.java
+++ b/rhubarbward-core/src/test/java/io/rhubarbward/testing/Site.java
@@ -56,6 +56,7 @@
     private final FakePeers mPeers = new FakePeers(mTimers);
     private final FakeBackends mBackends = new FakeBackends();
     private final FakeEngines mEngines = new FakeEngines();
+    private final FakeEngineOrders mOrders = new FakeEngineOrders(mTimers);
     private final List<Vm> mVms = new ArrayList<>();
     private final List<RouterNode> mRouters = new ArrayList<>();
     private final Map<String, PlatformLink> mLinks = new HashMap<>();
@@ -94,6 +95,7 @@
                                 link,
                                 mBackends,
                                 mEngines,
+                                mOrders,
                                 mPeers.endpoint(vm),
                                 new PrometheusRegistry()));
         mRouters.add(node);
@@ -179,6 +181,10 @@
         return mEngines;
     }
 
+    public FakeEngineOrders orders() {
+        return mOrders;
+    }
+
     public List<Vm> vms() {
         return mVms;
     }
--- a/rhubarbward-net/src/main/java/io/rhubarbward/net/peer/PeerCodecs.java
+++ b/rhubarbward-net/src/main/java/io/rhubarbward/net/peer/PeerCodecs.java
@@ -20,7 +20,8 @@
 
     /** Returns all codecs. */
     public static List<PeerCodec<?, ?>> all() {
-        return Stream.<List<PeerCodec<?, ?>>>of(List.of(HEARTBEAT), ConfigCodecs.all())
+        return Stream.<List<PeerCodec<?, ?>>>of(
+                        List.of(HEARTBEAT), MoveCodecs.all(), ConfigCodecs.all())
                 .flatMap(List::stream)
                 .toList();
     }
