Keep each router's calls to the platform within its budget

Cause: control.platformReadsPerSecond and platformWritesPerSecond were settings that nothing enforced.

Change: a token bucket for reads and one for writes around the store.

Left: a shared outage state with backoff for all slices; the watch of the relays backs off with jitter on its own.

--- a/rhubarbward-core/src/main/java/io/rhubarbward/config/SettingsReader.java
+++ b/rhubarbward-core/src/main/java/io/rhubarbward/config/SettingsReader.java
@@ -64,6 +64,14 @@
         return bind(merged);
     }
 
+    /** Returns the settings that hold before any configuration has been taken. */
+    public static Settings defaults() {
+        return new SettingsReader()
+                .read(List.of())
+                .getOrElseThrow(
+                        failure -> new IllegalStateException("defaults: " + failure.message()));
+    }
+
     /** Merges checked trees over the defaults; nothing tells where a value stands. */
     Either<ConfigFailure, Settings> readTrees(List<ObjectNode> trees) {
         SettingsDocument defaults = parseDefaults();
--- a/rhubarbward-core/src/main/java/io/rhubarbward/node/RouterNode.java
+++ b/rhubarbward-core/src/main/java/io/rhubarbward/node/RouterNode.java
@@ -8,6 +8,7 @@
 import io.rhubarbward.config.ConfigurationInForce;
 import io.rhubarbward.config.DataCentre;
 import io.rhubarbward.config.Settings;
+import io.rhubarbward.config.SettingsReader;
 import io.rhubarbward.engine.BackendRegistry;
 import io.rhubarbward.engine.BackendStatus;
 import io.rhubarbward.engine.LoadPoller;
@@ -16,6 +17,7 @@
 import io.rhubarbward.membership.Heartbeat;
 import io.rhubarbward.membership.Membership;
 import io.rhubarbward.move.Moves;
+import io.rhubarbward.platform.BudgetedObjectStore;
 import io.rhubarbward.quota.LocalQuotaService;
 import io.rhubarbward.quota.QuotaCapacity;
 import io.rhubarbward.quota.QuotaKey;
@@ -54,6 +56,7 @@
 
     private final RouterIdentity mIdentity;
     private final RouterPorts mPorts;
+    private final BudgetedObjectStore mStore;
     private final ConfigurationInForce mConfiguration;
     private final ConfigDistribution mDistribution;
     private final Membership mMembership;
@@ -71,6 +74,9 @@
     public RouterNode(RouterIdentity identity, RouterPorts ports) {
         mIdentity = identity;
         mPorts = ports;
+        mStore =
+                new BudgetedObjectStore(
+                        ports.store(), ports.timers(), budget(SettingsReader.defaults()));
         mConfiguration = new ConfigurationInForce(ports.events());
         mMembership =
                 new Membership(
@@ -90,9 +96,7 @@
         mAdmission = new Admission(mQuotas);
         mClaims =
                 new ClaimStore(
-                        ports.store(),
-                        ports.timers(),
-                        identity.noncePrefix(ports.random().nextLong()));
+                        mStore, ports.timers(), identity.noncePrefix(ports.random().nextLong()));
         mMoves =
                 new Moves(
                         new Moves.Self(
@@ -101,7 +105,7 @@
                                 ports.timers(),
                                 ports.random(),
                                 ports.events()),
-                        ports.store(),
+                        mStore,
                         ports.orders(),
                         mMembership,
                         ports.peers(),
@@ -120,7 +124,7 @@
                         mIdentity.seeds()),
                 mConfiguration,
                 mMembership,
-                mPorts.store(),
+                mStore,
                 mPorts.peers(),
                 mPorts.timers(),
                 mPorts.random(),
@@ -162,6 +166,7 @@
     }
 
     private void onConfiguration(Configuration configuration) {
+        mStore.budget(budget(configuration.settings()));
         mRegistry.configure(configuration.settings());
         mAdmission.configure(configuration.settings());
     }
@@ -258,6 +263,12 @@
         return QuotaCapacity.concurrency(Integer.MAX_VALUE);
     }
 
+    private static BudgetedObjectStore.Budget budget(Settings settings) {
+        return new BudgetedObjectStore.Budget(
+                settings.control().platformReadsPerSecond(),
+                settings.control().platformWritesPerSecond());
+    }
+
     private static QuotaCapacity rate(ClientAccount account) {
         return QuotaCapacity.rate(account.requestsPerSecond(), account.burst());
     }
