Let a router that its peers do not list yet ask them

Change: every router asks one random peer or seed each second for a newer head, and each 300 ms before its first configuration; a silent peer is given up after 300 ms.

--- a/rhubarbward-core/src/main/java/io/rhubarbward/config/ConfigPeers.java
+++ b/rhubarbward-core/src/main/java/io/rhubarbward/config/ConfigPeers.java
@@ -124,13 +124,22 @@
                 .orElseGet(() -> new Peer(vm, mIdentity.dataCentre(), replyTo));
     }
 
-    /** Returns a seed: a router to ask while no other is known. */
-    Optional<Peer> seed() {
-        List<String> seeds = mIdentity.seeds();
-        return seeds.isEmpty()
+    /**
+     * Returns a router to ask while none has been heard: of the own data centre if the platform's
+     * list names one, or a seed.
+     */
+    Optional<Peer> anybody() {
+        List<Peer> near = colleagues().toList();
+        Stream<Peer> listed = near.isEmpty() ? mMembership.peers().stream() : near.stream();
+        List<Peer> known =
+                Stream.concat(listed, mIdentity.seeds().stream().map(this::seed)).toList();
+        return known.isEmpty()
                 ? Optional.empty()
-                : Optional.of(seeds.get(mRandom.nextInt(seeds.size())))
-                        .map(address -> new Peer(address, mIdentity.dataCentre(), address));
+                : Optional.of(known.get(mRandom.nextInt(known.size())));
+    }
+
+    private Peer seed(String address) {
+        return new Peer(address, mIdentity.dataCentre(), address);
     }
 
     /**
--- a/rhubarbward-core/src/main/java/io/rhubarbward/config/PeerPull.java
+++ b/rhubarbward-core/src/main/java/io/rhubarbward/config/PeerPull.java
@@ -11,7 +11,6 @@
 import io.rhubarbward.timer.TimerService;
 import java.time.Duration;
 import java.util.List;
-import java.util.Optional;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -22,8 +21,9 @@
  * up for another; what it had sent is kept.
  */
 final class PeerPull {
-    private static final Duration CHECK_PERIOD = Duration.ofMillis(250);
-    private static final Duration IDLE_LIMIT = Duration.ofMillis(500);
+    private static final Duration CHECK_PERIOD = Duration.ofMillis(100);
+    private static final Duration IDLE_LIMIT = Duration.ofMillis(300);
+    private static final Duration PROBE_PERIOD = Duration.ofSeconds(1);
     private static final Duration REFUSAL_PAUSE = Duration.ofSeconds(5);
     private static final int CHUNKS_PER_REQUEST = 16;
 
@@ -36,6 +36,8 @@
     private @Nullable Pull mPull;
     private long mRefusedGeneration;
     private long mRefusedMillis;
+    private @Nullable Peer mProbed;
+    private long mProbedMillis = -PROBE_PERIOD.toMillis();
 
     PeerPull(
             ConfigIdentity identity,
@@ -77,16 +79,36 @@
             mPull = null;
         }
         pullIfBehind();
+        probe();
     }
 
     private void pullIfBehind() {
         if (mPull != null) {
             return;
         }
-        Optional<Peer> ahead = mPeers.ahead(floor()).stream().findFirst();
-        // Nobody was heard: a seed may be ahead, and its answer shows that it lives.
-        boolean askSeed = mReplica.generation() == 0 || mPeers.alone();
-        ahead.or(() -> askSeed ? mPeers.seed() : Optional.empty()).ifPresent(this::pull);
+        mPeers.ahead(floor()).stream().findFirst().ifPresent(this::pull);
+    }
+
+    /**
+     * Asks some router for what is newer, each second and more often before the first
+     * configuration: others learn of a new router only with their next VM list, and until then
+     * neither their heartbeats nor their offers reach it.
+     */
+    private void probe() {
+        Duration period = mReplica.generation() == 0 ? IDLE_LIMIT : PROBE_PERIOD;
+        if (mTimers.nowMillis() - mProbedMillis >= period.toMillis()) {
+            mPeers.anybody().ifPresent(this::probe);
+        }
+    }
+
+    private void probe(Peer peer) {
+        mProbedMillis = mTimers.nowMillis();
+        mProbed = peer;
+        requestHead(peer);
+    }
+
+    private void requestHead(Peer peer) {
+        mTransport.send(peer, new HeadRequest(mIdentity.site(), floor(), mIdentity.address()));
     }
 
     /** What a peer must be above; a refused generation is not asked for again at once. */
@@ -102,17 +124,20 @@
 
     private void pull(Peer from) {
         mPull = new Pull(from, null, mTimers.nowMillis());
-        mTransport.send(from, new HeadRequest(mIdentity.site(), floor(), mIdentity.address()));
+        requestHead(from);
     }
 
     private void onHead(String vm, HeadAnswer answer) {
         mPeers.heard(vm, answer.head().generation());
         Pull pull = mPull;
-        if (pull == null || pull.head() != null) {
-            return;
+        boolean busy = pull != null && pull.head() != null;
+        if (!busy) {
+            // Who is not in the VM list is the seed that was asked.
+            Peer asked = pull != null ? pull.from() : mProbed;
+            String address = asked == null ? "" : asked.address();
+            Peer from = mPeers.peer(vm, address);
+            requestMissing(new Pull(from, answer.head(), mTimers.nowMillis()));
         }
-        Peer from = mPeers.peer(vm, pull.from().address());
-        requestMissing(new Pull(from, answer.head(), mTimers.nowMillis()));
     }
 
     private void onChunks(String vm, ChunkAnswer answer) {
@@ -133,7 +158,9 @@
         SiteHead head = pull.head();
         if (head == null || !mReplica.wants(head)) {
             mPull = null;
-            Optional.ofNullable(head).ifPresent(this::refused);
+            if (head != null) {
+                refused(head);
+            }
             return;
         }
         List<String> missing = mReplica.missing(head);
--- a/rhubarbward-core/src/test/java/io/rhubarbward/config/ConfigDistributionTest.java
+++ b/rhubarbward-core/src/test/java/io/rhubarbward/config/ConfigDistributionTest.java
@@ -70,6 +70,18 @@
         assertThat(lowest(site)).isEqualTo(2);
     }
 
+    @Test
+    void aNewRouterThatPeersDoNotListYetAsksThem() {
+        Site site = Site.start(3);
+        site.vms().forEach(vm -> site.link(vm.name()).freezeVms());
+        RouterNode unlisted = site.addRouter("entry-4");
+        site.advance(Duration.ofSeconds(1));
+        site.link("entry-4").cut(true);
+        site.apply(Site.SETTINGS);
+        site.advance(IN_FORCE_LIMIT);
+        assertThat(unlisted.configuration().orElseThrow().generation()).isEqualTo(2);
+    }
+
     @Test
     void aRouterCutOffFromPeersAsksThePlatform() {
         Site site = Site.start(ROUTERS);
--- a/rhubarbward-core/src/test/java/io/rhubarbward/testing/PlatformLink.java
+++ b/rhubarbward-core/src/test/java/io/rhubarbward/testing/PlatformLink.java
@@ -19,7 +19,7 @@
 /** One router's connection to the platform, which can be cut. */
 public final class PlatformLink implements ObjectStore, VmList {
     private final MemoryObjectStore mStore;
-    private final Supplier<List<Vm>> mVms;
+    private Supplier<List<Vm>> mVms;
     private boolean mCut;
 
     PlatformLink(MemoryObjectStore store, Supplier<List<Vm>> vms) {
@@ -32,6 +32,12 @@
         mCut = cut;
     }
 
+    /** Shows the VM list as it is now from now on. */
+    public void freezeVms() {
+        List<Vm> frozen = mVms.get();
+        mVms = () -> frozen;
+    }
+
     @Override
     public CompletionStage<Either<PlatformFailure, List<Vm>>> read() {
         boolean down = mCut || mStore.faults().down();
