--- a/rhubarbward-core/src/main/java/io/rhubarbward/config/ConfigPeers.java
+++ b/rhubarbward-core/src/main/java/io/rhubarbward/config/ConfigPeers.java
@@ -3,6 +3,7 @@
 import io.rhubarbward.membership.Heartbeat;
 import io.rhubarbward.membership.Membership;
 import io.rhubarbward.membership.Peer;
+import io.rhubarbward.platform.Vm;
 import io.rhubarbward.timer.TimerService;
 import java.time.Duration;
 import java.util.ArrayList;
@@ -26,6 +27,7 @@
     private final TimerService mTimers;
     private final RandomGenerator mRandom;
     private final Map<String, Heard> mHeard = new TreeMap<>();
+    private List<Vm> mListed = List.of();
     private long mStartMillis;
     private long mHeardMillis;
 
@@ -43,6 +45,7 @@
     void start() {
         mStartMillis = mTimers.nowMillis();
         mHeardMillis = mStartMillis;
+        mMembership.subscribe(vms -> mListed = vms);
     }
 
     void onHeartbeat(String vm, Heartbeat heartbeat) {
@@ -65,9 +68,13 @@
         return mTimers.nowMillis() - mHeardMillis > FRESH.toMillis();
     }
 
-    /** Returns whether the platform's list names another router. */
+    /** Returns whether there is another router to hear. */
     boolean knowsAny() {
-        return !mMembership.peers().isEmpty() || !mIdentity.seeds().isEmpty();
+        boolean listed =
+                mListed.stream()
+                        .filter(vm -> vm.role() == Vm.Role.ROUTER)
+                        .anyMatch(vm -> !vm.name().equals(mIdentity.vm()));
+        return listed || !mMembership.peers().isEmpty() || !mIdentity.seeds().isEmpty();
     }
 
     private boolean fresh(Heard heard) {
@@ -161,22 +168,28 @@
         return heard != null && fresh(heard);
     }
 
-    /** Returns the last generation heard from each router of the own data centre; 0 for none. */
+    /**
+     * Returns the last generation heard from each router of the own data centre; 0 for none. Those
+     * that are listed and silent are among them, since they may well be serving.
+     */
     Map<String, Long> generations(long own) {
         Map<String, Long> generations = new TreeMap<>();
+        Stream<String> listed =
+                mListed.stream()
+                        .filter(vm -> vm.role() == Vm.Role.ROUTER)
+                        .filter(vm -> vm.state() == Vm.State.LIVE)
+                        .filter(vm -> vm.dataCentre().equals(mIdentity.dataCentre()))
+                        .map(Vm::name);
+        Stream.concat(listed, colleagues().map(Peer::vm))
+                .forEach(vm -> generations.put(vm, lastGeneration(vm)));
         generations.put(mIdentity.vm(), own);
-        colleagues()
-                .map(Peer::vm)
-                .forEach(
-                        vm ->
-                                generations.put(
-                                        vm,
-                                        Optional.ofNullable(mHeard.get(vm))
-                                                .map(Heard::generation)
-                                                .orElse(0L)));
         return generations;
     }
 
+    private long lastGeneration(String vm) {
+        return Optional.ofNullable(mHeard.get(vm)).map(Heard::generation).orElse(0L);
+    }
+
     /**
      * The newest word of a peer.
      *
--- a/rhubarbward-core/src/test/java/io/rhubarbward/node/DataCentreOutTest.java
+++ b/rhubarbward-core/src/test/java/io/rhubarbward/node/DataCentreOutTest.java
@@ -18,6 +18,7 @@
     private static final int ROUTERS = 9;
     private static final int CHATS = 60;
     private static final Duration LIMIT = Duration.ofSeconds(3);
+    private static final Duration PERMIT_EXCHANGE = Duration.ofMillis(20);
 
     @Test
     void noNewWorkGoesToADataCentreThatIsOutAndRunningStreamsFinish() {
@@ -71,7 +72,7 @@
                         .findFirst()
                         .orElseThrow();
         site.router(0).serve(Site.chat(chat), response);
-        site.advance(Duration.ZERO);
+        site.advance(PERMIT_EXCHANGE);
         return site.backends().last();
     }
 
@@ -84,7 +85,7 @@
                             String chat = "chat-" + number;
                             RouterNode router = site.router(number % site.routers().size());
                             router.serve(Site.chat(chat), new RecordingResponse());
-                            site.advance(Duration.ZERO);
+                            site.advance(PERMIT_EXCHANGE);
                             servers.put(chat, site.backends().last().server());
                             site.backends().last().head(OK, "application/json").complete();
                         });
