--- a/rhubarbward-core/src/main/java/io/rhubarbward/node/RouterNode.java
+++ b/rhubarbward-core/src/main/java/io/rhubarbward/node/RouterNode.java
@@ -2,10 +2,13 @@
 
 import io.rhubarbward.admission.Admission;
 import io.rhubarbward.config.ClientAccount;
-import io.rhubarbward.config.ConfigFollower;
+import io.rhubarbward.config.ConfigDistribution;
+import io.rhubarbward.config.ConfigIdentity;
 import io.rhubarbward.config.Configuration;
 import io.rhubarbward.config.ConfigurationInForce;
+import io.rhubarbward.config.DataCentre;
 import io.rhubarbward.config.Settings;
+import io.rhubarbward.config.SettingsReader;
 import io.rhubarbward.engine.BackendRegistry;
 import io.rhubarbward.engine.BackendStatus;
 import io.rhubarbward.engine.LoadPoller;
@@ -14,6 +17,7 @@
 import io.rhubarbward.membership.Heartbeat;
 import io.rhubarbward.membership.Membership;
 import io.rhubarbward.move.Moves;
+import io.rhubarbward.platform.BudgetedObjectStore;
 import io.rhubarbward.quota.LeasedQuotaService;
 import io.rhubarbward.quota.QuotaCapacity;
 import io.rhubarbward.quota.QuotaKey;
@@ -54,8 +58,9 @@
 
     private final RouterIdentity mIdentity;
     private final RouterPorts mPorts;
+    private final BudgetedObjectStore mStore;
     private final ConfigurationInForce mConfiguration;
-    private final ConfigFollower mFollower;
+    private final ConfigDistribution mDistribution;
     private final Membership mMembership;
     private final BackendRegistry mRegistry;
     private final LoadPoller mPoller;
@@ -72,14 +77,10 @@
     public RouterNode(RouterIdentity identity, RouterPorts ports) {
         mIdentity = identity;
         mPorts = ports;
+        mStore =
+                new BudgetedObjectStore(
+                        ports.store(), ports.timers(), budget(SettingsReader.defaults()));
         mConfiguration = new ConfigurationInForce(ports.events());
-        mFollower =
-                new ConfigFollower(
-                        identity.site(),
-                        ports.store(),
-                        mConfiguration,
-                        ports.timers(),
-                        ports.events());
         mMembership =
                 new Membership(
                         identity.vm(),
@@ -89,6 +90,7 @@
                         () -> new Heartbeat(identity.incarnation(), mConfiguration.generation()),
                         ports.timers(),
                         ports.events());
+        mDistribution = distribution();
         mRegistry = new BackendRegistry(ports.events(), ports.timers());
         mPoller =
                 new LoadPoller(
@@ -104,7 +106,7 @@
         mAdmission = new Admission(mQuotas, ports.timers());
         mClaims =
                 new ClaimStore(
-                        ports.store(),
+                        mStore,
                         ports.timers(),
                         identity.noncePrefix(ports.random().nextLong()));
         mQuarantine =
@@ -136,7 +138,7 @@
                         mPorts.timers(),
                         mPorts.random(),
                         mPorts.events()),
-                mPorts.store(),
+                mStore,
                 mPorts.orders(),
                 mMembership,
                 mPorts.peers(),
@@ -144,6 +146,23 @@
                 mConfiguration::settings);
     }
 
+    private ConfigDistribution distribution() {
+        return new ConfigDistribution(
+                new ConfigIdentity(
+                        mIdentity.vm(),
+                        mIdentity.site(),
+                        mIdentity.dataCentre(),
+                        mIdentity.address(),
+                        mIdentity.seeds()),
+                mConfiguration,
+                mMembership,
+                mStore,
+                mPorts.peers(),
+                mPorts.timers(),
+                mPorts.random(),
+                mPorts.events());
+    }
+
     private ExchangeContext context() {
         return new ExchangeContext(
                 mIdentity.dataCentre(),
@@ -168,7 +187,7 @@
         mCallObservers.subscribe(this::countCompleted);
         mAdmission.waitingRoom().start();
         RequestSlice.connect(mQuarantine, mMembership, mPorts.peers());
-        mFollower.start();
+        mDistribution.start();
         mQuotas.start();
         mMembership.start(VM_LIST_PERIOD, HEARTBEAT_PERIOD);
         mPoller.start();
@@ -184,6 +203,7 @@
     }
 
     private void onConfiguration(Configuration configuration) {
+        mStore.budget(budget(configuration.settings()));
         mRegistry.configure(configuration.settings());
         mAdmission.configure(configuration.settings());
     }
@@ -193,9 +213,20 @@
         return mRequests.serve(request, response);
     }
 
-    /** Returns whether the balancer may send requests here. */
+    /**
+     * Returns whether the balancer may send requests here: not while the router drains, has no
+     * configuration, is cut off from every source of changes, or stands in a data centre that is
+     * out. Requests that come all the same are served.
+     */
     public boolean ready() {
-        return !mDraining && mConfiguration.current().isPresent() && mMoves.known();
+        return !mDraining
+                && mDistribution.inContact()
+                && mConfiguration.settings().map(this::homeTakesWork).orElse(false)
+                && mMoves.known();
+    }
+
+    private boolean homeTakesWork(Settings settings) {
+        return settings.dataCentre(mIdentity.dataCentre()).map(DataCentre::takesWork).orElse(true);
     }
 
     /** Returns the configuration in force. */
@@ -231,7 +262,7 @@
 
     private void awaitEnd(long limitMillis, java.util.function.IntConsumer onDrained) {
         if (mRequests.open() == 0 || mPorts.timers().nowMillis() >= limitMillis) {
-            mFollower.stop();
+            mDistribution.stop();
             onDrained.accept(mRequests.open());
         } else {
             mPorts.timers().after(DRAIN_CHECK_PERIOD, () -> awaitEnd(limitMillis, onDrained));
@@ -245,6 +276,7 @@
         List<StateSource> sources =
                 List.of(
                         mConfiguration,
+                        mDistribution,
                         mMembership,
                         mRegistry,
                         mQuotas,
@@ -274,6 +306,12 @@
         return QuotaCapacity.concurrency(Integer.MAX_VALUE);
     }
 
+    private static BudgetedObjectStore.Budget budget(Settings settings) {
+        return new BudgetedObjectStore.Budget(
+                settings.control().platformReadsPerSecond(),
+                settings.control().platformWritesPerSecond());
+    }
+
     private static QuotaCapacity rate(ClientAccount account) {
         return QuotaCapacity.rate(account.requestsPerSecond(), account.burst());
     }
--- a/rhubarbward-core/src/main/java/io/rhubarbward/platform/memory/MemoryObjectStore.java
+++ b/rhubarbward-core/src/main/java/io/rhubarbward/platform/memory/MemoryObjectStore.java
@@ -73,9 +73,9 @@
         mForgottenRevision = mRevision;
     }
 
-    /** Returns how many watches wait now. */
-    public int waitingWatches() {
-        return mWaiters.size();
+    /** Returns how many watches of the prefix wait now. */
+    public long waitingWatches(String prefix) {
+        return mWaiters.stream().filter(waiter -> waiter.mPrefix.equals(prefix)).count();
     }
 
     /** Returns how many reads, lists and watches were called. */
