--- a/rhubarbward-daemon/src/main/java/io/rhubarbward/cli/ExitCode.java
+++ b/rhubarbward-daemon/src/main/java/io/rhubarbward/cli/ExitCode.java
@@ -1,6 +1,7 @@
 package io.rhubarbward.cli;
 
 import io.rhubarbward.config.ConfigFailure;
+import io.rhubarbward.move.RolloutFailure;
 
 /** How a command ended. */
 public enum ExitCode {
@@ -11,7 +12,10 @@
     CONFLICT(4, "another operator's change came first"),
     PLATFORM(5, "the platform did not carry it out"),
     UNREACHABLE(6, "the process asked did not answer"),
-    CUT_REQUESTS(7, "a planned stop had to cut requests");
+    CUT_REQUESTS(7, "a planned stop had to cut requests"),
+    TAKEN_BACK(20, "the rollout was taken back"),
+    LATE(21, "the rollout is late, or predicted to be"),
+    NOT_ENDED(22, "the rollout has not ended within the limit");
 
     private final int mStatus;
     private final String mMeaning;
@@ -31,6 +35,14 @@
         return mMeaning;
     }
 
+    /** Returns the code for a failure of a rollout's change. */
+    static ExitCode of(RolloutFailure failure) {
+        boolean platform =
+                failure instanceof RolloutFailure.Platform
+                        || failure instanceof RolloutFailure.Corrupt;
+        return platform ? PLATFORM : CONFLICT;
+    }
+
     /** Returns the code for a failure of the configuration. */
     static ExitCode of(ConfigFailure failure) {
         if (failure instanceof ConfigFailure.ChangedMeanwhile) {
--- a/rhubarbward-daemon/src/main/java/io/rhubarbward/cli/Main.java
+++ b/rhubarbward-daemon/src/main/java/io/rhubarbward/cli/Main.java
@@ -20,6 +20,7 @@
                     new DemoCommand(),
                     new StandinCommand(),
                     new ConfigCommand(),
+                    new MoveCommand(),
                     new DumpCommand());
 
     private Main() {}
