Test moves through outages, pauses and races; judge single routes

Cause: a call's route was its service's path prefix, so that a fault on one route of a service was thinned by the others; and a controller that its peers could not reach kept the lease and stepped on by its own calls alone.

Change: an outcome names the caller's path, and a plan's rules name the routes that are judged on their own. A controller that fewer than half of the routers report to lets its lease lapse and steps nothing on.

--- a/rhubarbward-core/src/main/java/io/rhubarbward/move/Moves.java
+++ b/rhubarbward-core/src/main/java/io/rhubarbward/move/Moves.java
@@ -34,6 +34,7 @@
     private static final Duration TICK = Duration.ofSeconds(1);
     private static final int REPORTS_PER_SECOND = 50;
     private static final int MAX_ROWS = 64;
+    private static final int MISSED_REPORTS = 4;
 
     private final String mVm;
     private final Membership mMembership;
@@ -45,7 +46,7 @@
     private final VersionTally mTally;
     private final MoveLease mLease;
     private final RolloutController mController;
-    private final Map<String, Long> mLastReports = new HashMap<>();
+    private final Map<String, Heard> mHeard = new HashMap<>();
     private long mReports;
     private long mTicks;
     private boolean mControls;
@@ -117,11 +118,12 @@
         }
         boolean controls = controller().equals(mVm);
         if (controls) {
-            mController.tick();
+            mController.tick(hearsHalf());
         } else if (mControls) {
             mController.handOver();
         }
         mControls = controls;
+        mHeard.keySet().retainAll(mMembership.peers().stream().map(Peer::vm).toList());
     }
 
     /** Keeps what the controller hears a second bounded, however many routers there are. */
@@ -140,7 +142,7 @@
         VersionReport report =
                 new VersionReport(
                         ++mReports, rows.stream().limit(MAX_ROWS).toList(), mBoard.stops());
-        if (rows.isEmpty() && report.stopped().isEmpty()) {
+        if (rows.isEmpty() && mBoard.underWay().isEmpty()) {
             return;
         }
         String controller = controller();
@@ -152,13 +154,25 @@
     }
 
     private void onReport(String from, VersionReport report) {
-        @Nullable Long last = mLastReports.put(from, report.sequence());
-        boolean repeated = last != null && last == report.sequence();
+        @Nullable Heard last = mHeard.put(from, new Heard(report.sequence(), mTimers.nowMillis()));
+        boolean repeated = last != null && last.sequence() == report.sequence();
         if (!repeated) {
             mController.onReport(from, report);
         }
     }
 
+    /** A controller that half of the routers cannot reach has too little to judge by. */
+    private boolean hearsHalf() {
+        List<Peer> peers = mMembership.peers();
+        long oldest = mTimers.nowMillis() - MISSED_REPORTS * reportTicks() * TICK.toMillis();
+        long heard =
+                peers.stream()
+                        .map(peer -> mHeard.get(peer.vm()))
+                        .filter(last -> last != null && last.atMillis() >= oldest)
+                        .count();
+        return 2 * (heard + 1) >= peers.size() + 1;
+    }
+
     private Optional<Peer> peer(String vm) {
         return mMembership.peers().stream().filter(peer -> peer.vm().equals(vm)).findFirst();
     }
@@ -200,4 +214,7 @@
             TimerService timers,
             RandomGenerator random,
             EventLog events) {}
+
+    /** A peer's newest report, and when it came. */
+    private record Heard(long sequence, long atMillis) {}
 }
--- a/rhubarbward-core/src/main/java/io/rhubarbward/move/RolloutController.java
+++ b/rhubarbward-core/src/main/java/io/rhubarbward/move/RolloutController.java
@@ -90,15 +90,20 @@
                                                         .orElse(JudgementRule.DEFAULT))));
     }
 
-    /** Does what is due; called every second while this router has the duty. */
-    void tick() {
+    /**
+     * Does what is due; called every second while this router has the duty.
+     *
+     * @param hearsFleet whether enough routers report to it; otherwise it lets its lease lapse
+     */
+    void tick(boolean hearsFleet) {
         long now = mTimers.nowMillis();
         boolean underWay = !mBoard.underWay().isEmpty();
         Map<BackendServer, EngineRole> roles = roles();
         if (underWay) {
             mSettleUntilMillis = now + SETTLE_LIMIT.toMillis();
         }
-        if (underWay || (now < mSettleUntilMillis && !mOrderer.settled(roles))) {
+        boolean unsettled = now < mSettleUntilMillis && !mOrderer.settled(roles);
+        if (hearsFleet && (underWay || unsettled)) {
             mLease.tick();
             mOrderer.tick(roles);
         }
--- a/rhubarbward-core/src/main/java/io/rhubarbward/move/RolloutPlan.java
+++ b/rhubarbward-core/src/main/java/io/rhubarbward/move/RolloutPlan.java
@@ -16,7 +16,8 @@
  *     control group until the watch is over
  * @param minStageMillis the shortest time at a stage
  * @param watchMillis how long the new version is judged after the last stage was reached
- * @param rules the judgement rule of each route, by path prefix; others get the default
+ * @param rules the judgement rule of each route, by path prefix; each is judged on its own, and all
+ *     other paths together by the default rule
  */
 public record RolloutPlan(
         String service,
--- a/rhubarbward-core/src/main/java/io/rhubarbward/move/RolloutWord.java
+++ b/rhubarbward-core/src/main/java/io/rhubarbward/move/RolloutWord.java
@@ -1,5 +1,6 @@
 package io.rhubarbward.move;
 
+import java.util.Comparator;
 import java.util.Map;
 
 /**
@@ -25,6 +26,9 @@
         int sharePermille,
         long plannedMillis,
         Map<String, JudgementRule> rules) {
+    /** Stands for all paths that no rule names. */
+    static final String OTHER_ROUTES = "/";
+
     public RolloutWord {
         rules = Map.copyOf(rules);
     }
@@ -44,6 +48,14 @@
                 plan.rules());
     }
 
+    /** Returns the longest route with a rule of its own that the path begins with, or the rest. */
+    String route(String path) {
+        return rules.keySet().stream()
+                .filter(path::startsWith)
+                .max(Comparator.comparingInt(String::length))
+                .orElse(OTHER_ROUTES);
+    }
+
     JudgementRule rule(String route) {
         return rules.getOrDefault(route, JudgementRule.DEFAULT);
     }
--- a/rhubarbward-core/src/main/java/io/rhubarbward/move/VersionTally.java
+++ b/rhubarbward-core/src/main/java/io/rhubarbward/move/VersionTally.java
@@ -47,12 +47,12 @@
     }
 
     private void count(RolloutWord word, CallOutcome outcome) {
+        String route = word.route(outcome.path());
         Optional<VersionPair> counts =
-                figures(outcome, word.rule(outcome.route()))
-                        .flatMap(figures -> pair(word, outcome, figures));
+                figures(outcome, word.rule(route)).flatMap(figures -> pair(word, outcome, figures));
         counts.ifPresent(
                 pair -> {
-                    Cell cell = new Cell(word.name(), outcome.route());
+                    Cell cell = new Cell(word.name(), route);
                     mCounts.merge(cell, pair, VersionPair::plus);
                     VersionPair recent =
                             mRecent.computeIfAbsent(cell, c -> new RecentCounts())
--- a/rhubarbward-core/src/main/java/io/rhubarbward/request/CallOutcome.java
+++ b/rhubarbward-core/src/main/java/io/rhubarbward/request/CallOutcome.java
@@ -6,7 +6,7 @@
  * How one call to one backend server ended.
  *
  * @param server where the call went
- * @param route the path prefix of its service
+ * @param path the path that the caller asked for
  * @param result how it ended
  * @param firstByteMillis from sending to the answer's head; -1 if none came
  * @param totalMillis from sending to the end
@@ -14,7 +14,7 @@
  */
 public record CallOutcome(
         BackendServer server,
-        String route,
+        String path,
         Result result,
         long firstByteMillis,
         long totalMillis,
--- a/rhubarbward-core/src/main/java/io/rhubarbward/request/Exchange.java
+++ b/rhubarbward-core/src/main/java/io/rhubarbward/request/Exchange.java
@@ -309,7 +309,7 @@
                     .onOutcome(
                             new CallOutcome(
                                     mServer,
-                                    mRequest.service().pathPrefix(),
+                                    mRequest.caller().path(),
                                     result,
                                     mFirstByteMillis,
                                     mContext.timers().nowMillis() - mSentMillis,
--- a/rhubarbward-core/src/test/java/io/rhubarbward/move/MoveFixture.java
+++ b/rhubarbward-core/src/test/java/io/rhubarbward/move/MoveFixture.java
@@ -7,6 +7,7 @@
 import io.rhubarbward.testing.Site;
 import java.time.Duration;
 import java.util.List;
+import java.util.Map;
 import java.util.SplittableRandom;
 
 /** Three routers before three engines of version 1 and two of version 2, under seeded traffic. */
@@ -22,7 +23,7 @@
               "accounts": {"acme": {"keySha256": "%s", "requestsPerSecond": 1000, "burst": 1000}},
               "services": {
                 "assistant": {
-                  "kind": "engine", "model": "m", "pathPrefix": "/v1/chat/completions",
+                  "kind": "engine", "model": "m", "pathPrefix": "/v1/",
                   "repeatable": true, "concurrency": 16, "coldConcurrency": 2
                 }
               },
@@ -82,7 +83,7 @@
                 RolloutPlan.DEFAULT_STAGES,
                 5_000,
                 watch.toMillis(),
-                java.util.Map.of());
+                Map.of(EMBED, JudgementRule.DEFAULT));
     }
 
     void start(RolloutPlan plan) {
@@ -125,7 +126,9 @@
     }
 
     private void send(Behaviour behaviour) {
-        CallerRequest request = Site.chat("chat-" + mRandom.nextInt(100_000));
+        String path = mRandom.nextInt(5) == 0 ? EMBED : CHAT;
+        String body = "{\"model\":\"m\",\"chat_id\":\"" + mRandom.nextInt(100_000) + "\"}";
+        CallerRequest request = Site.request("POST", path, body);
         int router = mRandom.nextInt(mSite.routers().size());
         mSite.router(router).serve(request, new RecordingResponse());
         mSite.advance(Duration.ZERO);
@@ -141,7 +144,13 @@
             mToNew++;
             mToNewLastSecond++;
         }
-        Call call = new Call(newVersion, now(), mToNewLastSecond, mRandom.nextDouble());
+        Call call =
+                new Call(
+                        newVersion,
+                        sent.request().target(),
+                        now(),
+                        mToNewLastSecond,
+                        mRandom.nextDouble());
         Answer answer = behaviour.answer(call);
         mSite.timers()
                 .after(
@@ -156,7 +165,12 @@
     }
 
     /** One call to an engine. */
-    record Call(boolean newVersion, long atMillis, int newCallsThisSecond, double chance) {}
+    record Call(
+            boolean newVersion,
+            String path,
+            long atMillis,
+            int newCallsThisSecond,
+            double chance) {}
 
     /** How a call is answered. */
     record Answer(int status, int millis) {
--- /dev/null
+++ b/rhubarbward-core/src/test/java/io/rhubarbward/move/MoveLeaseTest.java
@@ -0,0 +1,106 @@
+package io.rhubarbward.move;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import io.rhubarbward.event.EventLog;
+import io.rhubarbward.platform.memory.MemoryObjectStore;
+import io.rhubarbward.platform.memory.PlatformFaults;
+import io.rhubarbward.timer.VirtualTimerService;
+import java.time.Duration;
+import java.util.List;
+import java.util.SplittableRandom;
+import java.util.stream.IntStream;
+import org.junit.jupiter.api.Test;
+
+final class MoveLeaseTest {
+    private static final Duration SECOND = Duration.ofSeconds(1);
+
+    private final VirtualTimerService mTimers = new VirtualTimerService();
+    private final MemoryObjectStore mStore = new MemoryObjectStore(mTimers);
+    private final MoveLease mFirst = lease("a");
+    private final MoveLease mSecond = lease("b");
+
+    private MoveLease lease(String owner) {
+        return new MoveLease(owner, mStore, mTimers, EventLog.none());
+    }
+
+    private void tick(int seconds, MoveLease... leases) {
+        for (int second = 0; second < seconds; second++) {
+            List.of(leases).forEach(MoveLease::tick);
+            mTimers.advance(SECOND);
+        }
+    }
+
+    @Test
+    void aHolderThatWasPausedPastItsTermDoesNotHold() {
+        tick(2, mFirst);
+        assertThat(mFirst.holds()).isTrue();
+        mTimers.advance(MoveLease.TERM);
+        assertThat(mFirst.holds()).isFalse();
+    }
+
+    @Test
+    void aTakeOverRaisesTheFencingNumber() {
+        tick(5, mFirst, mSecond);
+        long before = mFirst.fence();
+        tick(10, mSecond);
+        assertThat(mSecond.holds()).isTrue();
+        assertThat(mSecond.fence()).isGreaterThan(before);
+    }
+
+    @Test
+    void aReplacedHolderThatComesBackDoesNotHold() {
+        tick(5, mFirst, mSecond);
+        tick(10, mSecond);
+        tick(3, mFirst, mSecond);
+        assertThat(mFirst.holds()).isFalse();
+        assertThat(mSecond.holds()).isTrue();
+    }
+
+    @Test
+    void aHolderKeepsItsFencingNumberThroughAnOutageInWhichNobodyTookOver() {
+        tick(3, mFirst);
+        mStore.faults(PlatformFaults.NONE.withDown(true));
+        tick(60, mFirst);
+        assertThat(mFirst.holds()).isFalse();
+        mStore.faults(PlatformFaults.NONE);
+        tick(3, mFirst);
+        assertThat(mFirst.holds()).isTrue();
+        assertThat(mFirst.fence()).isEqualTo(1);
+    }
+
+    @Test
+    void aRenewalWhoseAnswerWasLostIsRecognized() {
+        tick(1, mFirst);
+        mStore.faults(PlatformFaults.NONE.withLoseAnswers(1));
+        tick(6, mFirst);
+        assertThat(mFirst.holds()).isTrue();
+        assertThat(mFirst.fence()).isEqualTo(1);
+    }
+
+    @Test
+    void twoNeverHoldAtOnceThroughPausesOutagesAndLostAnswers() {
+        List<MoveLease> leases = List.of(mFirst, mSecond, lease("c"));
+        SplittableRandom random = new SplittableRandom(11);
+        for (int step = 0; step < 20_000; step++) {
+            if (random.nextInt(50) == 0) {
+                mStore.faults(faults(random));
+            }
+            long paused = random.nextInt(40) == 0 ? random.nextInt(3) : -1;
+            IntStream.range(0, leases.size())
+                    .filter(index -> index != paused)
+                    .forEach(index -> leases.get(index).tick());
+            mTimers.advance(Duration.ofMillis(random.nextInt(paused < 0 ? 1_500 : 9_000)));
+            assertThat(leases.stream().filter(MoveLease::holds).count()).isAtMost(1);
+        }
+        assertThat(mFirst.fence()).isGreaterThan(1);
+    }
+
+    private static PlatformFaults faults(SplittableRandom random) {
+        return PlatformFaults.NONE
+                .withDown(random.nextInt(4) == 0)
+                .withDelayMillis(random.nextInt(2_000))
+                .withLoseAnswers(random.nextInt(3))
+                .withLoseRequests(random.nextInt(2));
+    }
+}
--- a/rhubarbward-core/src/test/java/io/rhubarbward/move/RolloutTest.java
+++ b/rhubarbward-core/src/test/java/io/rhubarbward/move/RolloutTest.java
@@ -69,6 +69,19 @@
         assertThat(fixture.rollout().reason()).isEqualTo(RolloutReason.FIRST_TOKEN);
     }
 
+    @Test
+    void aVersionThatIsBadOnOneRouteIsTakenBackForThatRoute() {
+        MoveFixture fixture = MoveFixture.start(3, 9);
+        fixture.start(fixture.plan(FINISH, WATCH));
+        Behaviour oneRoute =
+                call ->
+                        call.newVersion() && call.path().equals(MoveFixture.EMBED)
+                                ? Answer.SLOW
+                                : MoveFixture.good(call);
+        assertThat(fixture.driveUntil(RolloutState.TAKEN_BACK, LIMIT, oneRoute)).isTrue();
+        assertThat(fixture.rollout().reasonRoute()).isEqualTo(MoveFixture.EMBED);
+    }
+
     @Test
     void aGoodVersionOutlivesABadMinuteOfTheFleet() {
         MoveFixture fixture = MoveFixture.start(3, 6);
