--- a/rhubarbward-core/src/main/java/io/rhubarbward/move/ServiceLoad.java
+++ b/rhubarbward-core/src/main/java/io/rhubarbward/move/ServiceLoad.java
@@ -2,7 +2,6 @@
 
 import io.rhubarbward.config.Service;
 import io.rhubarbward.engine.BackendRegistry;
-import io.rhubarbward.engine.BackendState;
 import io.rhubarbward.engine.BackendStatus;
 import java.util.List;
 
@@ -19,17 +18,16 @@
     /** Returns the load as the registry knows it. */
     static ServiceLoad of(BackendRegistry registry, Service service, String newVersion) {
         List<BackendStatus> servers = registry.servers(service.name());
-        List<BackendState> fresh =
+        List<BackendStatus> fresh =
                 servers.stream()
                         .filter(status -> status.server().version().equals(newVersion))
-                        .map(BackendStatus::state)
                         .toList();
         return new ServiceLoad(
                 servers.stream().mapToInt(BackendStatus::load).sum(),
-                fresh.stream().mapToInt(state -> state.capacity(service)).sum(),
+                fresh.stream().mapToInt(BackendStatus::capacity).sum(),
                 fresh.stream()
-                        .filter(BackendState::takesNewWork)
-                        .mapToInt(state -> service.concurrency())
+                        .filter(status -> status.state().takesNewWork())
+                        .mapToInt(status -> service.concurrency())
                         .sum());
     }
 
--- a/rhubarbward-core/src/main/java/io/rhubarbward/node/RouterNode.java
+++ b/rhubarbward-core/src/main/java/io/rhubarbward/node/RouterNode.java
@@ -7,6 +7,7 @@
 import io.rhubarbward.config.ConfigurationInForce;
 import io.rhubarbward.config.Settings;
 import io.rhubarbward.engine.BackendRegistry;
+import io.rhubarbward.engine.BackendStatus;
 import io.rhubarbward.engine.LoadPoller;
 import io.rhubarbward.event.EventField;
 import io.rhubarbward.event.LogEvent;
@@ -16,12 +17,15 @@
 import io.rhubarbward.quota.LocalQuotaService;
 import io.rhubarbward.quota.QuotaCapacity;
 import io.rhubarbward.quota.QuotaKey;
+import io.rhubarbward.request.CallObservers;
+import io.rhubarbward.request.CallOutcome;
 import io.rhubarbward.request.CallerListener;
 import io.rhubarbward.request.CallerRequest;
 import io.rhubarbward.request.CallerResponse;
 import io.rhubarbward.request.ExchangeContext;
 import io.rhubarbward.request.RequestMetrics;
 import io.rhubarbward.request.RequestService;
+import io.rhubarbward.request.claim.ClaimStore;
 import io.rhubarbward.routing.BoundedAffinity;
 import io.rhubarbward.state.StateSource;
 import java.time.Duration;
@@ -56,6 +60,8 @@
     private final LocalQuotaService mQuotas;
     private final Moves mMoves;
     private final Admission mAdmission;
+    private final CallObservers mCallObservers = new CallObservers();
+    private final ClaimStore mClaims;
     private final RequestService mRequests;
     private boolean mDraining;
 
@@ -80,12 +86,17 @@
                         () -> new Heartbeat(identity.incarnation(), mConfiguration.generation()),
                         ports.timers(),
                         ports.events());
-        mRegistry = new BackendRegistry(ports.events());
+        mRegistry = new BackendRegistry(ports.events(), ports.timers());
         mPoller =
                 new LoadPoller(
                         mConfiguration::settings, mRegistry, ports.engines(), ports.timers());
         mQuotas = new LocalQuotaService(this::capacity, ports.timers());
         mAdmission = new Admission(mQuotas);
+        mClaims =
+                new ClaimStore(
+                        ports.store(),
+                        ports.timers(),
+                        identity.noncePrefix(ports.random().nextLong()));
         mMoves =
                 new Moves(
                         new Moves.Self(
@@ -114,7 +125,8 @@
                 mQuotas,
                 mPorts.backends(),
                 new RequestMetrics(mPorts.metrics()),
-                mMoves.observer());
+                mCallObservers,
+                mClaims);
     }
 
     /** Starts to follow the platform and the engines. */
@@ -122,10 +134,18 @@
         mPorts.events().log(LogEvent.ROUTER_STARTED, EventField.of("vm", mIdentity.vm()));
         mConfiguration.subscribe(this::onConfiguration);
         mMembership.subscribe(mRegistry::observe);
+        mCallObservers.subscribe(this::countCompleted);
         mFollower.start();
         mMembership.start(VM_LIST_PERIOD, HEARTBEAT_PERIOD);
         mPoller.start();
         mMoves.start();
+        mCallObservers.subscribe(mMoves.observer());
+    }
+
+    private void countCompleted(CallOutcome outcome) {
+        if (outcome.result() == CallOutcome.Result.ANSWERED) {
+            mRegistry.completed(outcome.server().name(), outcome.firstByteMillis());
+        }
     }
 
     private void onConfiguration(Configuration configuration) {
@@ -148,6 +168,11 @@
         return mConfiguration.current();
     }
 
+    /** Returns what is known of each backend server, by name. */
+    public List<BackendStatus> backends() {
+        return mRegistry.servers();
+    }
+
     /**
      * Stops in an orderly way: not ready at once, new requests refused after the balancer's notice
      * time, then the end of the last open answer.
@@ -183,7 +208,14 @@
         Map<String, Object> dump = new TreeMap<>();
         dump.put("identity", mIdentity);
         List<StateSource> sources =
-                List.of(mConfiguration, mMembership, mRegistry, mQuotas, mMoves, mRequests);
+                List.of(
+                        mConfiguration,
+                        mMembership,
+                        mRegistry,
+                        mQuotas,
+                        mClaims,
+                        mMoves,
+                        mRequests);
         sources.forEach(source -> dump.put(source.name(), source.state()));
         return dump;
     }
--- a/rhubarbward-core/src/test/java/io/rhubarbward/move/CohortFilterTest.java
+++ b/rhubarbward-core/src/test/java/io/rhubarbward/move/CohortFilterTest.java
@@ -9,8 +9,11 @@
 import io.rhubarbward.config.SettingsText;
 import io.rhubarbward.engine.BackendRegistry;
 import io.rhubarbward.event.EventLog;
+import io.rhubarbward.platform.Vm;
 import io.rhubarbward.routing.RouteQuery;
 import io.rhubarbward.testing.Site;
+import io.rhubarbward.timer.VirtualTimerService;
+import java.util.Arrays;
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
@@ -31,7 +34,8 @@
                                                     "\"address\": \"e2:1\"",
                                                     "\"address\": \"e2:1\", \"version\": \"2\""))))
                     .get();
-    private final BackendRegistry mRegistry = new BackendRegistry(EventLog.none());
+    private final BackendRegistry mRegistry =
+            new BackendRegistry(EventLog.none(), new VirtualTimerService());
     private final RolloutBoard mBoard = new RolloutBoard(EventLog.none());
     private final CohortFilter mFilter = filter("entry-1");
     private final Service mService = Objects.requireNonNull(mSettings.services().get("assistant"));
@@ -50,6 +54,21 @@
         return Objects.requireNonNull(mSettings.backendServers().get(name));
     }
 
+    private void leave(String... names) {
+        mRegistry.observe(Arrays.stream(names).map(this::server).map(this::leaving).toList());
+    }
+
+    private Vm leaving(BackendServer server) {
+        return new Vm(
+                server.name(),
+                server.dataCentre(),
+                Vm.Role.BACKEND,
+                server.address(),
+                Vm.State.LEAVING,
+                server.service(),
+                server.version());
+    }
+
     private void word(long version, RolloutState state, int share) {
         mBoard.offer(
                 new RolloutWord("up", version, "assistant", "1", "2", state, share, 1, Map.of()));
@@ -113,23 +132,21 @@
     void aStoppedVersionGetsNothingEvenIfTheOldOneHasNoServer() {
         word(1, RolloutState.RUNNING, 500);
         mBoard.stopHere("up");
-        mRegistry.unreachable("engine-1");
-        mRegistry.unreachable("engine-3");
+        leave("engine-1", "engine-3");
         assertThat(IntStream.range(0, 1_000).anyMatch(this::toNew)).isFalse();
     }
 
     @Test
     void aRunningVersionStandsInWhenTheOldOneHasNoServer() {
         word(1, RolloutState.RUNNING, 10);
-        mRegistry.unreachable("engine-1");
-        mRegistry.unreachable("engine-3");
+        leave("engine-1", "engine-3");
         assertThat(IntStream.range(0, 1_000).allMatch(this::toNew)).isTrue();
     }
 
     @Test
     void theOldVersionStandsInWhenTheNewOneHasNoServer() {
         word(1, RolloutState.DONE, 950);
-        mRegistry.unreachable("engine-2");
+        leave("engine-2");
         assertThat(IntStream.range(0, 1_000).anyMatch(this::toNew)).isFalse();
     }
 }
--- a/rhubarbward-daemon/src/main/java/io/rhubarbward/cli/ExitCode.java
+++ b/rhubarbward-daemon/src/main/java/io/rhubarbward/cli/ExitCode.java
@@ -13,6 +13,7 @@
     PLATFORM(5, "the platform did not carry it out"),
     UNREACHABLE(6, "the process asked did not answer"),
     CUT_REQUESTS(7, "a planned stop had to cut requests"),
+    NOT_IN_FORCE(10, "the configuration is not in force everywhere"),
     TAKEN_BACK(20, "the rollout was taken back"),
     LATE(21, "the rollout is late, or predicted to be"),
     NOT_ENDED(22, "the rollout has not ended within the limit");
@@ -48,8 +49,14 @@
         if (failure instanceof ConfigFailure.ChangedMeanwhile) {
             return CONFLICT;
         }
+        if (failure instanceof ConfigFailure.UnknownDataCentre) {
+            return USAGE;
+        }
         boolean platform =
                 failure instanceof ConfigFailure.Platform
+                        || failure instanceof ConfigFailure.Unsettled
+                        || failure instanceof ConfigFailure.NothingAccepted
+                        || failure instanceof ConfigFailure.NothingToUndo
                         || failure instanceof ConfigFailure.Corrupt;
         return platform ? PLATFORM : INVALID_SETTINGS;
     }
