Judge all routes together as well, at the stated false alarm rate

Cause: a fault on all routes was judged route by route only, and the threshold of 1,000,000 was stricter than the target of one false take-back in a hundred rollouts asks for.

Change: evidence over all routes beside each route's own; threshold 150,000 for 1,500 tests a rollout. A verdict names the route where the fault shows most.

--- a/rhubarbward-core/src/main/java/io/rhubarbward/move/FaultDetector.java
+++ b/rhubarbward-core/src/main/java/io/rhubarbward/move/FaultDetector.java
@@ -11,8 +11,8 @@
  * of a false alarm is at most the number of windows divided by the threshold.
  */
 final class FaultDetector {
-    /** A false alarm once in a thousand rollouts of a thousand windows. */
-    static final double LOG_THRESHOLD = Math.log(1_000_000);
+    /** A false alarm in at most one of a hundred rollouts that make 1,500 tests. */
+    static final double LOG_THRESHOLD = Math.log(150_000);
 
     private final double[] mLogs = new double[PairedEvidence.alternatives()];
     private int mNewCalls;
@@ -29,6 +29,11 @@
                 && mNewBad > acceptedRatio * mNewCalls;
     }
 
+    /** Returns the logarithm of the evidence that the version is at fault. */
+    double logEvidence() {
+        return PairedEvidence.logMean(mLogs);
+    }
+
     /** Counts the calls since the evidence began to grow, for the ratio that the rule accepts. */
     private void count(int newCalls, int newBad) {
         boolean idle = Arrays.stream(mLogs).allMatch(log -> log == 0);
--- a/rhubarbward-core/src/main/java/io/rhubarbward/move/RolloutJudge.java
+++ b/rhubarbward-core/src/main/java/io/rhubarbward/move/RolloutJudge.java
@@ -1,5 +1,6 @@
 package io.rhubarbward.move;
 
+import java.util.Comparator;
 import java.util.EnumMap;
 import java.util.Map;
 import java.util.Optional;
@@ -7,12 +8,14 @@
 import java.util.function.Function;
 
 /**
- * Judges one rollout's new version against the old version's same minutes, route by route.
+ * Judges one rollout's new version against the old version's same minutes, on each route and on all
+ * routes together: the sum shows sooner what is wrong everywhere.
  *
  * <p>A window closes by age and by the number of calls alone, never by how they ended, so that the
  * evidence keeps its meaning.
  */
 final class RolloutJudge {
+    private static final String ALL_ROUTES = "";
     private static final long MIN_WINDOW_MILLIS = 5_000;
     private static final long MAX_WINDOW_MILLIS = 30_000;
     private static final int MIN_WINDOW_CALLS = 4;
@@ -36,27 +39,43 @@
 
     void count(String route, VersionPair counts, long nowMillis) {
         mUnrecorded = mUnrecorded.plus(counts);
-        mRoutes.computeIfAbsent(route, r -> new RouteEvidence(nowMillis)).count(counts);
+        evidence(route, nowMillis).count(counts);
+        evidence(ALL_ROUTES, nowMillis).count(counts);
+    }
+
+    private RouteEvidence evidence(String route, long nowMillis) {
+        return mRoutes.computeIfAbsent(route, r -> new RouteEvidence(nowMillis));
     }
 
     /** Closes the windows that are due and returns the first fault found, if any. */
     Optional<Verdict> judge(long nowMillis) {
         return mRoutes.entrySet().stream()
-                .flatMap(
-                        entry ->
-                                entry
-                                        .getValue()
-                                        .judge(mRules.apply(entry.getKey()), nowMillis)
-                                        .map(signal -> new Verdict(signal.reason(), entry.getKey()))
-                                        .stream())
+                .flatMap(entry -> judge(entry.getKey(), entry.getValue(), nowMillis).stream())
                 .findFirst();
     }
 
+    private Optional<Verdict> judge(String route, RouteEvidence evidence, long nowMillis) {
+        return evidence.judge(mRules.apply(route), nowMillis)
+                .map(
+                        signal ->
+                                new Verdict(
+                                        signal.reason(),
+                                        route.equals(ALL_ROUTES) ? worst(signal) : route));
+    }
+
+    private String worst(Signal signal) {
+        return mRoutes.entrySet().stream()
+                .filter(entry -> !entry.getKey().equals(ALL_ROUTES))
+                .max(Comparator.comparingDouble(entry -> entry.getValue().evidence(signal)))
+                .map(Map.Entry::getKey)
+                .orElse(ALL_ROUTES);
+    }
+
     /**
      * Why the new version is at fault.
      *
      * @param reason what it is worse at
-     * @param route where
+     * @param route where it shows most
      */
     record Verdict(RolloutReason reason, String route) {}
 
@@ -90,6 +109,11 @@
             return fault;
         }
 
+        double evidence(Signal signal) {
+            FaultDetector detector = mDetectors.get(signal);
+            return detector == null ? 0 : detector.logEvidence();
+        }
+
         private boolean due(long ageMillis) {
             boolean enough =
                     mWindow.oldVersion().calls() >= MIN_WINDOW_CALLS
