--- a/rhubarbward-core/src/main/java/io/rhubarbward/move/Moves.java
+++ b/rhubarbward-core/src/main/java/io/rhubarbward/move/Moves.java
@@ -8,6 +8,7 @@
 import io.rhubarbward.membership.Peer;
 import io.rhubarbward.membership.PeerTransport;
 import io.rhubarbward.platform.ObjectStore;
+import io.rhubarbward.platform.Vm;
 import io.rhubarbward.request.CallObserver;
 import io.rhubarbward.routing.VersionFilter;
 import io.rhubarbward.state.StateSource;
@@ -17,9 +18,11 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.function.Function;
 import java.util.function.Supplier;
 import java.util.random.RandomGenerator;
+import java.util.stream.Collectors;
 import java.util.stream.Stream;
 import org.jspecify.annotations.Nullable;
 
@@ -47,6 +50,7 @@
     private final MoveLease mLease;
     private final RolloutController mController;
     private final Map<String, Heard> mHeard = new HashMap<>();
+    private Set<String> mListed = Set.of();
     private long mReports;
     private long mTicks;
     private boolean mControls;
@@ -64,6 +68,7 @@
         mMembership = membership;
         mPeers = peers;
         mTimers = self.timers();
+        mMembership.subscribe(this::onVms);
         mBoard = new RolloutBoard(self.events());
         mGossip =
                 new RolloutGossip(
@@ -85,7 +90,7 @@
                                 mBoard, mGossip, new RolloutStore(store), mLease, orderer),
                         registry,
                         settings,
-                        () -> membership.peers().size() + 1,
+                        this::routers,
                         mTimers,
                         self.events());
     }
@@ -163,14 +168,24 @@
 
     /** A controller that half of the routers cannot reach has too little to judge by. */
     private boolean hearsHalf() {
-        List<Peer> peers = mMembership.peers();
         long oldest = mTimers.nowMillis() - MISSED_REPORTS * reportTicks() * TICK.toMillis();
-        long heard =
-                peers.stream()
-                        .map(peer -> mHeard.get(peer.vm()))
-                        .filter(last -> last != null && last.atMillis() >= oldest)
-                        .count();
-        return 2 * (heard + 1) >= peers.size() + 1;
+        long heard = mHeard.values().stream().filter(last -> last.atMillis() >= oldest).count();
+        boolean listed = mListed.isEmpty() || mListed.contains(mVm);
+        return listed && 2 * (heard + 1) >= routers();
+    }
+
+    /** Counts the routers on the VM list too: to one that is cut off, all others look dead. */
+    private int routers() {
+        return Math.max(mListed.size(), mMembership.peers().size() + 1);
+    }
+
+    private void onVms(List<Vm> vms) {
+        mListed =
+                vms.stream()
+                        .filter(vm -> vm.role() == Vm.Role.ROUTER)
+                        .filter(vm -> vm.state() == Vm.State.LIVE)
+                        .map(Vm::name)
+                        .collect(Collectors.toSet());
     }
 
     private Optional<Peer> peer(String vm) {
