--- a/rhubarbward-core/src/main/java/io/rhubarbward/move/Moves.java
+++ b/rhubarbward-core/src/main/java/io/rhubarbward/move/Moves.java
@@ -8,6 +8,7 @@
 import io.rhubarbward.membership.Peer;
 import io.rhubarbward.membership.PeerTransport;
 import io.rhubarbward.platform.ObjectStore;
+import io.rhubarbward.platform.Vm;
 import io.rhubarbward.request.CallObserver;
 import io.rhubarbward.routing.VersionFilter;
 import io.rhubarbward.state.StateSource;
@@ -17,9 +18,11 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.function.Function;
 import java.util.function.Supplier;
 import java.util.random.RandomGenerator;
+import java.util.stream.Collectors;
 import java.util.stream.Stream;
 import org.jspecify.annotations.Nullable;
 
@@ -34,6 +37,7 @@
     private static final Duration TICK = Duration.ofSeconds(1);
     private static final int REPORTS_PER_SECOND = 50;
     private static final int MAX_ROWS = 64;
+    private static final int MISSED_REPORTS = 4;
 
     private final String mVm;
     private final Membership mMembership;
@@ -45,7 +49,8 @@
     private final VersionTally mTally;
     private final MoveLease mLease;
     private final RolloutController mController;
-    private final Map<String, Long> mLastReports = new HashMap<>();
+    private final Map<String, Heard> mHeard = new HashMap<>();
+    private Set<String> mListed = Set.of();
     private long mReports;
     private long mTicks;
     private boolean mControls;
@@ -63,6 +68,7 @@
         mMembership = membership;
         mPeers = peers;
         mTimers = self.timers();
+        mMembership.subscribe(this::onVms);
         mBoard = new RolloutBoard(self.events());
         mGossip =
                 new RolloutGossip(
@@ -84,7 +90,7 @@
                                 mBoard, mGossip, new RolloutStore(store), mLease, orderer),
                         registry,
                         settings,
-                        () -> membership.peers().size() + 1,
+                        this::routers,
                         mTimers,
                         self.events());
     }
@@ -117,11 +123,12 @@
         }
         boolean controls = controller().equals(mVm);
         if (controls) {
-            mController.tick();
+            mController.tick(hearsHalf());
         } else if (mControls) {
             mController.handOver();
         }
         mControls = controls;
+        mHeard.keySet().retainAll(mMembership.peers().stream().map(Peer::vm).toList());
     }
 
     /** Keeps what the controller hears a second bounded, however many routers there are. */
@@ -140,7 +147,7 @@
         VersionReport report =
                 new VersionReport(
                         ++mReports, rows.stream().limit(MAX_ROWS).toList(), mBoard.stops());
-        if (rows.isEmpty() && report.stopped().isEmpty()) {
+        if (rows.isEmpty() && mBoard.underWay().isEmpty()) {
             return;
         }
         String controller = controller();
@@ -152,13 +159,35 @@
     }
 
     private void onReport(String from, VersionReport report) {
-        @Nullable Long last = mLastReports.put(from, report.sequence());
-        boolean repeated = last != null && last == report.sequence();
+        @Nullable Heard last = mHeard.put(from, new Heard(report.sequence(), mTimers.nowMillis()));
+        boolean repeated = last != null && last.sequence() == report.sequence();
         if (!repeated) {
             mController.onReport(from, report);
         }
     }
 
+    /** A controller that half of the routers cannot reach has too little to judge by. */
+    private boolean hearsHalf() {
+        long oldest = mTimers.nowMillis() - MISSED_REPORTS * reportTicks() * TICK.toMillis();
+        long heard = mHeard.values().stream().filter(last -> last.atMillis() >= oldest).count();
+        boolean listed = mListed.isEmpty() || mListed.contains(mVm);
+        return listed && 2 * (heard + 1) >= routers();
+    }
+
+    /** Counts the routers on the VM list too: to one that is cut off, all others look dead. */
+    private int routers() {
+        return Math.max(mListed.size(), mMembership.peers().size() + 1);
+    }
+
+    private void onVms(List<Vm> vms) {
+        mListed =
+                vms.stream()
+                        .filter(vm -> vm.role() == Vm.Role.ROUTER)
+                        .filter(vm -> vm.state() == Vm.State.LIVE)
+                        .map(Vm::name)
+                        .collect(Collectors.toSet());
+    }
+
     private Optional<Peer> peer(String vm) {
         return mMembership.peers().stream().filter(peer -> peer.vm().equals(vm)).findFirst();
     }
@@ -200,4 +229,7 @@
             TimerService timers,
             RandomGenerator random,
             EventLog events) {}
+
+    /** A peer's newest report, and when it came. */
+    private record Heard(long sequence, long atMillis) {}
 }
--- a/rhubarbward-core/src/main/java/io/rhubarbward/request/Attempt.java
+++ b/rhubarbward-core/src/main/java/io/rhubarbward/request/Attempt.java
@@ -176,7 +176,7 @@
                 .onOutcome(
                         new CallOutcome(
                                 mServer,
-                                mRequest.service().pathPrefix(),
+                                mRequest.caller().path(),
                                 result,
                                 mFirstByteMillis,
                                 mContext.timers().nowMillis() - mSentMillis,
--- a/rhubarbward-daemon/src/main/java/io/rhubarbward/cli/Main.java
+++ b/rhubarbward-daemon/src/main/java/io/rhubarbward/cli/Main.java
@@ -21,6 +21,7 @@
                     new StandinCommand(),
                     new ConfigCommand(),
                     new DataCentreCommand(),
+                    new MoveCommand(),
                     new DumpCommand());
 
     private Main() {}
