--- a/rhubarbward-core/src/main/java/io/rhubarbward/config/SettingsReader.java
+++ b/rhubarbward-core/src/main/java/io/rhubarbward/config/SettingsReader.java
@@ -64,6 +64,14 @@
         return bind(merged);
     }
 
+    /** Returns the settings that hold before any configuration has been taken. */
+    public static Settings defaults() {
+        return new SettingsReader()
+                .read(List.of())
+                .getOrElseThrow(
+                        failure -> new IllegalStateException("defaults: " + failure.message()));
+    }
+
     /** Merges checked trees over the defaults; nothing tells where a value stands. */
     Either<ConfigFailure, Settings> readTrees(List<ObjectNode> trees) {
         SettingsDocument defaults = parseDefaults();
@@ -78,6 +86,17 @@
                 .flatMap(document -> bind(document, document.root(), type));
     }
 
+    /** Reads one text as the record; settings that it lacks come from the defaults. */
+    public static <T> Either<ConfigFailure, T> readAs(
+            Class<T> type, SettingsText defaults, SettingsText text) {
+        return SettingsDocument.parse(defaults.name(), defaults.text())
+                .flatMap(
+                        below ->
+                                SettingsDocument.parse(text.name(), text.text())
+                                        .map(above -> merge(below, above)))
+                .flatMap(document -> bind(document, document.root(), type));
+    }
+
     private static SettingsDocument parseDefaults() {
         return SettingsDocument.parse("defaults.json", defaultsText())
                 .getOrElseThrow(
--- a/rhubarbward-core/src/test/java/io/rhubarbward/testing/FakePeers.java
+++ b/rhubarbward-core/src/test/java/io/rhubarbward/testing/FakePeers.java
@@ -110,7 +110,7 @@
                                 delay ->
                                         mTimers.after(
                                                 Duration.ofMillis(delay),
-                                                () -> arrive(to.vm(), message)));
+                                                () -> arrive(vm(to), message)));
             }
         }
 
@@ -123,6 +123,11 @@
             }
         }
 
+        /** A seed is known by its address only, which begins with the VM's name here. */
+        private String vm(Peer to) {
+            return to.address().replaceFirst(":.*", "");
+        }
+
         private void deliver(String to, PeerMessage message) {
             Endpoint endpoint = mEndpoints.get(to);
             if (endpoint != null) {
--- a/rhubarbward-daemon/src/main/java/io/rhubarbward/cli/ExitCode.java
+++ b/rhubarbward-daemon/src/main/java/io/rhubarbward/cli/ExitCode.java
@@ -1,6 +1,7 @@
 package io.rhubarbward.cli;
 
 import io.rhubarbward.config.ConfigFailure;
+import io.rhubarbward.move.RolloutFailure;
 
 /** How a command ended. */
 public enum ExitCode {
@@ -12,8 +13,11 @@
     PLATFORM(5, "the platform did not carry it out"),
     UNREACHABLE(6, "the process asked did not answer"),
     CUT_REQUESTS(7, "a planned stop had to cut requests"),
-    PROMISE_BROKEN(30, "a replay broke a promise"),
-    NOT_IN_FORCE(10, "the configuration is not in force everywhere");
+    NOT_IN_FORCE(10, "the configuration is not in force everywhere"),
+    TAKEN_BACK(20, "the rollout was taken back"),
+    LATE(21, "the rollout is late, or predicted to be"),
+    NOT_ENDED(22, "the rollout has not ended within the limit"),
+    PROMISE_BROKEN(30, "a replay broke a promise");
 
     private final int mStatus;
     private final String mMeaning;
@@ -33,6 +37,14 @@
         return mMeaning;
     }
 
+    /** Returns the code for a failure of a rollout's change. */
+    static ExitCode of(RolloutFailure failure) {
+        boolean platform =
+                failure instanceof RolloutFailure.Platform
+                        || failure instanceof RolloutFailure.Corrupt;
+        return platform ? PLATFORM : CONFLICT;
+    }
+
     /** Returns the code for a failure of the configuration. */
     static ExitCode of(ConfigFailure failure) {
         if (failure instanceof ConfigFailure.ChangedMeanwhile) {
--- a/rhubarbward-daemon/src/main/java/io/rhubarbward/cli/Main.java
+++ b/rhubarbward-daemon/src/main/java/io/rhubarbward/cli/Main.java
@@ -23,6 +23,7 @@
                     new DataCentreCommand(),
                     new ReplayCommand(),
                     new TraceCommand(),
+                    new MoveCommand(),
                     new DumpCommand());
 
     private Main() {}
--- a/rhubarbward-net/src/main/java/io/rhubarbward/net/peer/PeerCodecs.java
+++ b/rhubarbward-net/src/main/java/io/rhubarbward/net/peer/PeerCodecs.java
@@ -13,6 +13,8 @@
                         MembershipCodecs.all(),
                         QuotaCodecs.all(),
                         EngineCodecs.all(),
+                        ConfigCodecs.all(),
+                        RequestCodecs.all(),
                         MoveCodecs.all())
                 .flatMap(List::stream)
                 .toList();
