--- a/rhubarbward-replay/src/main/java/io/rhubarbward/replay/ReplayFleet.java
+++ b/rhubarbward-replay/src/main/java/io/rhubarbward/replay/ReplayFleet.java
@@ -81,7 +81,13 @@
         list(new Vm(vm, dataCentre, Vm.Role.ROUTER, vm + ":1", Vm.State.LIVE, null, null));
         RouterNode node =
                 new RouterNode(
-                        new RouterIdentity(vm, mHeader.site(), dataCentre, ++mIncarnation),
+                        new RouterIdentity(
+                                vm,
+                                mHeader.site(),
+                                dataCentre,
+                                ++mIncarnation,
+                                vm + ":1",
+                                List.of()),
                         ports(vm));
         mRouters.put(vm, node);
         node.start();
