--- a/rhubarbward-core/src/main/java/io/rhubarbward/node/RouterNode.java
+++ b/rhubarbward-core/src/main/java/io/rhubarbward/node/RouterNode.java
@@ -106,9 +106,7 @@
         mAdmission = new Admission(mQuotas, ports.timers());
         mClaims =
                 new ClaimStore(
-                        mStore,
-                        ports.timers(),
-                        identity.noncePrefix(ports.random().nextLong()));
+                        mStore, ports.timers(), identity.noncePrefix(ports.random().nextLong()));
         mQuarantine =
                 new Quarantine(
                         identity.vm(),
