Let a router that starts in an outage find its peers by seeds

Cause: with the platform out a new router had no VM list, and its seeds served the configuration alone; it never heard of the rollouts and stayed not ready. Change: membership introduces the router to its seeds until the list is read, and who is introduced to answers with an introduction. Ruled out: seeds for the move slice too, a third way to the same peers. Shown first failing: MovePlatformTest.aNewRouterLearnsTheRolloutsFromItsPeersDuringAnOutage, which had found its peers in a VM list that the fake served during the outage; the assertion that a seeded router is ready is back in ConfigDistributionTest. Conclusion: one mechanism finds peers for all slices.

--- a/rhubarbward-core/src/main/java/io/rhubarbward/membership/Membership.java
+++ b/rhubarbward-core/src/main/java/io/rhubarbward/membership/Membership.java
@@ -53,6 +53,8 @@
     private MemberTable mTable;
     private PauseDetector mPauses;
     private Map<String, Boolean> mLastView = Map.of();
+    private String mOwnAddress = "";
+    private List<Peer> mSeeds = List.of();
     private boolean mPlatformAvailable = true;
     private boolean mListRead;
     // Ordering all routers for each request is the dearest step of a permit; emptied each second.
@@ -78,6 +80,18 @@
         mPauses = new PauseDetector(Duration.ofSeconds(1), timers.nowMillis());
     }
 
+    /**
+     * Has this router introduce itself to the seeds until it has read the VM list, so that one that
+     * starts while the platform is out finds its peers.
+     *
+     * @param ownAddress host and port at which peers reach this router
+     * @param seeds addresses of routers that may be running
+     */
+    public void introduceTo(String ownAddress, List<String> seeds) {
+        mOwnAddress = ownAddress;
+        mSeeds = seeds.stream().map(seed -> new Peer("seed " + seed, "", seed)).toList();
+    }
+
     /** Starts to read the VM list and to exchange heartbeats with the peers on it. */
     public void start(Duration vmListPeriod, Duration heartbeatPeriod) {
         mTable = new MemberTable(mOwnVm, heartbeatPeriod, mEvents);
@@ -208,6 +222,9 @@
         mSiteOwners.clear();
         mTable.judge(mTimers.nowMillis());
         mTable.members().forEach(this::sendHeartbeat);
+        if (!mListRead) {
+            mSeeds.forEach(seed -> mTransport.send(seed, introduction()));
+        }
         mTable.members().stream()
                 .filter(member -> member.status() == MemberStatus.SUSPECT)
                 .forEach(member -> askHelpers(member.peer().vm()));
@@ -218,12 +235,16 @@
         mTransport.send(member.peer(), mHeartbeat.get());
         // A process that started anew while the platform is out knows nobody's address.
         if (!member.status().running() || member.status() == MemberStatus.UNHEARD) {
-            self().ifPresent(vm -> mTransport.send(member.peer(), introduction(vm)));
+            self().ifPresent(vm -> mTransport.send(member.peer(), introduction()));
         }
     }
 
-    private Introduction introduction(Vm self) {
-        return new Introduction(self.dataCentre(), self.address(), mHeartbeat.get().incarnation());
+    private Introduction introduction() {
+        return new Introduction(mOwnDataCentre, ownAddress(), mHeartbeat.get().incarnation());
+    }
+
+    private String ownAddress() {
+        return self().map(Vm::address).orElse(mOwnAddress);
     }
 
     private void askHelpers(String vm) {
@@ -251,6 +272,10 @@
         heard(vm, introduction.incarnation());
         if (!known) {
             mTransport.send(peer, mHeartbeat.get());
+            // A newcomer without a VM list does not know its seeds by name until they answer.
+            if (!ownAddress().isEmpty()) {
+                mTransport.send(peer, introduction());
+            }
         }
     }
 
--- a/rhubarbward-core/src/main/java/io/rhubarbward/node/RouterNode.java
+++ b/rhubarbward-core/src/main/java/io/rhubarbward/node/RouterNode.java
@@ -181,6 +181,7 @@
     public void start() {
         mPorts.events().log(LogEvent.ROUTER_STARTED, EventField.of("vm", mIdentity.vm()));
         mConfiguration.subscribe(this::onConfiguration);
+        mMembership.introduceTo(mIdentity.address(), mIdentity.seeds());
         mMembership.subscribe(mRegistry::observe);
         mCallObservers.subscribe(this::countCompleted);
         mAdmission.waitingRoom().start();
--- a/rhubarbward-core/src/test/java/io/rhubarbward/config/ConfigDistributionTest.java
+++ b/rhubarbward-core/src/test/java/io/rhubarbward/config/ConfigDistributionTest.java
@@ -147,6 +147,7 @@
         RouterNode alone = site.addRouter("entry-5", "dc-a", List.of());
         site.advance(IN_FORCE_LIMIT);
         assertThat(seeded.configuration().orElseThrow().generation()).isEqualTo(2);
+        assertThat(seeded.ready()).isTrue();
         assertThat(alone.ready()).isFalse();
     }
 
--- a/rhubarbward-core/src/test/java/io/rhubarbward/move/MovePlatformTest.java
+++ b/rhubarbward-core/src/test/java/io/rhubarbward/move/MovePlatformTest.java
@@ -7,6 +7,7 @@
 import io.rhubarbward.node.RouterNode;
 import io.rhubarbward.platform.memory.PlatformFaults;
 import java.time.Duration;
+import java.util.List;
 import java.util.Map;
 import java.util.Objects;
 import org.junit.jupiter.api.Test;
@@ -108,7 +109,7 @@
     void aNewRouterLearnsTheRolloutsFromItsPeersDuringAnOutage() {
         mFixture.start(mFixture.plan(FINISH, WATCH));
         down(true);
-        mFixture.site().addRouter("entry-9");
+        mFixture.site().addRouter("entry-9", "dc-a", List.of("entry-2:1"));
         mFixture.site().advance(Duration.ofSeconds(5));
         Map<?, ?> state = moves(mFixture.site().router(3));
         assertThat(state.get("known")).isEqualTo(true);
