--- a/rhubarbward-replay/src/main/java/io/rhubarbward/replay/ReplaySite.java
+++ b/rhubarbward-replay/src/main/java/io/rhubarbward/replay/ReplaySite.java
@@ -6,7 +6,7 @@
 
 /** The sites at whose sizes traces are made. */
 public enum ReplaySite {
-    LIMA(13, 8, 3, 2000, 600, List.of("lima-norte", "lima-centro", "lima-sur")),
+    LIMA(13, 6, 2, 2000, 600, List.of("lima-norte", "lima-centro", "lima-sur")),
     KYUSHU(6, 3, 1, 800, 400, List.of("kyushu-a", "kyushu-b", "kyushu-c"));
 
     static final int DATA_CENTRES = 3;
--- a/rhubarbward-replay/src/main/java/io/rhubarbward/replay/ReplayWatch.java
+++ b/rhubarbward-replay/src/main/java/io/rhubarbward/replay/ReplayWatch.java
@@ -17,7 +17,7 @@
 final class ReplayWatch {
     private static final Duration PERIOD = Duration.ofMillis(100);
     private static final long IN_FORCE_MILLIS = 5000;
-    private static final long LOAD_WINDOW_MILLIS = 1000;
+    private static final int LOOKS_IN_WINDOW = 10;
     private static final double LEAST_MEAN_LOAD = 2.0;
 
     private final ReplayFleet mFleet;
@@ -29,6 +29,7 @@
     private final Map<String, String> mVersions;
     private final Map<RouterNode, Long> mGenerations = new HashMap<>();
     private final Map<String, Integer> mWindow = new HashMap<>();
+    private final Map<String, Integer> mLooks = new HashMap<>();
     private long mWindowEnd;
     private long mAccepted;
     private long mAcceptedAtMillis;
@@ -109,30 +110,36 @@
         StreamSupport.stream(mBackends.servers().spliterator(), false)
                 .filter(server -> mVersions.containsKey(server.name()))
                 .filter(server -> !server.warming() && !mBackends.closed(server.name()))
-                .forEach(server -> mWindow.merge(server.name(), server.running(), Integer::sum));
+                .forEach(
+                        server -> {
+                            mWindow.merge(server.name(), server.running(), Integer::sum);
+                            mLooks.merge(server.name(), 1, Integer::sum);
+                        });
         if (mTimers.nowMillis() >= mWindowEnd) {
-            mWindowEnd = mTimers.nowMillis() + LOAD_WINDOW_MILLIS;
+            mWindowEnd = mTimers.nowMillis() + LOOKS_IN_WINDOW * PERIOD.toMillis();
             closeWindow();
         }
     }
 
     private void closeWindow() {
+        // A server that was open for a part of the window only has no mean over it.
         mWindow.keySet().stream()
+                .filter(server -> mLooks.getOrDefault(server, 0) >= LOOKS_IN_WINDOW)
                 .collect(Collectors.groupingBy(server -> String.valueOf(mVersions.get(server))))
                 .values()
                 .forEach(this::checkLoads);
         mWindow.clear();
+        mLooks.clear();
     }
 
     /** Compares servers of one version: a rollout loads two versions differently on purpose. */
     private void checkLoads(List<String> servers) {
-        double looks = (double) LOAD_WINDOW_MILLIS / PERIOD.toMillis();
         IntSummaryStatistics sums =
                 servers.stream()
                         .mapToInt(server -> mWindow.getOrDefault(server, 0))
                         .summaryStatistics();
-        double mean = sums.getAverage() / looks;
-        double largest = sums.getMax() / looks;
+        double mean = sums.getAverage() / LOOKS_IN_WINDOW;
+        double largest = sums.getMax() / LOOKS_IN_WINDOW;
         if (mean >= LEAST_MEAN_LOAD && servers.size() > 1) {
             mMeasures.skew(largest / mean);
             // One request is the least step by which an engine's load can differ.
