Remove the membership settings, which nothing read

Cause: heartbeatMillis and vmListMillis were accepted, checked and ignored. Change: they are gone; the bounds on leases rest on the periods in RouterNode. Ruled out: reading them, since quota leases assume the periods. Conclusion: an operator is refused a setting that has no effect.

--- a/rhubarbward-core/src/main/java/io/rhubarbward/config/Settings.java
+++ b/rhubarbward-core/src/main/java/io/rhubarbward/config/Settings.java
@@ -14,7 +14,6 @@
  * @param request limits on one exchange
  * @param drain the planned stop of a router
  * @param routing how requests are spread
- * @param membership how routers watch each other
  * @param quota how shared limits are leased
  * @param admission what happens when all backend servers are full or failing
  * @param control what a router may spend on control
@@ -30,7 +29,6 @@
         RequestSettings request,
         DrainSettings drain,
         RoutingSettings routing,
-        MembershipSettings membership,
         QuotaSettings quota,
         AdmissionSettings admission,
         ControlSettings control,
