--- a/rhubarbward-core/src/main/java/io/rhubarbward/directory/BackendDirectory.java
+++ b/rhubarbward-core/src/main/java/io/rhubarbward/directory/BackendDirectory.java
@@ -74,6 +74,10 @@
 
     private void list(ListedServer entry) {
         ListedServer known = mServers.get(entry.id());
+        if (known != null && entry.bornBefore(known)) {
+            log(entry, "outdated");
+            return;
+        }
         if (known != null && known.sameLife(entry)) {
             mServers.put(entry.id(), entry);
             if (known.draining() != entry.draining()) {
--- a/rhubarbward-core/src/main/java/io/rhubarbward/directory/ListedServer.java
+++ b/rhubarbward-core/src/main/java/io/rhubarbward/directory/ListedServer.java
@@ -29,4 +29,9 @@
                 && server.address().equals(other.server().address())
                 && server.service().equals(other.server().service());
     }
+
+    /** Returns whether the entry is of an earlier life than the other, as far as both say. */
+    boolean bornBefore(ListedServer other) {
+        return bornMillis > 0 && bornMillis < other.bornMillis;
+    }
 }
--- a/rhubarbward-core/src/test/java/io/rhubarbward/directory/BackendDirectoryTest.java
+++ b/rhubarbward-core/src/test/java/io/rhubarbward/directory/BackendDirectoryTest.java
@@ -92,6 +92,17 @@
         assertThat(mTold).containsExactly("arrived i-1", "left i-1", "arrived i-1").inOrder();
     }
 
+    /** A write of a life that has ended can be done late; it must not bring that life back. */
+    @Test
+    void anEntryOfAnEarlierLifeIsLeftOut() {
+        ListedServer reborn = Listings.server("i-1", "chat", "a", Duration.ZERO, false, 2);
+        mDirectory.onItem(FakeKind.item("i-1", reborn));
+        mDirectory.onItem(
+                FakeKind.item("i-1", Listings.server("i-1", "chat", "a", Duration.ZERO, true, 1)));
+        assertThat(mDirectory.server("i-1")).hasValue(reborn);
+        assertThat(mTold).containsExactly("arrived i-1");
+    }
+
     @Test
     void anEntryThatCannotBeReadNamesNoServer() {
         mDirectory.onItem(item("i-1"));
