Ask anew at once when the store is back

Change: a call that is open for half a second when the store comes back is sent again at once and its old answer is not heard; a watch that repeats a failed one waits 50 ms only. An empty answer confirms the time 1.2 s before its end, whatever it waited. Every follower knows its newest call by number in place of a cycle that each call carried along. Ruled out: repeating every call at a return. A store that refuses some calls and serves others would be asked without a pause; KindFollowerTest holds that.

--- a/rhubarbward-core/src/main/java/io/rhubarbward/store/KindFollower.java
+++ b/rhubarbward-core/src/main/java/io/rhubarbward/store/KindFollower.java
@@ -8,6 +8,7 @@
 import java.util.Optional;
 import java.util.concurrent.CompletionStage;
 import java.util.function.Consumer;
+import java.util.function.Supplier;
 import java.util.random.RandomGenerator;
 
 /**
@@ -32,6 +33,12 @@
     /** How long changes may stay unseen by a watch that is open while the store drops history. */
     private static final long WATCH_DEAFNESS_MILLIS = 1200;
 
+    /** Age from which a call that is open when the store comes back may never be answered. */
+    private static final long LOST_CALL_MILLIS = 500;
+
+    /** Wait of a watch that repeats a failed one. */
+    private static final Duration PROBE_WAIT = Duration.ofMillis(50);
+
     private static final long NEVER = Long.MIN_VALUE / 2;
 
     private final ObjectKind<T> mKind;
@@ -40,7 +47,12 @@
     private final TimerService mTimers;
     private final StoreContact mContact;
     private final RandomGenerator mRandom;
-    private long mCycle;
+
+    /** The newest call; answers to older ones are not heard. */
+    private long mCall;
+
+    private long mCallSentMillis = NEVER;
+    private Runnable mRepeat = () -> {};
     private long mPauseMillis = MIN_PAUSE_MILLIS;
     private long mConfirmedMillis = NEVER;
     private boolean mListed;
@@ -63,14 +75,21 @@
 
     /** Starts to follow. */
     public void start() {
+        mContact.subscribeToReturn(this::repeatLostCall);
         reread();
     }
 
     /** Lists the kind again, whatever is under way; nothing counts as confirmed until then. */
     public void reread() {
-        mCycle++;
         mConfirmedMillis = NEVER;
-        list(mCycle, Optional.empty(), new ArrayList<>(), mTimers.nowMillis());
+        list();
+    }
+
+    /** A connection that fell silent with the store does not tell that the store is back. */
+    private void repeatLostCall() {
+        if (mTimers.nowMillis() - mCallSentMillis >= LOST_CALL_MILLIS) {
+            mRepeat.run();
+        }
     }
 
     /** Returns whether the kind was ever read. */
@@ -86,52 +105,53 @@
         return mTimers.nowMillis() - mConfirmedMillis;
     }
 
-    private void list(
-            long cycle, Optional<String> after, List<ObjectItem<T>> items, long firstSentMillis) {
+    private void list() {
+        list(Optional.empty(), new ArrayList<>(), mTimers.nowMillis());
+    }
+
+    private void list(Optional<String> after, List<ObjectItem<T>> items, long firstSentMillis) {
         await(
-                cycle,
                 "list " + mKind.name(),
-                mKind.list(after),
+                () -> mKind.list(after),
                 page -> {
                     items.addAll(page.items());
                     if (page.more() && !page.items().isEmpty()) {
                         String last = page.items().get(page.items().size() - 1).name();
-                        list(cycle, Optional.of(last), items, firstSentMillis);
+                        list(Optional.of(last), items, firstSentMillis);
                     } else {
                         mListed = true;
                         mConfirmedMillis = firstSentMillis;
                         mListener.onSnapshot(items);
-                        watch(cycle, page.revision());
+                        watch(page.revision(), mWait);
                     }
                 },
-                () -> list(cycle, Optional.empty(), new ArrayList<>(), mTimers.nowMillis()));
+                this::list);
     }
 
-    private void watch(long cycle, long revision) {
+    private void watch(long revision, Duration wait) {
         long sentMillis = mTimers.nowMillis();
         await(
-                cycle,
                 "watch " + mKind.name(),
-                mKind.watch(revision, mWait),
+                () -> mKind.watch(revision, wait),
                 changes -> {
                     if (changes.gap()) {
-                        list(cycle, Optional.empty(), new ArrayList<>(), mTimers.nowMillis());
+                        list();
                     } else {
-                        confirm(changes, sentMillis);
+                        confirm(changes, sentMillis, wait);
                         changes.changes().forEach(this::apply);
-                        watch(cycle, Math.max(revision, changes.revision()));
+                        watch(Math.max(revision, changes.revision()), mWait);
                     }
                 },
-                () -> watch(cycle, revision));
+                // A call that hardly waits finds out soonest that the store is back.
+                () -> watch(revision, PROBE_WAIT));
     }
 
-    private void confirm(ObjectChanges<T> changes, long sentMillis) {
-        long waited =
+    private void confirm(ObjectChanges<T> changes, long sentMillis, Duration wait) {
+        long heard =
                 changes.changes().isEmpty()
-                        ? Math.max(0, mWait.toMillis() - WATCH_DEAFNESS_MILLIS)
-                        : 0;
-        long heard = Math.min(sentMillis + waited, mTimers.nowMillis());
-        mConfirmedMillis = Math.max(mConfirmedMillis, heard);
+                        ? sentMillis + wait.toMillis() - WATCH_DEAFNESS_MILLIS
+                        : sentMillis;
+        mConfirmedMillis = Math.max(mConfirmedMillis, Math.min(heard, mTimers.nowMillis()));
     }
 
     private void apply(ObjectChanges.Change<T> change) {
@@ -143,38 +163,40 @@
     }
 
     private <R> void await(
-            long cycle,
-            String call,
-            CompletionStage<Either<PlatformFailure, R>> answer,
+            String name,
+            Supplier<CompletionStage<Either<PlatformFailure, R>>> request,
             Consumer<R> next,
-            Runnable again) {
-        answer.thenAccept(
-                result -> {
-                    if (cycle != mCycle) {
-                        return;
-                    }
-                    result.peek(
-                                    value -> {
-                                        mPauseMillis = MIN_PAUSE_MILLIS;
-                                        mContact.succeeded();
-                                        next.accept(value);
-                                    })
-                            .peekLeft(
-                                    failure -> {
-                                        mContact.failed(call, failure);
-                                        retryLater(cycle, again);
-                                    });
-                });
+            Runnable repeat) {
+        long call = ++mCall;
+        mCallSentMillis = mTimers.nowMillis();
+        mRepeat = repeat;
+        request.get()
+                .thenAccept(
+                        result -> {
+                            if (call == mCall) {
+                                result.peek(value -> succeed(value, next))
+                                        .peekLeft(failure -> fail(name, failure, repeat));
+                            }
+                        });
+    }
+
+    private <R> void succeed(R value, Consumer<R> next) {
+        mPauseMillis = MIN_PAUSE_MILLIS;
+        mCallSentMillis = mTimers.nowMillis();
+        mContact.succeeded();
+        next.accept(value);
     }
 
-    private void retryLater(long cycle, Runnable again) {
+    private void fail(String name, PlatformFailure failure, Runnable repeat) {
+        mContact.failed(name, failure);
+        long call = mCall;
         long pause = mPauseMillis / 2 + mRandom.nextLong(mPauseMillis);
         mPauseMillis = Math.min(MAX_PAUSE_MILLIS, mPauseMillis * 2);
         mTimers.after(
                 Duration.ofMillis(pause),
                 () -> {
-                    if (cycle == mCycle) {
-                        again.run();
+                    if (call == mCall) {
+                        repeat.run();
                     }
                 });
     }
--- a/rhubarbward-core/src/main/java/io/rhubarbward/store/StoreContact.java
+++ b/rhubarbward-core/src/main/java/io/rhubarbward/store/StoreContact.java
@@ -4,6 +4,8 @@
 import io.rhubarbward.event.EventLog;
 import io.rhubarbward.event.LogEvent;
 import io.rhubarbward.timer.TimerService;
+import java.util.ArrayList;
+import java.util.List;
 
 /**
  * Whether this process reaches the store, as all of its calls together show.
@@ -15,6 +17,7 @@
 
     private final TimerService mTimers;
     private final EventLog mEvents;
+    private final List<Runnable> mOnReturn = new ArrayList<>();
     private long mFailingSince = NEVER;
     private long mLastOutageEnd = NEVER;
 
@@ -24,6 +27,11 @@
         mEvents = events;
     }
 
+    /** Calls the subscriber when an outage has ended. */
+    public void subscribeToReturn(Runnable subscriber) {
+        mOnReturn.add(subscriber);
+    }
+
     /** A call was answered. */
     public void succeeded() {
         if (lost()) {
@@ -32,6 +40,7 @@
                     LogEvent.PLATFORM_AVAILABLE, EventField.of("outageMs", now - mFailingSince));
             mFailingSince = NEVER;
             mLastOutageEnd = now;
+            mOnReturn.forEach(Runnable::run);
         }
     }
 
--- a/rhubarbward-core/src/test/java/io/rhubarbward/store/KindFollowerTest.java
+++ b/rhubarbward-core/src/test/java/io/rhubarbward/store/KindFollowerTest.java
@@ -17,6 +17,7 @@
 
     private final VirtualTimerService mTimers = new VirtualTimerService();
     private final RecordingEvents mEvents = new RecordingEvents();
+    private final StoreContact mContact = new StoreContact(mTimers, mEvents);
     private final FakeKind<String> mKind = new FakeKind<>();
     private final List<String> mSeen = new ArrayList<>();
     private final KindFollower<String> mFollower =
@@ -40,7 +41,7 @@
                     },
                     WAIT,
                     mTimers,
-                    new StoreContact(mTimers, mEvents),
+                    mContact,
                     new SplittableRandom(1));
 
     @Test
@@ -113,4 +114,46 @@
         mKind.listed(12);
         assertThat(mFollower.ageMillis()).isEqualTo(30);
     }
+
+    /** The call's connection fell silent with the store; another kind's call was answered. */
+    @Test
+    void aCallThatHangsIsRepeatedAtOnceWhenTheStoreIsBack() {
+        mFollower.start();
+        mKind.listed(7);
+        mTimers.advance(Duration.ofSeconds(1));
+        mContact.failed("other", new PlatformFailure.AnswerLost(PlatformFailure.Reason.TIMEOUT));
+        mContact.succeeded();
+        assertThat(mKind.openWatches()).isEqualTo(2);
+        mKind.changed(9, FakeKind.item("silent", "x"));
+        assertThat(mSeen).containsExactly("all []");
+        mKind.changed(9, FakeKind.item("a", "1"));
+        assertThat(mSeen).containsExactly("all []", "item a").inOrder();
+        assertThat(mKind.openWatches()).isEqualTo(1);
+    }
+
+    /** A store that refuses some calls and answers others must not be asked without a pause. */
+    @Test
+    void aReturnRepeatsNoCallThatWasJustSent() {
+        mFollower.start();
+        mKind.listed(7);
+        for (int flap = 0; flap < 20; flap++) {
+            mContact.failed(
+                    "other", new PlatformFailure.AnswerLost(PlatformFailure.Reason.TIMEOUT));
+            mContact.succeeded();
+            mTimers.advance(Duration.ofMillis(50));
+        }
+        assertThat(mKind.openWatches()).isAtMost(3);
+    }
+
+    @Test
+    void aWatchThatRepeatsAFailedOneHardlyWaitsAndConfirmsNothingOfTheLastSecond() {
+        mFollower.start();
+        mKind.listed(7);
+        mKind.watchFails();
+        mTimers.advance(Duration.ofSeconds(2));
+        assertThat(mKind.watchedFor()).isLessThan(Duration.ofMillis(100));
+        mKind.changed(7);
+        assertThat(mFollower.ageMillis()).isAtLeast(1100);
+        assertThat(mKind.watchedFor()).isEqualTo(WAIT);
+    }
 }
--- a/rhubarbward-core/src/test/java/io/rhubarbward/testing/FakeKind.java
+++ b/rhubarbward-core/src/test/java/io/rhubarbward/testing/FakeKind.java
@@ -22,6 +22,7 @@
     private final Deque<CompletableFuture<Either<PlatformFailure, ObjectChanges<T>>>> mWatches =
             new ArrayDeque<>();
     private long mWatchedFrom;
+    private Duration mWatchedFor = Duration.ZERO;
 
     /** Returns an item that could be read. */
     public static <T> ObjectItem<T> item(String name, T value) {
@@ -44,6 +45,7 @@
     public CompletionStage<Either<PlatformFailure, ObjectChanges<T>>> watch(
             long revision, Duration wait) {
         mWatchedFrom = revision;
+        mWatchedFor = wait;
         mWatches.add(new CompletableFuture<>());
         return mWatches.getLast();
     }
@@ -100,4 +102,8 @@
     public long watchedFrom() {
         return mWatchedFrom;
     }
+
+    public Duration watchedFor() {
+        return mWatchedFor;
+    }
 }
