Print one request's story from the routers' logs

Cause: an engineer had to filter lines by hand, and what a router believed of the servers stands in lines without the request's id.

--- a/rhubarbward-core/src/main/java/io/rhubarbward/node/FleetRouter.java
+++ b/rhubarbward-core/src/main/java/io/rhubarbward/node/FleetRouter.java
@@ -132,7 +132,6 @@
         mPorts.events()
                 .log(
                         LogEvent.ROUTER_STARTED,
-                        EventField.of("vm", mSettings.vm()),
                         EventField.of("dataCentre", mSettings.dataCentre()),
                         EventField.of("store", mSettings.store()));
         mCatalogFollower.start();
--- a/rhubarbward-daemon/src/main/java/io/rhubarbward/cli/Main.java
+++ b/rhubarbward-daemon/src/main/java/io/rhubarbward/cli/Main.java
@@ -26,7 +26,8 @@
                     new ReplayCommand(),
                     new TraceCommand(),
                     new MoveCommand(),
-                    new DumpCommand());
+                    new DumpCommand(),
+                    new ExplainCommand());
 
     private Main() {}
 
--- a/rhubarbward-daemon/src/test/java/io/rhubarbward/cli/MainTest.java
+++ b/rhubarbward-daemon/src/test/java/io/rhubarbward/cli/MainTest.java
@@ -8,6 +8,7 @@
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.List;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 
@@ -64,6 +65,29 @@
         assertThat(run("dump", "--router", "127.0.0.1:1")).isEqualTo(ExitCode.UNREACHABLE);
     }
 
+    /** The lines are from a day on which a server failed a request that another then failed too. */
+    @Test
+    void explainPrintsARequestAndWhatItsRouterBelievedInOrder() {
+        String id = "259d52188402ef16";
+        assertThat(run("explain", id, "--log", "src/test/resources/explain.log"))
+                .isEqualTo(ExitCode.OK);
+        List<String> lines = mOut.toString(StandardCharsets.UTF_8).lines().toList();
+        assertThat(lines).hasSize(4);
+        assertThat(lines.get(0)).contains("~ front-lima-sur-3 data-centre-emptied name=lima-sur");
+        assertThat(lines.get(1)).contains("+0 ms   front-lima-sur-3 request-sent");
+        assertThat(lines.get(2)).contains("server=i-7ddbd6d069");
+        assertThat(lines.get(3)).contains("outcome=answered-500");
+        assertThat(lines.stream().filter(line -> line.contains("i-b138d538ae")).toList()).isEmpty();
+    }
+
+    @Test
+    void explainSaysWhenNoLineHasTheId() {
+        assertThat(run("explain", "nobody", "--log", "src/test/resources/explain.log"))
+                .isEqualTo(ExitCode.USAGE);
+        assertThat(mErr.toString(StandardCharsets.UTF_8)).contains("id nobody: none of 9");
+        assertThat(run("explain", "nobody", "--log", "nowhere.log")).isEqualTo(ExitCode.USAGE);
+    }
+
     private ExitCode run(String... arguments) {
         Console console =
                 new Console(
