Compare first tokens of returning chats only

The states that three routers held every half second show both engines of the version ready until 4,543.5 s; then one router took assistant-6 for cold by slow first tokens and 0.3 s later another took assistant-5, and each told its data centre. Neither had restarted. Half the fleet then kept work from one engine and half from the other. The slow answers were first turns of chats that had just come to these engines, whose prompts are read anew. Change: a chat's first answer by a server counts for the ramp but not for the comparison; each router remembers who last answered 16,384 chats. Measured: ColdEngineTest, new case: cold before, ready after. Conclusion: Kyushu is green and its test an ordinary one, which replaces the one that left the bound out.

--- a/rhubarbward-core/src/main/java/io/rhubarbward/engine/BackendRegistry.java
+++ b/rhubarbward-core/src/main/java/io/rhubarbward/engine/BackendRegistry.java
@@ -38,6 +38,7 @@
 
     private final EventLog mEvents;
     private final TimerService mTimers;
+    private final ReturningChats mReturningChats = new ReturningChats();
     private final Map<String, Backend> mBackends = new TreeMap<>();
     private final Map<String, BackendState> mLoggedStates = new HashMap<>();
     private final List<BiConsumer<String, ColdReason>> mOnCold = new ArrayList<>();
@@ -98,14 +99,22 @@
     /**
      * Notes that the server completed a request.
      *
+     * <p>A chat that is new to a server has its prompt read there first, however warm the server
+     * is, so that its time says nothing of a cold start.
+     *
      * @param server its name
+     * @param chat the chat that the request belongs to, if any
      * @param firstByteMillis from sending the request to the head of the answer
      */
-    public void completed(String server, long firstByteMillis) {
+    public void completed(String server, Optional<String> chat, long firstByteMillis) {
+        boolean comparable = chat.map(name -> mReturningChats.answered(name, server)).orElse(true);
         change(
                 server,
                 backend -> {
                     backend.completed();
+                    if (!comparable) {
+                        return;
+                    }
                     backend.firstTokens().add(firstByteMillis, mTimers.nowMillis());
                     if (slowerThanItsPastAndItsPeers(backend)) {
                         backend.cool();
--- a/rhubarbward-core/src/main/java/io/rhubarbward/node/RouterNode.java
+++ b/rhubarbward-core/src/main/java/io/rhubarbward/node/RouterNode.java
@@ -197,7 +197,7 @@
     private void countCompleted(CallOutcome outcome) {
         mAdmission.waitingRoom().onRoom(outcome.server().service());
         if (outcome.result() == CallOutcome.Result.ANSWERED) {
-            mRegistry.completed(outcome.server().name(), outcome.firstByteMillis());
+            mRegistry.completed(outcome.server().name(), outcome.chat(), outcome.firstByteMillis());
         }
     }
 
--- a/rhubarbward-core/src/main/java/io/rhubarbward/request/Attempt.java
+++ b/rhubarbward-core/src/main/java/io/rhubarbward/request/Attempt.java
@@ -177,6 +177,7 @@
                         new CallOutcome(
                                 mServer,
                                 mRequest.caller().path(),
+                                mRequest.chat(),
                                 result,
                                 mFirstByteMillis,
                                 mContext.timers().nowMillis() - mSentMillis,
--- a/rhubarbward-core/src/main/java/io/rhubarbward/request/CallOutcome.java
+++ b/rhubarbward-core/src/main/java/io/rhubarbward/request/CallOutcome.java
@@ -1,12 +1,14 @@
 package io.rhubarbward.request;
 
 import io.rhubarbward.config.BackendServer;
+import java.util.Optional;
 
 /**
  * How one call to one backend server ended.
  *
  * @param server where the call went
  * @param path the path that the caller asked for
+ * @param chat the chat that the request belongs to, if any
  * @param result how it ended
  * @param firstByteMillis from sending to the answer's head; -1 if none came
  * @param totalMillis from sending to the end
@@ -15,6 +17,7 @@
 public record CallOutcome(
         BackendServer server,
         String path,
+        Optional<String> chat,
         Result result,
         long firstByteMillis,
         long totalMillis,
--- a/rhubarbward-core/src/test/java/io/rhubarbward/engine/ColdEngineTest.java
+++ b/rhubarbward-core/src/test/java/io/rhubarbward/engine/ColdEngineTest.java
@@ -132,6 +132,18 @@
         assertThat(state()).isEqualTo(BackendState.READY);
     }
 
+    /**
+     * The first answers to a rollout's chats, all cache misses, once made both its engines cold.
+     */
+    @Test
+    void chatsThatAreNewToAnEngineDoNotMakeItCold() {
+        learnUsualTimes();
+        for (int i = 0; i < 16; i++) {
+            answerAfter(SLOW, USUAL, "new-" + i + "-");
+        }
+        assertThat(state()).isEqualTo(BackendState.READY);
+    }
+
     private void learnUsualTimes() {
         IntStream.range(0, 80).forEach(i -> answerAfter(USUAL.plusMillis(i % 7), USUAL));
         assertThat(state()).isEqualTo(BackendState.READY);
@@ -230,8 +242,12 @@
 
     /** Has the engine answer after the one time, and the others, each at least once, the other. */
     private void answerAfter(Duration engineTime, Duration othersTime) {
+        answerAfter(engineTime, othersTime, "turn-");
+    }
+
+    private void answerAfter(Duration engineTime, Duration othersTime, String chats) {
         for (int number = 0; openServers() < ENGINES; number++) {
-            mSite.router(0).serve(Site.chat("turn-" + number), new RecordingResponse());
+            mSite.router(0).serve(Site.chat(chats + number), new RecordingResponse());
             mSite.advance(Duration.ZERO);
         }
         mSite.advance(othersTime);
--- a/rhubarbward-replay/src/test/java/io/rhubarbward/replay/ReplayTest.java
+++ b/rhubarbward-replay/src/test/java/io/rhubarbward/replay/ReplayTest.java
@@ -23,21 +23,17 @@
     }
 
     @Test
-    void everyPromiseButTheBoundOnLoadHoldsInKyushu() {
+    void everyPromiseHoldsInKyushu() {
         ReplayReport report = replay(ReplaySite.KYUSHU);
-        List<Promise> broken =
-                report.firstBreaches().stream()
-                        .map(PromiseLog.Breach::promise)
-                        .filter(promise -> promise != Promise.LOAD_BOUNDED)
-                        .toList();
-        assertWithMessage(report.table()).that(broken).isEmpty();
+        assertWithMessage(report.table()).that(report.held()).isTrue();
     }
 
     /** Listed in KNOWN-RED.txt. */
     @Test
     @Tag("known-red")
-    void everyPromiseHoldsInKyushu() {
-        ReplayReport report = replay(ReplaySite.KYUSHU);
+    void everyPromiseHoldsInLimaWithAnEngineThatRestartsBetweenLosses() {
+        long seed = 2;
+        ReplayReport report = Replay.run(TraceGenerator.generate(ReplaySite.LIMA, seed), seed);
         assertWithMessage(report.table()).that(report.held()).isTrue();
     }
 
