--- a/rhubarbward-core/src/main/java/io/rhubarbward/engine/ReturningChats.java
+++ b/rhubarbward-core/src/main/java/io/rhubarbward/engine/ReturningChats.java
@@ -5,7 +5,7 @@
 
 /** The server that last answered each of the chats that this router saw most recently. */
 final class ReturningChats {
-    /** Chats remembered: a few minutes of one router's at the target, in about 3 MB. */
+    /** Chats remembered: 16 minutes of one router's requests at the target of 17 a second. */
     private static final int MAX_CHATS = 16_384;
 
     private static final float LOAD_FACTOR = 0.75f;
--- a/rhubarbward-core/src/main/java/io/rhubarbward/gossip/LoadGossip.java
+++ b/rhubarbward-core/src/main/java/io/rhubarbward/gossip/LoadGossip.java
@@ -27,8 +27,8 @@
     private static final int FEW = 16;
 
     /**
-     * Messages a second in which a router tells of new requests before its period ends: about 2% of
-     * the smallest VM's processor time.
+     * Messages a second in which a router tells of new requests before its period ends: twice what
+     * nine routers need at 14 requests a second each.
      */
     private static final int PROMPT_MESSAGES_PER_SECOND = 250;
 
