Answer not ready from the moment a stop begins

The stop was a task of the event loop, and the loop answers what it has read before it takes up new tasks. Change: stop() sets a flag that the readiness reads. Measured: a new case holds the loop up at a refusal and stops the router meanwhile: ready before the change, not ready after it; FleetDaemonTest passes.

--- a/rhubarbward-daemon/src/main/java/io/rhubarbward/daemon/FleetDaemon.java
+++ b/rhubarbward-daemon/src/main/java/io/rhubarbward/daemon/FleetDaemon.java
@@ -81,6 +81,7 @@
     private final HttpListener mReadiness;
     private final HttpListener mMetrics;
     private volatile FleetNodeSettings mSettings;
+    private volatile boolean mStopping;
     private final CompletableFuture<Integer> mStopped = new CompletableFuture<>();
 
     private FleetDaemon(
@@ -122,10 +123,15 @@
     }
 
     private CallerListener answerReadiness(CallerRequest request, CallerResponse response) {
-        boolean ready = mRouter.ready();
+        boolean ready = ready();
         return JsonAnswer.send(response, ready ? OK : UNAVAILABLE, Map.of("ready", ready));
     }
 
+    /** Returns whether the balancer should send new connections here. */
+    boolean ready() {
+        return !mStopping && mRouter.ready();
+    }
+
     /**
      * Starts a router; it is ready once it has read the store.
      *
@@ -194,6 +200,8 @@
 
     /** Begins a planned stop; completes with the number of requests that it had to cut. */
     public CompletableFuture<Integer> stop() {
+        // The event loop may answer the balancer before it comes to the task below.
+        mStopping = true;
         mTimers.execute(
                 () -> {
                     mRouter.beginStop();
--- a/rhubarbward-daemon/src/test/java/io/rhubarbward/daemon/FleetDaemonTest.java
+++ b/rhubarbward-daemon/src/test/java/io/rhubarbward/daemon/FleetDaemonTest.java
@@ -2,10 +2,14 @@
 
 import static com.google.common.truth.Truth.assertThat;
 
+import io.rhubarbward.event.EventField;
 import io.rhubarbward.event.EventLog;
+import io.rhubarbward.event.LogEvent;
 import io.rhubarbward.request.CallerRequest;
 import java.io.IOException;
+import java.io.UncheckedIOException;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CountDownLatch;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 
@@ -55,6 +59,60 @@
         }
     }
 
+    /** The loop answers what it has read before it takes up a new task. */
+    @Test
+    void aStopIsNotReadyEvenBeforeTheEventLoopHearsOfIt() throws Exception {
+        CountDownLatch busy = new CountDownLatch(1);
+        CountDownLatch released = new CountDownLatch(1);
+        EventLog events = new BlockingEvents(LogEvent.REQUEST_REFUSED, busy, released);
+        try (FleetRehearsal fleet = FleetRehearsal.start(events)) {
+            fleet.awaitReady();
+            CompletableFuture<Void> caller = CompletableFuture.runAsync(() -> refused(fleet));
+            busy.await();
+            CompletableFuture<Integer> stopped = fleet.router().stop();
+            boolean ready = fleet.router().ready();
+            released.countDown();
+            caller.get();
+            assertThat(ready).isFalse();
+            assertThat(stopped.get()).isEqualTo(0);
+        }
+    }
+
+    private static void refused(FleetRehearsal fleet) {
+        try {
+            fleet.ask("GET", "/nowhere/", "r-1");
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+
+    /**
+     * Holds up whoever logs the event until it is released.
+     *
+     * @param held the event
+     * @param reached is counted down when it is logged
+     * @param released lets the thread go on
+     */
+    private record BlockingEvents(LogEvent held, CountDownLatch reached, CountDownLatch released)
+            implements EventLog {
+        @Override
+        public void log(LogEvent event, EventField... fields) {
+            if (event == held) {
+                reached.countDown();
+                try {
+                    released.await();
+                } catch (InterruptedException e) {
+                    Thread.currentThread().interrupt();
+                }
+            }
+        }
+
+        @Override
+        public void log(LogEvent event, Throwable cause, EventField... fields) {
+            log(event, fields);
+        }
+    }
+
     @Test
     void aStopFinishesAndIsNotReady() throws Exception {
         try (FleetRehearsal fleet = FleetRehearsal.start(EventLog.none())) {
