--- a/rhubarbward-core/src/main/java/io/rhubarbward/directory/RouterDirectory.java
+++ b/rhubarbward-core/src/main/java/io/rhubarbward/directory/RouterDirectory.java
@@ -33,7 +33,7 @@
     /** An entry that cannot be decoded still counts as a router, with an unknown address. */
     @Override
     public void onItem(DecodedObject<RouterPresence> item) {
-        RouterPresence presence = item.value().getOrElse(new RouterPresence("", ""));
+        RouterPresence presence = item.value().getOrElse(new RouterPresence("", "", 0));
         if (!presence.equals(mRouters.put(item.name(), presence))) {
             mEvents.log(
                     LogEvent.ROUTER_LISTED,
--- a/rhubarbward-core/src/main/java/io/rhubarbward/membership/PeerTransport.java
+++ b/rhubarbward-core/src/main/java/io/rhubarbward/membership/PeerTransport.java
@@ -1,5 +1,6 @@
 package io.rhubarbward.membership;
 
+import java.util.Collection;
 import java.util.function.BiConsumer;
 
 /**
@@ -11,6 +12,11 @@
     /** Sends the message, or drops it when the peer cannot be reached. */
     void send(Peer to, PeerMessage message);
 
+    /** Sends the same message to several peers. */
+    default void sendToAll(Collection<Peer> receivers, PeerMessage message) {
+        receivers.forEach(peer -> send(peer, message));
+    }
+
     /** Closes the connection to the peer; the next message opens another. */
     default void reconnect(Peer to) {}
 
--- a/rhubarbward-core/src/main/java/io/rhubarbward/node/FleetNodeSettings.java
+++ b/rhubarbward-core/src/main/java/io/rhubarbward/node/FleetNodeSettings.java
@@ -11,6 +11,7 @@
  * @param readiness the address to listen on for the balancer's readiness checks
  * @param peers the address to listen on for other routers
  * @param store host and port of the platform's store
+ * @param processorCapacity how many processor cores' work the VM can do; 0 if not known
  * @param bounds the limits that the fleet keeps
  */
 public record FleetNodeSettings(
@@ -20,4 +21,5 @@
         InetSocketAddress readiness,
         InetSocketAddress peers,
         String store,
+        double processorCapacity,
         FleetBounds bounds) {}
--- a/rhubarbward-core/src/main/java/io/rhubarbward/node/FleetRouter.java
+++ b/rhubarbward-core/src/main/java/io/rhubarbward/node/FleetRouter.java
@@ -16,10 +16,11 @@
 import io.rhubarbward.forward.ForwardMetrics;
 import io.rhubarbward.forward.ForwardingService;
 import io.rhubarbward.forward.LocalRetryBudget;
-import io.rhubarbward.gossip.LoadGossip;
 import io.rhubarbward.placement.PlacementPolicy;
 import io.rhubarbward.placement.ServerTable;
 import io.rhubarbward.placement.VersionChoice;
+import io.rhubarbward.relay.LoadExchange;
+import io.rhubarbward.relay.StoreFollower;
 import io.rhubarbward.request.CallerListener;
 import io.rhubarbward.request.CallerRequest;
 import io.rhubarbward.request.CallerResponse;
@@ -30,6 +31,7 @@
 import io.rhubarbward.timer.ClockJumpDetector;
 import java.net.InetSocketAddress;
 import java.time.Duration;
+import java.util.List;
 import java.util.Optional;
 
 /**
@@ -54,6 +56,9 @@
     /** How long other watches wait: a return costs a call and confirms nothing that is needed. */
     private static final Duration WATCH_WAIT = Duration.ofSeconds(12);
 
+    /** Rest of a watch after changes, which then come in fewer calls; well within every bound. */
+    private static final Duration WATCH_REST = Duration.ofMillis(500);
+
     /** How often the clocks are compared, in addition to the comparison at each send. */
     private static final Duration CLOCK_CHECK_PERIOD = Duration.ofMillis(200);
 
@@ -66,7 +71,8 @@
     private final CurrentCatalog mCatalog;
     private final MarkerSet<String> mEvacuations;
     private final RouterDirectory mRouters;
-    private final LoadGossip mGossip;
+    private final LoadExchange mLoadExchange;
+    private final StoreFollower mStoreFollower;
     private final KindWatcher<Catalog> mCatalogWatcher;
     private final KindWatcher<ListedServer> mServerWatcher;
     private final KindWatcher<String> mEvacuationWatcher;
@@ -89,20 +95,43 @@
                 removed -> ports.backends().evictIdleConnections(removed.server().address()));
         BackendDirectory directory =
                 new BackendDirectory(ports.timers(), mStoreAvailability, ports.events(), table);
-        mCatalogWatcher = watcher(ports.store().catalogs(), mCatalog, CATALOG_WATCH_WAIT);
-        mServerWatcher = watcher(ports.store().servers(), directory, WATCH_WAIT);
-        mEvacuationWatcher = watcher(ports.store().evacuations(), mEvacuations, WATCH_WAIT);
-        mRouterWatcher = watcher(ports.store().routers(), mRouters, WATCH_WAIT);
-        mGossip =
-                new LoadGossip(
-                        settings.vm(), mRouters::routers, ports.peers(), table, ports.timers());
+        mCatalogWatcher =
+                watcher(ports.store().catalogs(), mCatalog, CATALOG_WATCH_WAIT, Duration.ZERO);
+        mServerWatcher = watcher(ports.store().servers(), directory, WATCH_WAIT, WATCH_REST);
+        mEvacuationWatcher =
+                watcher(ports.store().evacuations(), mEvacuations, WATCH_WAIT, WATCH_REST);
+        mRouterWatcher = watcher(ports.store().routers(), mRouters, WATCH_WAIT, WATCH_REST);
+        mStoreFollower =
+                new StoreFollower(
+                        settings.vm(),
+                        settings.dataCentre(),
+                        List.of(
+                                mCatalogWatcher,
+                                mServerWatcher,
+                                mEvacuationWatcher,
+                                mRouterWatcher),
+                        mStoreAvailability,
+                        mRouters::routers,
+                        ports.peers(),
+                        ports.timers(),
+                        ports.events(),
+                        this::relistAfterClockJump);
+        mLoadExchange =
+                new LoadExchange(
+                        settings.vm(),
+                        settings.dataCentre(),
+                        mRouters::routers,
+                        mStoreFollower::aggregator,
+                        ports.peers(),
+                        table,
+                        ports.timers());
         mForwarding = new ForwardingService(forwardContext(table));
     }
 
     private <T> KindWatcher<T> watcher(
-            ObjectKind<T> kind, KindListener<T> listener, Duration wait) {
+            ObjectKind<T> kind, KindListener<T> listener, Duration wait, Duration rest) {
         return new KindWatcher<>(
-                kind, listener, wait, mPorts.timers(), mStoreAvailability, mPorts.random());
+                kind, listener, wait, rest, mPorts.timers(), mStoreAvailability, mPorts.random());
     }
 
     private ForwardContext forwardContext(ServerTable table) {
@@ -140,12 +169,9 @@
                         LogEvent.ROUTER_STARTED,
                         EventField.of("dataCentre", mSettings.dataCentre()),
                         EventField.of("store", mSettings.store()));
-        mCatalogWatcher.start();
-        mServerWatcher.start();
-        mEvacuationWatcher.start();
+        mStoreFollower.start();
         announce();
-        mRouterWatcher.start();
-        mGossip.start();
+        mLoadExchange.start();
         mPorts.timers().every(CLOCK_CHECK_PERIOD, this::relistAfterClockJump);
     }
 
@@ -164,7 +190,9 @@
     private RouterPresence ownPresence() {
         InetSocketAddress peers = mSettings.peers();
         return new RouterPresence(
-                mSettings.dataCentre(), peers.getHostString() + ":" + peers.getPort());
+                mSettings.dataCentre(),
+                peers.getHostString() + ":" + peers.getPort(),
+                mSettings.processorCapacity());
     }
 
     /**
@@ -175,6 +203,7 @@
         long jumpMillis = mClockJumpDetector.takeJumpMillis();
         if (jumpMillis != 0) {
             mPorts.events().log(LogEvent.CLOCK_JUMPED, EventField.of("millis", jumpMillis));
+            mStoreFollower.voidOpenRequests();
             mCatalogWatcher.relist();
             mServerWatcher.relist();
             mEvacuationWatcher.relist();
--- a/rhubarbward-core/src/main/java/io/rhubarbward/placement/ServerTable.java
+++ b/rhubarbward-core/src/main/java/io/rhubarbward/placement/ServerTable.java
@@ -5,7 +5,6 @@
 import io.rhubarbward.event.EventField;
 import io.rhubarbward.event.EventLog;
 import io.rhubarbward.event.LogEvent;
-import io.rhubarbward.gossip.LoadNews;
 import io.rhubarbward.timer.TimerService;
 import java.time.Duration;
 import java.util.ArrayList;
@@ -74,15 +73,16 @@
     /**
      * Updates the number of requests in flight from all other routers together.
      *
-     * @param inFlight counts by {@link LoadNews#serverHash} of the server's id; a missing server
-     *     has none
+     * @param inFlight counts by {@link TrackedServer#hash(String)}; a missing server has none
      */
     public void updateInFlightFromOthers(Map<Integer, Integer> inFlight) {
         long now = mTimers.nowMillis();
-        mServersById.forEach(
-                (id, server) ->
-                        server.updateInFlightFromOthers(
-                                inFlight.getOrDefault(LoadNews.serverHash(id), 0), now));
+        mServersById
+                .values()
+                .forEach(
+                        server ->
+                                server.updateInFlightFromOthers(
+                                        inFlight.getOrDefault(server.hash(), 0), now));
     }
 
     /** Calls the subscriber whenever this router sends a request to a server. */
--- a/rhubarbward-core/src/main/java/io/rhubarbward/placement/TrackedServer.java
+++ b/rhubarbward-core/src/main/java/io/rhubarbward/placement/TrackedServer.java
@@ -2,6 +2,7 @@
 
 import io.rhubarbward.config.BackendServer;
 import io.rhubarbward.directory.ListedServer;
+import io.rhubarbward.hash.RendezvousHash;
 import java.time.Duration;
 
 /**
@@ -38,6 +39,7 @@
     private final ServerHealth mHealth = new ServerHealth();
     private final SlidingWindowCounter mRecentSends =
             new SlidingWindowCounter(COLD_LIMIT_WINDOW_MILLIS);
+    private final int mHash;
     private ListedServer mEntry;
     private long mColdUntilMillis;
     private int mInFlight;
@@ -48,6 +50,7 @@
     private long mOthersUpdatedMillis = NEVER_MILLIS;
 
     TrackedServer(ListedServer entry, long nowMillis) {
+        mHash = hash(entry.id());
         mEntry = entry;
         mColdUntilMillis = nowMillis + entry.coldRemaining().toMillis();
         mReportedLoad = new ServerLoad(0, 0, entry.slots());
@@ -63,6 +66,16 @@
         return mEntry.server();
     }
 
+    /** Returns a 32-bit hash of the server's id, which names it in messages between routers. */
+    public int hash() {
+        return mHash;
+    }
+
+    /** Returns the {@link #hash()} of the server with the id. */
+    public static int hash(String serverId) {
+        return (int) RendezvousHash.hash(serverId);
+    }
+
     /** Returns the server's directory entry. */
     public ListedServer entry() {
         return mEntry;
--- /dev/null
+++ b/rhubarbward-core/src/main/java/io/rhubarbward/relay/DataCentreLoad.java
@@ -0,0 +1,25 @@
+package io.rhubarbward.relay;
+
+import io.rhubarbward.membership.PeerMessage;
+import java.util.Map;
+
+/**
+ * An aggregator tells that of another data centre what its routers have in flight.
+ *
+ * @param aggregator the VM name of the router that made the sum
+ * @param unheardMillis for how long it has not heard from the receiver's data centre
+ * @param forwarded whether a router that is no aggregator has passed the message on
+ * @param inFlight the sum over the routers that report to the aggregator, keyed as in {@link
+ *     LoadReport}
+ */
+public record DataCentreLoad(
+        String aggregator, long unheardMillis, boolean forwarded, Map<Integer, Integer> inFlight)
+        implements PeerMessage {
+    public DataCentreLoad {
+        inFlight = Map.copyOf(inFlight);
+    }
+
+    DataCentreLoad asForwarded() {
+        return new DataCentreLoad(aggregator, unheardMillis, true, inFlight);
+    }
+}
--- /dev/null
+++ b/rhubarbward-core/src/main/java/io/rhubarbward/relay/LoadAggregator.java
@@ -0,0 +1,294 @@
+package io.rhubarbward.relay;
+
+import io.rhubarbward.directory.RouterPresence;
+import io.rhubarbward.membership.Peer;
+import io.rhubarbward.membership.PeerTransport;
+import io.rhubarbward.timer.TimerService;
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Objects;
+import java.util.Optional;
+import java.util.Set;
+import java.util.function.Consumer;
+import java.util.function.LongSupplier;
+import java.util.function.Supplier;
+import java.util.stream.Collectors;
+
+/**
+ * Adds up what the routers of this data centre have in flight, exchanges the sums with the
+ * aggregators of the other data centres and tells its own routers the totals.
+ *
+ * <p>Any router does this as long as others report to it, so that no agreement on the aggregator is
+ * needed.
+ */
+final class LoadAggregator {
+    /** Age from which a report or a sum is no longer counted. */
+    private static final long EXPIRY_MILLIS = 1500;
+
+    /** Longest time between two messages to each receiver. */
+    private static final Duration MAX_PUBLISH_INTERVAL = Duration.ofMillis(500);
+
+    /**
+     * How long another data centre's preferred aggregator may be silent before the next is tried.
+     */
+    private static final long NEXT_CANDIDATE_MILLIS = 1000;
+
+    /** Time without a message from which the connection to an aggregator is replaced. */
+    private static final long RECONNECT_AFTER_MILLIS = 1500;
+
+    private static final long MIN_RECONNECT_INTERVAL_MILLIS = 2000;
+    private static final long NEVER = Long.MIN_VALUE / 2;
+
+    private final String mSelf;
+    private final String mDataCentre;
+    private final Supplier<Map<String, RouterPresence>> mRouters;
+    private final Supplier<Optional<Peer>> mAggregatorPeer;
+    private final PeerTransport mTransport;
+    private final TimerService mTimers;
+    private final LongSupplier mMinIntervalMillis;
+    private final Consumer<LoadTotals> mOwnTotals;
+    private final Map<String, Received<LoadReport>> mReports = new HashMap<>();
+    private final Map<String, Received<DataCentreLoad>> mSumsByAggregator = new HashMap<>();
+    private final Map<String, RemoteDataCentre> mRemoteDataCentres = new HashMap<>();
+    private final Map<Integer, Integer> mOwnSum = new HashMap<>();
+    private Map<Integer, Integer> mPublishedOwnSum = Map.of();
+    private long mExchangedMillis = NEVER;
+    private long mPublishedMillis = NEVER;
+    private boolean mPublishPending;
+
+    LoadAggregator(
+            String self,
+            String dataCentre,
+            Supplier<Map<String, RouterPresence>> routers,
+            Supplier<Optional<Peer>> aggregator,
+            PeerTransport transport,
+            TimerService timers,
+            LongSupplier minIntervalMillis,
+            Consumer<LoadTotals> ownTotals) {
+        mSelf = self;
+        mDataCentre = dataCentre;
+        mRouters = routers;
+        mAggregatorPeer = aggregator;
+        mTransport = transport;
+        mTimers = timers;
+        mMinIntervalMillis = minIntervalMillis;
+        mOwnTotals = ownTotals;
+    }
+
+    private record Received<M>(M message, long atMillis) {
+        boolean expired(long nowMillis) {
+            return nowMillis - atMillis > EXPIRY_MILLIS;
+        }
+    }
+
+    /** State of the exchange with another data centre. */
+    private static final class RemoteDataCentre {
+        /** The aggregator that was heard last; empty while a candidate is tried. */
+        private String mAggregator = "";
+
+        private long mHeardMillis;
+        private long mTriedMillis;
+        private int mCandidate;
+        private long mReconnectedMillis = NEVER;
+
+        RemoteDataCentre(long nowMillis) {
+            mHeardMillis = nowMillis;
+            mTriedMillis = nowMillis;
+        }
+    }
+
+    void start() {
+        mTransport.subscribe(LoadReport.class, this::onReport);
+        mTransport.subscribe(DataCentreLoad.class, this::onDataCentreLoad);
+        mTimers.every(MAX_PUBLISH_INTERVAL, this::publishIfDue);
+    }
+
+    private boolean active() {
+        return !mReports.isEmpty();
+    }
+
+    void onReport(String sender, LoadReport report) {
+        if (!mRouters.get().containsKey(sender)) {
+            return;
+        }
+        Received<LoadReport> before =
+                mReports.put(sender, new Received<>(report, mTimers.nowMillis()));
+        Map<Integer, Integer> inFlightBefore =
+                before == null ? Map.of() : before.message().inFlight();
+        if (!inFlightBefore.equals(report.inFlight())) {
+            add(inFlightBefore, -1);
+            add(report.inFlight(), 1);
+        }
+        if (before == null || !inFlightBefore.equals(report.inFlight())) {
+            publishSoon();
+        }
+    }
+
+    private void add(Map<Integer, Integer> inFlight, int sign) {
+        inFlight.forEach(
+                (server, count) ->
+                        mOwnSum.compute(
+                                server,
+                                (key, sum) -> {
+                                    int changed = Objects.requireNonNullElse(sum, 0) + sign * count;
+                                    return changed == 0 ? null : changed;
+                                }));
+    }
+
+    private void onDataCentreLoad(String sender, DataCentreLoad load) {
+        RouterPresence presence = mRouters.get().get(load.aggregator());
+        if (presence == null) {
+            return;
+        }
+        if (!active()) {
+            if (!load.forwarded()) {
+                mAggregatorPeer.get().ifPresent(peer -> mTransport.send(peer, load.asForwarded()));
+            }
+            return;
+        }
+        long now = mTimers.nowMillis();
+        RemoteDataCentre remote = remote(presence.dataCentre());
+        remote.mAggregator = load.aggregator();
+        remote.mHeardMillis = now;
+        if (load.unheardMillis() > RECONNECT_AFTER_MILLIS
+                && now - remote.mReconnectedMillis > MIN_RECONNECT_INTERVAL_MILLIS) {
+            remote.mReconnectedMillis = now;
+            mTransport.reconnect(peer(load.aggregator(), presence));
+        }
+        Received<DataCentreLoad> before =
+                mSumsByAggregator.put(load.aggregator(), new Received<>(load, now));
+        if (before == null || !before.message().inFlight().equals(load.inFlight())) {
+            publishSoon();
+        }
+    }
+
+    private void publishSoon() {
+        if (mPublishPending) {
+            return;
+        }
+        mPublishPending = true;
+        long waitMillis = mPublishedMillis + mMinIntervalMillis.getAsLong() - mTimers.nowMillis();
+        if (waitMillis <= 0) {
+            mTimers.execute(this::publish);
+        } else {
+            mTimers.after(Duration.ofMillis(waitMillis), this::publish);
+        }
+    }
+
+    private void publishIfDue() {
+        boolean due = mTimers.nowMillis() - mPublishedMillis >= MAX_PUBLISH_INTERVAL.toMillis();
+        if (active() && !mPublishPending && due) {
+            publish();
+        }
+    }
+
+    private void publish() {
+        mPublishPending = false;
+        long now = mTimers.nowMillis();
+        mPublishedMillis = now;
+        expire(now);
+        if (!active()) {
+            return;
+        }
+        exchange(now);
+        Map<Integer, Integer> totals = new HashMap<>(mOwnSum);
+        mSumsByAggregator
+                .values()
+                .forEach(
+                        sum ->
+                                sum.message()
+                                        .inFlight()
+                                        .forEach(
+                                                (server, count) ->
+                                                        totals.merge(server, count, Integer::sum)));
+        mReports.forEach((vm, report) -> tell(vm, report.message().sequence(), totals));
+    }
+
+    private void expire(long now) {
+        List<String> silent =
+                mReports.entrySet().stream()
+                        .filter(entry -> entry.getValue().expired(now))
+                        .map(Map.Entry::getKey)
+                        .toList();
+        silent.forEach(
+                vm -> {
+                    Received<LoadReport> report = mReports.remove(vm);
+                    if (report != null) {
+                        add(report.message().inFlight(), -1);
+                    }
+                });
+        mSumsByAggregator.values().removeIf(sum -> sum.expired(now));
+    }
+
+    private void tell(String vm, long sequence, Map<Integer, Integer> totals) {
+        LoadTotals message = new LoadTotals(sequence, totals);
+        if (vm.equals(mSelf)) {
+            mOwnTotals.accept(message);
+            return;
+        }
+        RouterPresence presence = mRouters.get().get(vm);
+        if (presence != null && !presence.address().isEmpty()) {
+            mTransport.send(peer(vm, presence), message);
+        }
+    }
+
+    /** Sends this data centre's sum to the others, if it has changed or was not sent for long. */
+    private void exchange(long now) {
+        boolean changed = !mOwnSum.equals(mPublishedOwnSum);
+        if (!changed && now - mExchangedMillis < MAX_PUBLISH_INTERVAL.toMillis()) {
+            return;
+        }
+        mExchangedMillis = now;
+        mPublishedOwnSum = Map.copyOf(mOwnSum);
+        otherDataCentres()
+                .forEach(
+                        dataCentre -> {
+                            RemoteDataCentre remote = remote(dataCentre);
+                            aggregatorOf(dataCentre, remote, now)
+                                    .ifPresent(
+                                            peer ->
+                                                    mTransport.send(
+                                                            peer,
+                                                            new DataCentreLoad(
+                                                                    mSelf,
+                                                                    now - remote.mHeardMillis,
+                                                                    false,
+                                                                    mPublishedOwnSum)));
+                        });
+    }
+
+    private Set<String> otherDataCentres() {
+        return mRouters.get().values().stream()
+                .map(RouterPresence::dataCentre)
+                .filter(dataCentre -> !dataCentre.isEmpty() && !dataCentre.equals(mDataCentre))
+                .collect(Collectors.toSet());
+    }
+
+    /** Returns the aggregator that was heard from last, or the next candidate if none is heard. */
+    private Optional<Peer> aggregatorOf(String dataCentre, RemoteDataCentre remote, long now) {
+        RouterPresence presence = mRouters.get().get(remote.mAggregator);
+        if (presence != null && now - remote.mHeardMillis <= EXPIRY_MILLIS) {
+            return Optional.of(peer(remote.mAggregator, presence));
+        }
+        List<Peer> candidates = RelaySelection.inOrderOfPreference(mRouters.get(), dataCentre);
+        if (candidates.isEmpty()) {
+            return Optional.empty();
+        }
+        if (now - remote.mTriedMillis > NEXT_CANDIDATE_MILLIS) {
+            remote.mTriedMillis = now;
+            remote.mCandidate++;
+        }
+        return Optional.of(candidates.get(remote.mCandidate % candidates.size()));
+    }
+
+    private RemoteDataCentre remote(String dataCentre) {
+        return mRemoteDataCentres.computeIfAbsent(
+                dataCentre, name -> new RemoteDataCentre(mTimers.nowMillis()));
+    }
+
+    private static Peer peer(String vm, RouterPresence presence) {
+        return new Peer(vm, presence.dataCentre(), presence.address());
+    }
+}
--- /dev/null
+++ b/rhubarbward-core/src/main/java/io/rhubarbward/relay/LoadExchange.java
@@ -0,0 +1,164 @@
+package io.rhubarbward.relay;
+
+import io.rhubarbward.directory.RouterPresence;
+import io.rhubarbward.membership.Peer;
+import io.rhubarbward.membership.PeerTransport;
+import io.rhubarbward.placement.ServerTable;
+import io.rhubarbward.placement.TrackedServer;
+import io.rhubarbward.timer.TimerService;
+import java.time.Duration;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Optional;
+import java.util.function.Supplier;
+import java.util.stream.Collectors;
+
+/**
+ * Tells the aggregator of this data centre how many requests this router has in flight at each
+ * backend server, and learns from it what all other routers have.
+ *
+ * <p>The servers' own load reports arrive late and are the same for all routers, so that in a burst
+ * all routers would choose the same server. What a router has in flight is known to it at once and
+ * is counted by no other router. Messages a router are bounded whatever the size of the fleet.
+ */
+public final class LoadExchange {
+    /** Longest time between two reports, so that the aggregator knows that this router runs. */
+    private static final Duration MAX_REPORT_INTERVAL = Duration.ofMillis(500);
+
+    /** Period in which ended requests are reported; new ones are reported earlier. */
+    private static final Duration REPORT_PERIOD = Duration.ofMillis(200);
+
+    /** Shortest interval between messages, for each router of the fleet. */
+    private static final double MIN_INTERVAL_MILLIS_PER_ROUTER = 1.5;
+
+    /** Limit of that interval: placements rely on totals that are not much older. */
+    private static final long MAX_MIN_INTERVAL_MILLIS = 100;
+
+    private static final int MAX_KEPT_REPORTS = 32;
+
+    private final String mSelf;
+    private final Supplier<Map<String, RouterPresence>> mRouters;
+    private final Supplier<Optional<Peer>> mAggregatorPeer;
+    private final PeerTransport mTransport;
+    private final ServerTable mTable;
+    private final TimerService mTimers;
+    private final LoadAggregator mAggregator;
+    private final Deque<LoadReport> mSentReports = new ArrayDeque<>();
+    private long mSequence;
+    private long mReportedMillis = Long.MIN_VALUE / 2;
+    private boolean mEarlyReportPending;
+
+    /**
+     * Creates an exchange; {@link #start} starts it.
+     *
+     * @param self this router's VM name
+     * @param dataCentre this router's data centre
+     * @param routers returns the listed routers by VM name
+     * @param aggregator returns the router to report to; empty if it is this one
+     * @param table counts this router's requests in flight and takes those of the others
+     */
+    public LoadExchange(
+            String self,
+            String dataCentre,
+            Supplier<Map<String, RouterPresence>> routers,
+            Supplier<Optional<Peer>> aggregator,
+            PeerTransport transport,
+            ServerTable table,
+            TimerService timers) {
+        mSelf = self;
+        mRouters = routers;
+        mAggregatorPeer = aggregator;
+        mTransport = transport;
+        mTable = table;
+        mTimers = timers;
+        mAggregator =
+                new LoadAggregator(
+                        self,
+                        dataCentre,
+                        routers,
+                        aggregator,
+                        transport,
+                        timers,
+                        this::minIntervalMillis,
+                        this::onTotals);
+    }
+
+    /** Starts to send and to receive messages. */
+    public void start() {
+        mTransport.subscribe(LoadTotals.class, (sender, totals) -> onTotals(totals));
+        mAggregator.start();
+        mTable.subscribeToSends(this::reportEarly);
+        mTimers.every(REPORT_PERIOD, this::reportIfDue);
+    }
+
+    private long minIntervalMillis() {
+        return Math.min(
+                MAX_MIN_INTERVAL_MILLIS,
+                (long) (MIN_INTERVAL_MILLIS_PER_ROUTER * mRouters.get().size()));
+    }
+
+    /** Reports soon after a new request: the next router to place the same part must know. */
+    private void reportEarly() {
+        if (mEarlyReportPending) {
+            return;
+        }
+        long waitMillis = mReportedMillis + minIntervalMillis() - mTimers.nowMillis();
+        mEarlyReportPending = true;
+        if (waitMillis <= 0) {
+            mTimers.execute(this::report);
+        } else {
+            mTimers.after(Duration.ofMillis(waitMillis), this::report);
+        }
+    }
+
+    private void reportIfDue() {
+        LoadReport newest = mSentReports.peekLast();
+        boolean changed = newest == null || !newest.inFlight().equals(inFlight());
+        boolean due =
+                mTimers.nowMillis() - mReportedMillis
+                        > MAX_REPORT_INTERVAL.minus(REPORT_PERIOD).toMillis();
+        if (!mEarlyReportPending && (changed || due)) {
+            report();
+        }
+    }
+
+    private void report() {
+        mEarlyReportPending = false;
+        mReportedMillis = mTimers.nowMillis();
+        LoadReport report = new LoadReport(++mSequence, inFlight());
+        mSentReports.addLast(report);
+        if (mSentReports.size() > MAX_KEPT_REPORTS) {
+            mSentReports.removeFirst();
+        }
+        mAggregatorPeer
+                .get()
+                .ifPresentOrElse(
+                        peer -> mTransport.send(peer, report),
+                        () -> mAggregator.onReport(mSelf, report));
+    }
+
+    private Map<Integer, Integer> inFlight() {
+        return mTable.servers().stream()
+                .filter(server -> server.inFlight() > 0)
+                .collect(
+                        Collectors.toMap(
+                                TrackedServer::hash, TrackedServer::inFlight, Integer::sum));
+    }
+
+    private void onTotals(LoadTotals totals) {
+        Map<Integer, Integer> others = new HashMap<>(totals.inFlight());
+        mSentReports.stream()
+                .filter(report -> report.sequence() == totals.echoSequence())
+                .findFirst()
+                .ifPresent(
+                        own ->
+                                own.inFlight()
+                                        .forEach(
+                                                (server, count) ->
+                                                        others.merge(
+                                                                server, -count, Integer::sum)));
+        mTable.updateInFlightFromOthers(others);
+    }
+}
--- a/rhubarbward-core/src/main/java/io/rhubarbward/store/KindWatcher.java
+++ b/rhubarbward-core/src/main/java/io/rhubarbward/store/KindWatcher.java
@@ -47,6 +47,7 @@
     private final ObjectKind<T> mKind;
     private final KindListener<T> mListener;
     private final Duration mWatchWait;
+    private final Duration mRest;
     private final TimerService mTimers;
     private final StoreAvailability mAvailability;
     private final RandomGenerator mRandom;
@@ -59,22 +60,31 @@
     private long mBackoffMillis = MIN_BACKOFF_MILLIS;
     private long mUpToDateAtMillis = NEVER;
     private boolean mHasListed;
+    private boolean mPaused;
+
+    /** The store's revision that the listener's state matches. */
+    private long mRevision;
+
+    private Consumer<KindUpdate> mUpdateSubscriber = update -> {};
 
     /**
      * Prepares to watch the kind.
      *
      * @param wait how long the store waits for a change before it answers a watch
+     * @param rest pause after a watch that returned changes, in which further changes gather
      */
     public KindWatcher(
             ObjectKind<T> kind,
             KindListener<T> listener,
             Duration wait,
+            Duration rest,
             TimerService timers,
             StoreAvailability availability,
             RandomGenerator random) {
         mKind = kind;
         mListener = listener;
         mWatchWait = wait;
+        mRest = rest;
         mTimers = timers;
         mAvailability = availability;
         mRandom = random;
@@ -86,10 +96,101 @@
         relist();
     }
 
-    /** Lists the kind again, abandoning any open call; until listed, all is considered stale. */
+    /** Lists the kind once and then waits for {@link #adopt} or {@link #resume}. */
+    public void startPaused() {
+        mPaused = true;
+        mAvailability.subscribeToRecovery(this::retryHungCall);
+        list();
+    }
+
+    /**
+     * Lists the kind again, abandoning any open call; until listed, all is considered stale. A
+     * paused watcher stays stale until a peer's update confirms its state.
+     */
     public void relist() {
         mUpToDateAtMillis = NEVER;
-        list();
+        if (mPaused && mHasListed) {
+            mCallNumber++;
+        } else {
+            list();
+        }
+    }
+
+    /** Stops calling the store and abandons any open call; the state is kept. */
+    public void pause() {
+        mPaused = true;
+        mCallNumber++;
+        mRetry = () -> {};
+    }
+
+    /**
+     * Calls the store again after {@link #pause}. The first watch is short, so that it confirms the
+     * state soon.
+     */
+    public void resume() {
+        mPaused = false;
+        if (mHasListed) {
+            watch(mRevision, RETRY_WATCH_WAIT);
+        } else {
+            list();
+        }
+    }
+
+    /** Calls the subscriber with each update of the state, in a form that can be sent to peers. */
+    public void subscribeToUpdates(Consumer<KindUpdate> subscriber) {
+        mUpdateSubscriber = subscriber;
+    }
+
+    /** Returns the kind's name. */
+    public String name() {
+        return mKind.name();
+    }
+
+    /** Returns the store's revision that the state matches; 0 before the first list. */
+    public long revision() {
+        return mRevision;
+    }
+
+    /**
+     * Applies what a peer has read from the store, unless this watcher's state is newer or the
+     * update does not continue it.
+     */
+    public void adopt(KindUpdate update) {
+        if (update.snapshot()) {
+            if (update.revision() > mRevision || !mHasListed) {
+                mHasListed = true;
+                mRevision = update.revision();
+                mListener.onSnapshot(update.objects().stream().map(this::decode).toList());
+                mUpdateSubscriber.accept(update);
+            }
+        } else if (update.sinceRevision() <= mRevision && update.revision() > mRevision) {
+            mRevision = update.revision();
+            update.objects()
+                    .forEach(
+                            object -> {
+                                if (object.deleted()) {
+                                    mListener.onDeleted(object.name());
+                                } else {
+                                    mListener.onItem(decode(object));
+                                }
+                            });
+            mUpdateSubscriber.accept(update);
+        }
+    }
+
+    private DecodedObject<T> decode(KindUpdate.ObjectState object) {
+        return mKind.decode(object.name(), object.revision(), object.text());
+    }
+
+    /**
+     * Records that the state at the given revision matched the store at the given time on this
+     * router's clock. A newer state matched it as well.
+     */
+    public void confirm(long revision, long atMillis) {
+        if (mHasListed && mRevision >= revision) {
+            mUpToDateAtMillis =
+                    Math.max(mUpToDateAtMillis, Math.min(atMillis, mTimers.nowMillis()));
+        }
     }
 
     /** Retries an open call that may never be answered since its connection died in the outage. */
@@ -127,15 +228,26 @@
                         String last = page.items().get(page.items().size() - 1).name();
                         list(Optional.of(last), items, firstSentMillis);
                     } else {
-                        mHasListed = true;
-                        mUpToDateAtMillis = firstSentMillis;
-                        mListener.onSnapshot(items);
-                        watch(page.revision(), mWatchWait);
+                        onListed(new ObjectPage<>(items, false, page.revision()), firstSentMillis);
                     }
                 },
                 this::list);
     }
 
+    private void onListed(ObjectPage<T> page, long sentMillis) {
+        mHasListed = true;
+        mUpToDateAtMillis = Math.max(mUpToDateAtMillis, sentMillis);
+        // A peer's update may be newer than a list that was sent before it.
+        if (page.revision() >= mRevision) {
+            mRevision = page.revision();
+            mListener.onSnapshot(page.items());
+            mUpdateSubscriber.accept(KindUpdate.snapshot(name(), mRevision, page.items()));
+        }
+        if (!mPaused) {
+            watch(mRevision, mWatchWait);
+        }
+    }
+
     private void watch(long revision, Duration wait) {
         long sentMillis = mTimers.nowMillis();
         call(
@@ -144,16 +256,39 @@
                 changes -> {
                     if (changes.gap()) {
                         list();
+                    } else if (mRevision > revision) {
+                        // A peer's update came first; the changes may be older than it.
+                        watch(mRevision, RETRY_WATCH_WAIT);
                     } else {
                         markUpToDate(changes, sentMillis, wait);
                         changes.changes().forEach(this::apply);
-                        watch(Math.max(revision, changes.revision()), mWatchWait);
+                        long reached = Math.max(revision, changes.revision());
+                        mRevision = Math.max(mRevision, reached);
+                        mUpdateSubscriber.accept(
+                                KindUpdate.changes(name(), revision, reached, changes.changes()));
+                        watchAfter(reached, changes.changes().isEmpty() ? Duration.ZERO : mRest);
                     }
                 },
                 // A watch with a short wait notices soonest that the store is available again.
                 () -> watch(revision, RETRY_WATCH_WAIT));
     }
 
+    /** Watches after a rest, in which further changes gather, so that one call returns them all. */
+    private void watchAfter(long revision, Duration rest) {
+        if (rest.isZero()) {
+            watch(revision, mWatchWait);
+            return;
+        }
+        long number = mCallNumber;
+        mTimers.after(
+                rest,
+                () -> {
+                    if (number == mCallNumber) {
+                        watch(revision, mWatchWait);
+                    }
+                });
+    }
+
     private void markUpToDate(ObjectChanges<T> changes, long sentMillis, Duration wait) {
         long upToDateAtMillis =
                 changes.changes().isEmpty()
--- a/rhubarbward-core/src/main/java/io/rhubarbward/store/ObjectKind.java
+++ b/rhubarbward-core/src/main/java/io/rhubarbward/store/ObjectKind.java
@@ -21,4 +21,7 @@
 
     /** Returns the changes after the revision, or no changes if none come within the wait. */
     CompletionStage<Either<PlatformFailure, ObjectChanges<T>>> watch(long revision, Duration wait);
+
+    /** Decodes an object from the text that {@link DecodedObject#text} returned at a peer. */
+    DecodedObject<T> decode(String name, long revision, String text);
 }
--- a/rhubarbward-core/src/main/java/io/rhubarbward/store/StoreAvailability.java
+++ b/rhubarbward-core/src/main/java/io/rhubarbward/store/StoreAvailability.java
@@ -21,6 +21,9 @@
     private long mOutageStartMillis = NEVER;
     private long mLastOutageEndMillis = NEVER;
 
+    /** Time of the newest failed call; reset by a successful one. */
+    private long mFailedMillis = NEVER;
+
     /** Assumes the store to be available until a call fails. */
     public StoreAvailability(TimerService timers, EventLog events) {
         mTimers = timers;
@@ -34,6 +37,7 @@
 
     /** Notes a successful call, which ends an outage. */
     public void callSucceeded() {
+        mFailedMillis = NEVER;
         if (unavailable()) {
             long now = mTimers.nowMillis();
             mEvents.log(
@@ -47,6 +51,7 @@
 
     /** Notes a failed call, which starts an outage unless one has started. */
     public void callFailed(String call, PlatformFailure failure) {
+        mFailedMillis = mTimers.nowMillis();
         if (!unavailable()) {
             mOutageStartMillis = mTimers.nowMillis();
             mEvents.log(
@@ -56,7 +61,30 @@
         }
     }
 
-    /** Returns whether the last call failed. */
+    /**
+     * Notes that a peer reaches the store, which ends an outage here, since the state is up to date
+     * through the peer.
+     *
+     * @param millisSinceOutage how long ago the peer's last outage ended
+     */
+    public void reachedThroughPeer(long millisSinceOutage) {
+        long now = mTimers.nowMillis();
+        if (unavailable()) {
+            mEvents.log(
+                    LogEvent.PLATFORM_AVAILABLE,
+                    EventField.of("outageMs", now - mOutageStartMillis),
+                    EventField.of("through", "relay"));
+            mOutageStartMillis = NEVER;
+        }
+        mLastOutageEndMillis = Math.max(mLastOutageEndMillis, now - millisSinceOutage);
+    }
+
+    /** Returns how long ago this router's newest call failed; a huge number if it succeeded. */
+    public long millisSinceFailure() {
+        return mTimers.nowMillis() - mFailedMillis;
+    }
+
+    /** Returns whether the last call failed and no peer reaches the store. */
     public boolean unavailable() {
         return mOutageStartMillis != NEVER;
     }
--- a/rhubarbward-core/src/test/java/io/rhubarbward/catalog/CatalogTest.java
+++ b/rhubarbward-core/src/test/java/io/rhubarbward/catalog/CatalogTest.java
@@ -60,7 +60,7 @@
     @Test
     void undecodableForeignAndDeletedObjectsKeepTheCurrentCatalog() {
         mCurrentCatalog.onItem(FakeObjectKind.item("main", Catalogs.of(7)));
-        mCurrentCatalog.onItem(new DecodedObject<>("main", 9, Either.left("kind=x")));
+        mCurrentCatalog.onItem(new DecodedObject<>("main", 9, Either.left("kind=x"), () -> "{}"));
         mCurrentCatalog.onItem(FakeObjectKind.item("draft", Catalogs.of(99)));
         mCurrentCatalog.onDeleted("main");
         assertThat(currentVersion()).isEqualTo(7);
--- a/rhubarbward-core/src/test/java/io/rhubarbward/directory/BackendDirectoryTest.java
+++ b/rhubarbward-core/src/test/java/io/rhubarbward/directory/BackendDirectoryTest.java
@@ -112,8 +112,8 @@
     @Test
     void anEntryThatCannotBeDecodedRemovesItsServer() {
         mDirectory.onItem(item("i-1"));
-        mDirectory.onItem(new DecodedObject<>("i-1", 9, Either.left("slots=x")));
-        mDirectory.onItem(new DecodedObject<>("i-9", 9, Either.left("state=odd")));
+        mDirectory.onItem(new DecodedObject<>("i-1", 9, Either.left("slots=x"), () -> "{}"));
+        mDirectory.onItem(new DecodedObject<>("i-9", 9, Either.left("state=odd"), () -> "{}"));
         assertThat(mDirectory.servers()).isEmpty();
     }
 }
--- a/rhubarbward-core/src/test/java/io/rhubarbward/store/KindWatcherTest.java
+++ b/rhubarbward-core/src/test/java/io/rhubarbward/store/KindWatcherTest.java
@@ -41,6 +41,7 @@
                         }
                     },
                     WATCH_WAIT,
+                    Duration.ZERO,
                     mTimers,
                     mAvailability,
                     new SplittableRandom(1));
--- a/rhubarbward-core/src/test/java/io/rhubarbward/testing/FakeObjectKind.java
+++ b/rhubarbward-core/src/test/java/io/rhubarbward/testing/FakeObjectKind.java
@@ -26,7 +26,12 @@
 
     /** Returns a successfully decoded object. */
     public static <T> DecodedObject<T> item(String name, T value) {
-        return new DecodedObject<>(name, 1, Either.right(value));
+        return new DecodedObject<>(name, 1, Either.right(value), () -> String.valueOf(value));
+    }
+
+    @Override
+    public DecodedObject<T> decode(String name, long revision, String text) {
+        throw new UnsupportedOperationException("the tests of this kind have no peers");
     }
 
     @Override
--- /dev/null
+++ b/rhubarbward-core/src/test/java/io/rhubarbward/testing/FakeStore.java
@@ -0,0 +1,232 @@
+package io.rhubarbward.testing;
+
+import io.rhubarbward.store.DecodedObject;
+import io.rhubarbward.store.ObjectChanges;
+import io.rhubarbward.store.ObjectKind;
+import io.rhubarbward.store.ObjectPage;
+import io.rhubarbward.store.PlatformFailure;
+import io.rhubarbward.timer.VirtualTimerService;
+import io.vavr.control.Either;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeMap;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
+import java.util.function.Function;
+import java.util.function.Predicate;
+
+/**
+ * A store of text objects in virtual time, with revisions, waiting watches and a history that can
+ * be dropped. It counts the calls and can refuse some routers.
+ */
+public final class FakeStore {
+    private static final Duration ONE_WAY = Duration.ofMillis(2);
+    private static final Duration SILENCE_TIMEOUT = Duration.ofMillis(1500);
+
+    private final VirtualTimerService mTimers;
+    private final Map<String, TreeMap<String, StoredText>> mObjects = new HashMap<>();
+    private final List<Event> mHistory = new ArrayList<>();
+    private final List<Watch> mWatches = new ArrayList<>();
+    private Predicate<String> mRefuses = router -> false;
+    private Predicate<String> mSilentTo = router -> false;
+    private long mRevision = 1;
+    private long mHistoryStart;
+    private int mCalls;
+
+    public FakeStore(VirtualTimerService timers) {
+        mTimers = timers;
+    }
+
+    private record StoredText(long revision, String text) {}
+
+    private record Event(long revision, String kind, String name, Optional<String> text) {}
+
+    private record Watch(String router, String kind, long after, Runnable answer) {}
+
+    /** Refuses the calls of the routers at once. */
+    public void refuse(Predicate<String> refuses) {
+        mRefuses = refuses;
+    }
+
+    /** Leaves the calls of the routers without an answer. */
+    public void beSilentTo(Predicate<String> silentTo) {
+        mSilentTo = silentTo;
+    }
+
+    /** Writes an object. */
+    public void put(String kind, String name, String text) {
+        mRevision++;
+        mObjects.computeIfAbsent(kind, key -> new TreeMap<>())
+                .put(name, new StoredText(mRevision, text));
+        change(new Event(mRevision, kind, name, Optional.of(text)));
+    }
+
+    /** Deletes an object. */
+    public void delete(String kind, String name) {
+        mRevision++;
+        mObjects.computeIfAbsent(kind, key -> new TreeMap<>()).remove(name);
+        change(new Event(mRevision, kind, name, Optional.empty()));
+    }
+
+    private void change(Event event) {
+        mHistory.add(event);
+        List<Watch> woken =
+                mWatches.stream().filter(watch -> watch.kind().equals(event.kind())).toList();
+        mWatches.removeAll(woken);
+        woken.forEach(watch -> watch.answer().run());
+    }
+
+    /** Drops the history of changes. */
+    public void dropHistory() {
+        mHistoryStart = mRevision;
+        mHistory.clear();
+    }
+
+    /** Returns the number of calls so far, refused ones included. */
+    public int calls() {
+        return mCalls;
+    }
+
+    /** Returns the names and texts of a kind's objects. */
+    public Map<String, String> objects(String kind) {
+        Map<String, String> texts = new TreeMap<>();
+        mObjects.getOrDefault(kind, new TreeMap<>())
+                .forEach((name, stored) -> texts.put(name, stored.text()));
+        return texts;
+    }
+
+    /** Returns the kind as the router reads it. */
+    public <T> ObjectKind<T> kind(
+            String router, String kind, Function<String, Either<String, T>> decoder) {
+        return new KindOfRouter<>(router, kind, decoder);
+    }
+
+    private final class KindOfRouter<T> implements ObjectKind<T> {
+        private final String mRouter;
+        private final String mKind;
+        private final Function<String, Either<String, T>> mDecoder;
+
+        KindOfRouter(String router, String kind, Function<String, Either<String, T>> decoder) {
+            mRouter = router;
+            mKind = kind;
+            mDecoder = decoder;
+        }
+
+        @Override
+        public String name() {
+            return mKind;
+        }
+
+        @Override
+        public DecodedObject<T> decode(String name, long revision, String text) {
+            return new DecodedObject<>(name, revision, mDecoder.apply(text), () -> text);
+        }
+
+        @Override
+        public CompletionStage<Either<PlatformFailure, ObjectPage<T>>> list(
+                Optional<String> afterName) {
+            return call(
+                    answer ->
+                            answer.accept(
+                                    new ObjectPage<>(
+                                            mObjects
+                                                    .getOrDefault(mKind, new TreeMap<>())
+                                                    .entrySet()
+                                                    .stream()
+                                                    .map(
+                                                            entry ->
+                                                                    decode(
+                                                                            entry.getKey(),
+                                                                            entry.getValue()
+                                                                                    .revision(),
+                                                                            entry.getValue()
+                                                                                    .text()))
+                                                    .toList(),
+                                            false,
+                                            mRevision)));
+        }
+
+        @Override
+        public CompletionStage<Either<PlatformFailure, ObjectChanges<T>>> watch(
+                long revision, Duration wait) {
+            return call(
+                    answer -> {
+                        ObjectChanges<T> known = changesAfter(revision);
+                        if (known.gap() || !known.changes().isEmpty()) {
+                            answer.accept(known);
+                            return;
+                        }
+                        Watch watch =
+                                new Watch(
+                                        mRouter,
+                                        mKind,
+                                        revision,
+                                        () -> answer.accept(changesAfter(revision)));
+                        mWatches.add(watch);
+                        mTimers.after(
+                                wait,
+                                () -> {
+                                    if (mWatches.remove(watch)) {
+                                        watch.answer().run();
+                                    }
+                                });
+                    });
+        }
+
+        private ObjectChanges<T> changesAfter(long revision) {
+            if (revision < mHistoryStart) {
+                return ObjectChanges.historyLost();
+            }
+            return new ObjectChanges<>(
+                    mHistory.stream()
+                            .filter(event -> event.kind().equals(mKind))
+                            .filter(event -> event.revision() > revision)
+                            .map(
+                                    event ->
+                                            new ObjectChanges.Change<>(
+                                                    decode(
+                                                            event.name(),
+                                                            event.revision(),
+                                                            event.text().orElse("")),
+                                                    event.text().isEmpty()))
+                            .toList(),
+                    mRevision,
+                    false);
+        }
+
+        private <R> CompletionStage<Either<PlatformFailure, R>> call(
+                java.util.function.Consumer<java.util.function.Consumer<R>> handler) {
+            mCalls++;
+            CompletableFuture<Either<PlatformFailure, R>> result = new CompletableFuture<>();
+            mTimers.after(
+                    ONE_WAY,
+                    () -> {
+                        if (mSilentTo.test(mRouter)) {
+                            mTimers.after(SILENCE_TIMEOUT, () -> fail(result));
+                        } else if (mRefuses.test(mRouter)) {
+                            mTimers.after(ONE_WAY, () -> fail(result));
+                        } else {
+                            handler.accept(answer -> deliver(result, answer));
+                        }
+                    });
+            return result;
+        }
+
+        private <R> void deliver(CompletableFuture<Either<PlatformFailure, R>> result, R answer) {
+            if (mSilentTo.test(mRouter)) {
+                mTimers.after(SILENCE_TIMEOUT, () -> fail(result));
+            } else {
+                mTimers.after(ONE_WAY, () -> result.complete(Either.right(answer)));
+            }
+        }
+
+        private <R> void fail(CompletableFuture<Either<PlatformFailure, R>> result) {
+            result.complete(
+                    Either.left(new PlatformFailure.AnswerLost(PlatformFailure.Reason.TIMEOUT)));
+        }
+    }
+}
--- a/rhubarbward-daemon/src/main/java/io/rhubarbward/daemon/LocalFleet.java
+++ b/rhubarbward-daemon/src/main/java/io/rhubarbward/daemon/LocalFleet.java
@@ -56,6 +56,7 @@
                                 DemoPorts.loopback(0),
                                 DemoPorts.loopback(0),
                                 mStore.address(),
+                                0,
                                 new FleetBounds(
                                         true,
                                         Duration.ofSeconds(5),
--- a/rhubarbward-net/src/main/java/io/rhubarbward/gen/fleet/LoadNewsStruct.java
+++ b/rhubarbward-net/src/main/java/io/rhubarbward/gen/fleet/FollowRequestStruct.java
@@ -7,25 +7,25 @@
 package io.rhubarbward.gen.fleet;
 
 @SuppressWarnings({"cast", "rawtypes", "serial", "unchecked", "unused"})
-public class LoadNewsStruct implements org.apache.thrift.TBase<LoadNewsStruct, LoadNewsStruct._Fields>, java.io.Serializable, Cloneable, Comparable<LoadNewsStruct> {
-  private static final org.apache.thrift.protocol.TStruct STRUCT_DESC = new org.apache.thrift.protocol.TStruct("LoadNewsStruct");
+public class FollowRequestStruct implements org.apache.thrift.TBase<FollowRequestStruct, FollowRequestStruct._Fields>, java.io.Serializable, Cloneable, Comparable<FollowRequestStruct> {
+  private static final org.apache.thrift.protocol.TStruct STRUCT_DESC = new org.apache.thrift.protocol.TStruct("FollowRequestStruct");
 
   private static final org.apache.thrift.protocol.TField SENT_MILLIS_FIELD_DESC = new org.apache.thrift.protocol.TField("sentMillis", org.apache.thrift.protocol.TType.I64, (short)1);
-  private static final org.apache.thrift.protocol.TField ECHO_MILLIS_FIELD_DESC = new org.apache.thrift.protocol.TField("echoMillis", org.apache.thrift.protocol.TType.I64, (short)2);
-  private static final org.apache.thrift.protocol.TField IN_FLIGHT_FIELD_DESC = new org.apache.thrift.protocol.TField("inFlight", org.apache.thrift.protocol.TType.MAP, (short)3);
+  private static final org.apache.thrift.protocol.TField UNANSWERED_MILLIS_FIELD_DESC = new org.apache.thrift.protocol.TField("unansweredMillis", org.apache.thrift.protocol.TType.I64, (short)2);
+  private static final org.apache.thrift.protocol.TField REVISIONS_FIELD_DESC = new org.apache.thrift.protocol.TField("revisions", org.apache.thrift.protocol.TType.MAP, (short)3);
 
-  private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY = new LoadNewsStructStandardSchemeFactory();
-  private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY = new LoadNewsStructTupleSchemeFactory();
+  private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY = new FollowRequestStructStandardSchemeFactory();
+  private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY = new FollowRequestStructTupleSchemeFactory();
 
   private long sentMillis; // required
-  private long echoMillis; // required
-  private @org.apache.thrift.annotation.Nullable java.util.Map<java.lang.Integer,java.lang.Integer> inFlight; // required
+  private long unansweredMillis; // required
+  private @org.apache.thrift.annotation.Nullable java.util.Map<java.lang.String,java.lang.Long> revisions; // required
 
   /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
   public enum _Fields implements org.apache.thrift.TFieldIdEnum {
     SENT_MILLIS((short)1, "sentMillis"),
-    ECHO_MILLIS((short)2, "echoMillis"),
-    IN_FLIGHT((short)3, "inFlight");
+    UNANSWERED_MILLIS((short)2, "unansweredMillis"),
+    REVISIONS((short)3, "revisions");
 
     private static final java.util.Map<java.lang.String, _Fields> byName = new java.util.HashMap<java.lang.String, _Fields>();
 
@@ -43,10 +43,10 @@
       switch(fieldId) {
         case 1: // SENT_MILLIS
           return SENT_MILLIS;
-        case 2: // ECHO_MILLIS
-          return ECHO_MILLIS;
-        case 3: // IN_FLIGHT
-          return IN_FLIGHT;
+        case 2: // UNANSWERED_MILLIS
+          return UNANSWERED_MILLIS;
+        case 3: // REVISIONS
+          return REVISIONS;
         default:
           return null;
       }
@@ -91,71 +91,71 @@
 
   // isset id assignments
   private static final int __SENTMILLIS_ISSET_ID = 0;
-  private static final int __ECHOMILLIS_ISSET_ID = 1;
+  private static final int __UNANSWEREDMILLIS_ISSET_ID = 1;
   private byte __isset_bitfield = 0;
   public static final java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> metaDataMap;
   static {
     java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> tmpMap = new java.util.EnumMap<_Fields, org.apache.thrift.meta_data.FieldMetaData>(_Fields.class);
     tmpMap.put(_Fields.SENT_MILLIS, new org.apache.thrift.meta_data.FieldMetaData("sentMillis", org.apache.thrift.TFieldRequirementType.REQUIRED, 
         new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
-    tmpMap.put(_Fields.ECHO_MILLIS, new org.apache.thrift.meta_data.FieldMetaData("echoMillis", org.apache.thrift.TFieldRequirementType.REQUIRED, 
+    tmpMap.put(_Fields.UNANSWERED_MILLIS, new org.apache.thrift.meta_data.FieldMetaData("unansweredMillis", org.apache.thrift.TFieldRequirementType.REQUIRED, 
         new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
-    tmpMap.put(_Fields.IN_FLIGHT, new org.apache.thrift.meta_data.FieldMetaData("inFlight", org.apache.thrift.TFieldRequirementType.REQUIRED, 
+    tmpMap.put(_Fields.REVISIONS, new org.apache.thrift.meta_data.FieldMetaData("revisions", org.apache.thrift.TFieldRequirementType.REQUIRED, 
         new org.apache.thrift.meta_data.MapMetaData(org.apache.thrift.protocol.TType.MAP, 
-            new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I32), 
-            new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I32))));
+            new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.STRING), 
+            new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64))));
     metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
-    org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(LoadNewsStruct.class, metaDataMap);
+    org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(FollowRequestStruct.class, metaDataMap);
   }
 
-  public LoadNewsStruct() {
+  public FollowRequestStruct() {
   }
 
-  public LoadNewsStruct(
+  public FollowRequestStruct(
     long sentMillis,
-    long echoMillis,
-    java.util.Map<java.lang.Integer,java.lang.Integer> inFlight)
+    long unansweredMillis,
+    java.util.Map<java.lang.String,java.lang.Long> revisions)
   {
     this();
     this.sentMillis = sentMillis;
     setSentMillisIsSet(true);
-    this.echoMillis = echoMillis;
-    setEchoMillisIsSet(true);
-    this.inFlight = inFlight;
+    this.unansweredMillis = unansweredMillis;
+    setUnansweredMillisIsSet(true);
+    this.revisions = revisions;
   }
 
   /**
    * Performs a deep copy on <i>other</i>.
    */
-  public LoadNewsStruct(LoadNewsStruct other) {
+  public FollowRequestStruct(FollowRequestStruct other) {
     __isset_bitfield = other.__isset_bitfield;
     this.sentMillis = other.sentMillis;
-    this.echoMillis = other.echoMillis;
-    if (other.isSetInFlight()) {
-      java.util.Map<java.lang.Integer,java.lang.Integer> __this__inFlight = new java.util.HashMap<java.lang.Integer,java.lang.Integer>(other.inFlight);
-      this.inFlight = __this__inFlight;
+    this.unansweredMillis = other.unansweredMillis;
+    if (other.isSetRevisions()) {
+      java.util.Map<java.lang.String,java.lang.Long> __this__revisions = new java.util.HashMap<java.lang.String,java.lang.Long>(other.revisions);
+      this.revisions = __this__revisions;
     }
   }
 
   @Override
-  public LoadNewsStruct deepCopy() {
-    return new LoadNewsStruct(this);
+  public FollowRequestStruct deepCopy() {
+    return new FollowRequestStruct(this);
   }
 
   @Override
   public void clear() {
     setSentMillisIsSet(false);
     this.sentMillis = 0;
-    setEchoMillisIsSet(false);
-    this.echoMillis = 0;
-    this.inFlight = null;
+    setUnansweredMillisIsSet(false);
+    this.unansweredMillis = 0;
+    this.revisions = null;
   }
 
   public long getSentMillis() {
     return this.sentMillis;
   }
 
-  public LoadNewsStruct setSentMillis(long sentMillis) {
+  public FollowRequestStruct setSentMillis(long sentMillis) {
     this.sentMillis = sentMillis;
     setSentMillisIsSet(true);
     return this;
@@ -174,62 +174,62 @@
     __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __SENTMILLIS_ISSET_ID, value);
   }
 
-  public long getEchoMillis() {
-    return this.echoMillis;
+  public long getUnansweredMillis() {
+    return this.unansweredMillis;
   }
 
-  public LoadNewsStruct setEchoMillis(long echoMillis) {
-    this.echoMillis = echoMillis;
-    setEchoMillisIsSet(true);
+  public FollowRequestStruct setUnansweredMillis(long unansweredMillis) {
+    this.unansweredMillis = unansweredMillis;
+    setUnansweredMillisIsSet(true);
     return this;
   }
 
-  public void unsetEchoMillis() {
-    __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __ECHOMILLIS_ISSET_ID);
+  public void unsetUnansweredMillis() {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __UNANSWEREDMILLIS_ISSET_ID);
   }
 
-  /** Returns true if field echoMillis is set (has been assigned a value) and false otherwise */
-  public boolean isSetEchoMillis() {
-    return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __ECHOMILLIS_ISSET_ID);
+  /** Returns true if field unansweredMillis is set (has been assigned a value) and false otherwise */
+  public boolean isSetUnansweredMillis() {
+    return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __UNANSWEREDMILLIS_ISSET_ID);
   }
 
-  public void setEchoMillisIsSet(boolean value) {
-    __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __ECHOMILLIS_ISSET_ID, value);
+  public void setUnansweredMillisIsSet(boolean value) {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __UNANSWEREDMILLIS_ISSET_ID, value);
   }
 
-  public int getInFlightSize() {
-    return (this.inFlight == null) ? 0 : this.inFlight.size();
+  public int getRevisionsSize() {
+    return (this.revisions == null) ? 0 : this.revisions.size();
   }
 
-  public void putToInFlight(int key, int val) {
-    if (this.inFlight == null) {
-      this.inFlight = new java.util.HashMap<java.lang.Integer,java.lang.Integer>();
+  public void putToRevisions(java.lang.String key, long val) {
+    if (this.revisions == null) {
+      this.revisions = new java.util.HashMap<java.lang.String,java.lang.Long>();
     }
-    this.inFlight.put(key, val);
+    this.revisions.put(key, val);
   }
 
   @org.apache.thrift.annotation.Nullable
-  public java.util.Map<java.lang.Integer,java.lang.Integer> getInFlight() {
-    return this.inFlight;
+  public java.util.Map<java.lang.String,java.lang.Long> getRevisions() {
+    return this.revisions;
   }
 
-  public LoadNewsStruct setInFlight(@org.apache.thrift.annotation.Nullable java.util.Map<java.lang.Integer,java.lang.Integer> inFlight) {
-    this.inFlight = inFlight;
+  public FollowRequestStruct setRevisions(@org.apache.thrift.annotation.Nullable java.util.Map<java.lang.String,java.lang.Long> revisions) {
+    this.revisions = revisions;
     return this;
   }
 
-  public void unsetInFlight() {
-    this.inFlight = null;
+  public void unsetRevisions() {
+    this.revisions = null;
   }
 
-  /** Returns true if field inFlight is set (has been assigned a value) and false otherwise */
-  public boolean isSetInFlight() {
-    return this.inFlight != null;
+  /** Returns true if field revisions is set (has been assigned a value) and false otherwise */
+  public boolean isSetRevisions() {
+    return this.revisions != null;
   }
 
-  public void setInFlightIsSet(boolean value) {
+  public void setRevisionsIsSet(boolean value) {
     if (!value) {
-      this.inFlight = null;
+      this.revisions = null;
     }
   }
 
@@ -244,19 +244,19 @@
       }
       break;
 
-    case ECHO_MILLIS:
+    case UNANSWERED_MILLIS:
       if (value == null) {
-        unsetEchoMillis();
+        unsetUnansweredMillis();
       } else {
-        setEchoMillis((java.lang.Long)value);
+        setUnansweredMillis((java.lang.Long)value);
       }
       break;
 
-    case IN_FLIGHT:
+    case REVISIONS:
       if (value == null) {
-        unsetInFlight();
+        unsetRevisions();
       } else {
-        setInFlight((java.util.Map<java.lang.Integer,java.lang.Integer>)value);
+        setRevisions((java.util.Map<java.lang.String,java.lang.Long>)value);
       }
       break;
 
@@ -270,11 +270,11 @@
     case SENT_MILLIS:
       return getSentMillis();
 
-    case ECHO_MILLIS:
-      return getEchoMillis();
+    case UNANSWERED_MILLIS:
+      return getUnansweredMillis();
 
-    case IN_FLIGHT:
-      return getInFlight();
+    case REVISIONS:
+      return getRevisions();
 
     }
     throw new java.lang.IllegalStateException();
@@ -290,22 +290,22 @@
     switch (field) {
     case SENT_MILLIS:
       return isSetSentMillis();
-    case ECHO_MILLIS:
-      return isSetEchoMillis();
-    case IN_FLIGHT:
-      return isSetInFlight();
+    case UNANSWERED_MILLIS:
+      return isSetUnansweredMillis();
+    case REVISIONS:
+      return isSetRevisions();
     }
     throw new java.lang.IllegalStateException();
   }
 
   @Override
   public boolean equals(java.lang.Object that) {
-    if (that instanceof LoadNewsStruct)
-      return this.equals((LoadNewsStruct)that);
+    if (that instanceof FollowRequestStruct)
+      return this.equals((FollowRequestStruct)that);
     return false;
   }
 
-  public boolean equals(LoadNewsStruct that) {
+  public boolean equals(FollowRequestStruct that) {
     if (that == null)
       return false;
     if (this == that)
@@ -320,21 +320,21 @@
         return false;
     }
 
-    boolean this_present_echoMillis = true;
-    boolean that_present_echoMillis = true;
-    if (this_present_echoMillis || that_present_echoMillis) {
-      if (!(this_present_echoMillis && that_present_echoMillis))
+    boolean this_present_unansweredMillis = true;
+    boolean that_present_unansweredMillis = true;
+    if (this_present_unansweredMillis || that_present_unansweredMillis) {
+      if (!(this_present_unansweredMillis && that_present_unansweredMillis))
         return false;
-      if (this.echoMillis != that.echoMillis)
+      if (this.unansweredMillis != that.unansweredMillis)
         return false;
     }
 
-    boolean this_present_inFlight = true && this.isSetInFlight();
-    boolean that_present_inFlight = true && that.isSetInFlight();
-    if (this_present_inFlight || that_present_inFlight) {
-      if (!(this_present_inFlight && that_present_inFlight))
+    boolean this_present_revisions = true && this.isSetRevisions();
+    boolean that_present_revisions = true && that.isSetRevisions();
+    if (this_present_revisions || that_present_revisions) {
+      if (!(this_present_revisions && that_present_revisions))
         return false;
-      if (!this.inFlight.equals(that.inFlight))
+      if (!this.revisions.equals(that.revisions))
         return false;
     }
 
@@ -347,17 +347,17 @@
 
     hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(sentMillis);
 
-    hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(echoMillis);
+    hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(unansweredMillis);
 
-    hashCode = hashCode * 8191 + ((isSetInFlight()) ? 131071 : 524287);
-    if (isSetInFlight())
-      hashCode = hashCode * 8191 + inFlight.hashCode();
+    hashCode = hashCode * 8191 + ((isSetRevisions()) ? 131071 : 524287);
+    if (isSetRevisions())
+      hashCode = hashCode * 8191 + revisions.hashCode();
 
     return hashCode;
   }
 
   @Override
-  public int compareTo(LoadNewsStruct other) {
+  public int compareTo(FollowRequestStruct other) {
     if (!getClass().equals(other.getClass())) {
       return getClass().getName().compareTo(other.getClass().getName());
     }
@@ -374,22 +374,22 @@
         return lastComparison;
       }
     }
-    lastComparison = java.lang.Boolean.compare(isSetEchoMillis(), other.isSetEchoMillis());
+    lastComparison = java.lang.Boolean.compare(isSetUnansweredMillis(), other.isSetUnansweredMillis());
     if (lastComparison != 0) {
       return lastComparison;
     }
-    if (isSetEchoMillis()) {
-      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.echoMillis, other.echoMillis);
+    if (isSetUnansweredMillis()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.unansweredMillis, other.unansweredMillis);
       if (lastComparison != 0) {
         return lastComparison;
       }
     }
-    lastComparison = java.lang.Boolean.compare(isSetInFlight(), other.isSetInFlight());
+    lastComparison = java.lang.Boolean.compare(isSetRevisions(), other.isSetRevisions());
     if (lastComparison != 0) {
       return lastComparison;
     }
-    if (isSetInFlight()) {
-      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.inFlight, other.inFlight);
+    if (isSetRevisions()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.revisions, other.revisions);
       if (lastComparison != 0) {
         return lastComparison;
       }
@@ -415,22 +415,22 @@
 
   @Override
   public java.lang.String toString() {
-    java.lang.StringBuilder sb = new java.lang.StringBuilder("LoadNewsStruct(");
+    java.lang.StringBuilder sb = new java.lang.StringBuilder("FollowRequestStruct(");
     boolean first = true;
 
     sb.append("sentMillis:");
     sb.append(this.sentMillis);
     first = false;
     if (!first) sb.append(", ");
-    sb.append("echoMillis:");
-    sb.append(this.echoMillis);
+    sb.append("unansweredMillis:");
+    sb.append(this.unansweredMillis);
     first = false;
     if (!first) sb.append(", ");
-    sb.append("inFlight:");
-    if (this.inFlight == null) {
+    sb.append("revisions:");
+    if (this.revisions == null) {
       sb.append("null");
     } else {
-      sb.append(this.inFlight);
+      sb.append(this.revisions);
     }
     first = false;
     sb.append(")");
@@ -440,9 +440,9 @@
   public void validate() throws org.apache.thrift.TException {
     // check for required fields
     // alas, we cannot check 'sentMillis' because it's a primitive and you chose the non-beans generator.
-    // alas, we cannot check 'echoMillis' because it's a primitive and you chose the non-beans generator.
-    if (inFlight == null) {
-      throw new org.apache.thrift.protocol.TProtocolException("Required field 'inFlight' was not present! Struct: " + toString());
+    // alas, we cannot check 'unansweredMillis' because it's a primitive and you chose the non-beans generator.
+    if (revisions == null) {
+      throw new org.apache.thrift.protocol.TProtocolException("Required field 'revisions' was not present! Struct: " + toString());
     }
     // check for sub-struct validity
   }
@@ -465,17 +465,17 @@
     }
   }
 
-  private static class LoadNewsStructStandardSchemeFactory implements org.apache.thrift.scheme.SchemeFactory {
+  private static class FollowRequestStructStandardSchemeFactory implements org.apache.thrift.scheme.SchemeFactory {
     @Override
-    public LoadNewsStructStandardScheme getScheme() {
-      return new LoadNewsStructStandardScheme();
+    public FollowRequestStructStandardScheme getScheme() {
+      return new FollowRequestStructStandardScheme();
     }
   }
 
-  private static class LoadNewsStructStandardScheme extends org.apache.thrift.scheme.StandardScheme<LoadNewsStruct> {
+  private static class FollowRequestStructStandardScheme extends org.apache.thrift.scheme.StandardScheme<FollowRequestStruct> {
 
     @Override
-    public void read(org.apache.thrift.protocol.TProtocol iprot, LoadNewsStruct struct) throws org.apache.thrift.TException {
+    public void read(org.apache.thrift.protocol.TProtocol iprot, FollowRequestStruct struct) throws org.apache.thrift.TException {
       org.apache.thrift.protocol.TField schemeField;
       iprot.readStructBegin();
       while (true)
@@ -493,30 +493,30 @@
               org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
             break;
-          case 2: // ECHO_MILLIS
+          case 2: // UNANSWERED_MILLIS
             if (schemeField.type == org.apache.thrift.protocol.TType.I64) {
-              struct.echoMillis = iprot.readI64();
-              struct.setEchoMillisIsSet(true);
+              struct.unansweredMillis = iprot.readI64();
+              struct.setUnansweredMillisIsSet(true);
             } else { 
               org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
             break;
-          case 3: // IN_FLIGHT
+          case 3: // REVISIONS
             if (schemeField.type == org.apache.thrift.protocol.TType.MAP) {
               {
                 org.apache.thrift.protocol.TMap _map0 = iprot.readMapBegin();
-                struct.inFlight = new java.util.HashMap<java.lang.Integer,java.lang.Integer>(2*_map0.size);
-                int _key1;
-                int _val2;
+                struct.revisions = new java.util.HashMap<java.lang.String,java.lang.Long>(2*_map0.size);
+                @org.apache.thrift.annotation.Nullable java.lang.String _key1;
+                long _val2;
                 for (int _i3 = 0; _i3 < _map0.size; ++_i3)
                 {
-                  _key1 = iprot.readI32();
-                  _val2 = iprot.readI32();
-                  struct.inFlight.put(_key1, _val2);
+                  _key1 = iprot.readString();
+                  _val2 = iprot.readI64();
+                  struct.revisions.put(_key1, _val2);
                 }
                 iprot.readMapEnd();
               }
-              struct.setInFlightIsSet(true);
+              struct.setRevisionsIsSet(true);
             } else { 
               org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
@@ -532,31 +532,31 @@
       if (!struct.isSetSentMillis()) {
         throw new org.apache.thrift.protocol.TProtocolException("Required field 'sentMillis' was not found in serialized data! Struct: " + toString());
       }
-      if (!struct.isSetEchoMillis()) {
-        throw new org.apache.thrift.protocol.TProtocolException("Required field 'echoMillis' was not found in serialized data! Struct: " + toString());
+      if (!struct.isSetUnansweredMillis()) {
+        throw new org.apache.thrift.protocol.TProtocolException("Required field 'unansweredMillis' was not found in serialized data! Struct: " + toString());
       }
       struct.validate();
     }
 
     @Override
-    public void write(org.apache.thrift.protocol.TProtocol oprot, LoadNewsStruct struct) throws org.apache.thrift.TException {
+    public void write(org.apache.thrift.protocol.TProtocol oprot, FollowRequestStruct struct) throws org.apache.thrift.TException {
       struct.validate();
 
       oprot.writeStructBegin(STRUCT_DESC);
       oprot.writeFieldBegin(SENT_MILLIS_FIELD_DESC);
       oprot.writeI64(struct.sentMillis);
       oprot.writeFieldEnd();
-      oprot.writeFieldBegin(ECHO_MILLIS_FIELD_DESC);
-      oprot.writeI64(struct.echoMillis);
+      oprot.writeFieldBegin(UNANSWERED_MILLIS_FIELD_DESC);
+      oprot.writeI64(struct.unansweredMillis);
       oprot.writeFieldEnd();
-      if (struct.inFlight != null) {
-        oprot.writeFieldBegin(IN_FLIGHT_FIELD_DESC);
+      if (struct.revisions != null) {
+        oprot.writeFieldBegin(REVISIONS_FIELD_DESC);
         {
-          oprot.writeMapBegin(new org.apache.thrift.protocol.TMap(org.apache.thrift.protocol.TType.I32, org.apache.thrift.protocol.TType.I32, struct.inFlight.size()));
-          for (java.util.Map.Entry<java.lang.Integer, java.lang.Integer> _iter4 : struct.inFlight.entrySet())
+          oprot.writeMapBegin(new org.apache.thrift.protocol.TMap(org.apache.thrift.protocol.TType.STRING, org.apache.thrift.protocol.TType.I64, struct.revisions.size()));
+          for (java.util.Map.Entry<java.lang.String, java.lang.Long> _iter4 : struct.revisions.entrySet())
           {
-            oprot.writeI32(_iter4.getKey());
-            oprot.writeI32(_iter4.getValue());
+            oprot.writeString(_iter4.getKey());
+            oprot.writeI64(_iter4.getValue());
           }
           oprot.writeMapEnd();
         }
@@ -568,50 +568,50 @@
 
   }
 
-  private static class LoadNewsStructTupleSchemeFactory implements org.apache.thrift.scheme.SchemeFactory {
+  private static class FollowRequestStructTupleSchemeFactory implements org.apache.thrift.scheme.SchemeFactory {
     @Override
-    public LoadNewsStructTupleScheme getScheme() {
-      return new LoadNewsStructTupleScheme();
+    public FollowRequestStructTupleScheme getScheme() {
+      return new FollowRequestStructTupleScheme();
     }
   }
 
-  private static class LoadNewsStructTupleScheme extends org.apache.thrift.scheme.TupleScheme<LoadNewsStruct> {
+  private static class FollowRequestStructTupleScheme extends org.apache.thrift.scheme.TupleScheme<FollowRequestStruct> {
 
     @Override
-    public void write(org.apache.thrift.protocol.TProtocol prot, LoadNewsStruct struct) throws org.apache.thrift.TException {
+    public void write(org.apache.thrift.protocol.TProtocol prot, FollowRequestStruct struct) throws org.apache.thrift.TException {
       org.apache.thrift.protocol.TTupleProtocol oprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
       oprot.writeI64(struct.sentMillis);
-      oprot.writeI64(struct.echoMillis);
+      oprot.writeI64(struct.unansweredMillis);
       {
-        oprot.writeI32(struct.inFlight.size());
-        for (java.util.Map.Entry<java.lang.Integer, java.lang.Integer> _iter5 : struct.inFlight.entrySet())
+        oprot.writeI32(struct.revisions.size());
+        for (java.util.Map.Entry<java.lang.String, java.lang.Long> _iter5 : struct.revisions.entrySet())
         {
-          oprot.writeI32(_iter5.getKey());
-          oprot.writeI32(_iter5.getValue());
+          oprot.writeString(_iter5.getKey());
+          oprot.writeI64(_iter5.getValue());
         }
       }
     }
 
     @Override
-    public void read(org.apache.thrift.protocol.TProtocol prot, LoadNewsStruct struct) throws org.apache.thrift.TException {
+    public void read(org.apache.thrift.protocol.TProtocol prot, FollowRequestStruct struct) throws org.apache.thrift.TException {
       org.apache.thrift.protocol.TTupleProtocol iprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
       struct.sentMillis = iprot.readI64();
       struct.setSentMillisIsSet(true);
-      struct.echoMillis = iprot.readI64();
-      struct.setEchoMillisIsSet(true);
+      struct.unansweredMillis = iprot.readI64();
+      struct.setUnansweredMillisIsSet(true);
       {
-        org.apache.thrift.protocol.TMap _map6 = iprot.readMapBegin(org.apache.thrift.protocol.TType.I32, org.apache.thrift.protocol.TType.I32); 
-        struct.inFlight = new java.util.HashMap<java.lang.Integer,java.lang.Integer>(2*_map6.size);
-        int _key7;
-        int _val8;
+        org.apache.thrift.protocol.TMap _map6 = iprot.readMapBegin(org.apache.thrift.protocol.TType.STRING, org.apache.thrift.protocol.TType.I64); 
+        struct.revisions = new java.util.HashMap<java.lang.String,java.lang.Long>(2*_map6.size);
+        @org.apache.thrift.annotation.Nullable java.lang.String _key7;
+        long _val8;
         for (int _i9 = 0; _i9 < _map6.size; ++_i9)
         {
-          _key7 = iprot.readI32();
-          _val8 = iprot.readI32();
-          struct.inFlight.put(_key7, _val8);
+          _key7 = iprot.readString();
+          _val8 = iprot.readI64();
+          struct.revisions.put(_key7, _val8);
         }
       }
-      struct.setInFlightIsSet(true);
+      struct.setRevisionsIsSet(true);
     }
   }
 
--- a/rhubarbward-net/src/main/java/io/rhubarbward/gen/peer/Envelope.java
+++ b/rhubarbward-net/src/main/java/io/rhubarbward/gen/peer/Envelope.java
@@ -13,6 +13,7 @@
   private static final org.apache.thrift.protocol.TField SENDER_FIELD_DESC = new org.apache.thrift.protocol.TField("sender", org.apache.thrift.protocol.TType.STRING, (short)1);
   private static final org.apache.thrift.protocol.TField KIND_FIELD_DESC = new org.apache.thrift.protocol.TField("kind", org.apache.thrift.protocol.TType.I32, (short)2);
   private static final org.apache.thrift.protocol.TField BODY_FIELD_DESC = new org.apache.thrift.protocol.TField("body", org.apache.thrift.protocol.TType.STRING, (short)3);
+  private static final org.apache.thrift.protocol.TField DEFLATED_FIELD_DESC = new org.apache.thrift.protocol.TField("deflated", org.apache.thrift.protocol.TType.BOOL, (short)4);
 
   private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY = new EnvelopeStandardSchemeFactory();
   private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY = new EnvelopeTupleSchemeFactory();
@@ -20,12 +21,14 @@
   private @org.apache.thrift.annotation.Nullable java.lang.String sender; // optional
   private int kind; // required
   private @org.apache.thrift.annotation.Nullable java.nio.ByteBuffer body; // required
+  private boolean deflated; // optional
 
   /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
   public enum _Fields implements org.apache.thrift.TFieldIdEnum {
     SENDER((short)1, "sender"),
     KIND((short)2, "kind"),
-    BODY((short)3, "body");
+    BODY((short)3, "body"),
+    DEFLATED((short)4, "deflated");
 
     private static final java.util.Map<java.lang.String, _Fields> byName = new java.util.HashMap<java.lang.String, _Fields>();
 
@@ -47,6 +50,8 @@
           return KIND;
         case 3: // BODY
           return BODY;
+        case 4: // DEFLATED
+          return DEFLATED;
         default:
           return null;
       }
@@ -91,8 +96,9 @@
 
   // isset id assignments
   private static final int __KIND_ISSET_ID = 0;
+  private static final int __DEFLATED_ISSET_ID = 1;
   private byte __isset_bitfield = 0;
-  private static final _Fields optionals[] = {_Fields.SENDER};
+  private static final _Fields optionals[] = {_Fields.SENDER,_Fields.DEFLATED};
   public static final java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> metaDataMap;
   static {
     java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> tmpMap = new java.util.EnumMap<_Fields, org.apache.thrift.meta_data.FieldMetaData>(_Fields.class);
@@ -102,6 +108,8 @@
         new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I32)));
     tmpMap.put(_Fields.BODY, new org.apache.thrift.meta_data.FieldMetaData("body", org.apache.thrift.TFieldRequirementType.REQUIRED, 
         new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.STRING        , true)));
+    tmpMap.put(_Fields.DEFLATED, new org.apache.thrift.meta_data.FieldMetaData("deflated", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
+        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.BOOL)));
     metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
     org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(Envelope.class, metaDataMap);
   }
@@ -131,6 +139,7 @@
     if (other.isSetBody()) {
       this.body = org.apache.thrift.TBaseHelper.copyBinary(other.body);
     }
+    this.deflated = other.deflated;
   }
 
   @Override
@@ -144,6 +153,8 @@
     setKindIsSet(false);
     this.kind = 0;
     this.body = null;
+    setDeflatedIsSet(false);
+    this.deflated = false;
   }
 
   @org.apache.thrift.annotation.Nullable
@@ -228,6 +239,29 @@
     }
   }
 
+  public boolean isDeflated() {
+    return this.deflated;
+  }
+
+  public Envelope setDeflated(boolean deflated) {
+    this.deflated = deflated;
+    setDeflatedIsSet(true);
+    return this;
+  }
+
+  public void unsetDeflated() {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __DEFLATED_ISSET_ID);
+  }
+
+  /** Returns true if field deflated is set (has been assigned a value) and false otherwise */
+  public boolean isSetDeflated() {
+    return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __DEFLATED_ISSET_ID);
+  }
+
+  public void setDeflatedIsSet(boolean value) {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __DEFLATED_ISSET_ID, value);
+  }
+
   @Override
   public void setFieldValue(_Fields field, @org.apache.thrift.annotation.Nullable java.lang.Object value) {
     switch (field) {
@@ -259,6 +293,14 @@
       }
       break;
 
+    case DEFLATED:
+      if (value == null) {
+        unsetDeflated();
+      } else {
+        setDeflated((java.lang.Boolean)value);
+      }
+      break;
+
     }
   }
 
@@ -275,6 +317,9 @@
     case BODY:
       return getBody();
 
+    case DEFLATED:
+      return isDeflated();
+
     }
     throw new java.lang.IllegalStateException();
   }
@@ -293,6 +338,8 @@
       return isSetKind();
     case BODY:
       return isSetBody();
+    case DEFLATED:
+      return isSetDeflated();
     }
     throw new java.lang.IllegalStateException();
   }
@@ -337,6 +384,15 @@
         return false;
     }
 
+    boolean this_present_deflated = true && this.isSetDeflated();
+    boolean that_present_deflated = true && that.isSetDeflated();
+    if (this_present_deflated || that_present_deflated) {
+      if (!(this_present_deflated && that_present_deflated))
+        return false;
+      if (this.deflated != that.deflated)
+        return false;
+    }
+
     return true;
   }
 
@@ -354,6 +410,10 @@
     if (isSetBody())
       hashCode = hashCode * 8191 + body.hashCode();
 
+    hashCode = hashCode * 8191 + ((isSetDeflated()) ? 131071 : 524287);
+    if (isSetDeflated())
+      hashCode = hashCode * 8191 + ((deflated) ? 131071 : 524287);
+
     return hashCode;
   }
 
@@ -395,6 +455,16 @@
         return lastComparison;
       }
     }
+    lastComparison = java.lang.Boolean.compare(isSetDeflated(), other.isSetDeflated());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetDeflated()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.deflated, other.deflated);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
     return 0;
   }
 
@@ -440,6 +510,12 @@
       org.apache.thrift.TBaseHelper.toString(this.body, sb);
     }
     first = false;
+    if (isSetDeflated()) {
+      if (!first) sb.append(", ");
+      sb.append("deflated:");
+      sb.append(this.deflated);
+      first = false;
+    }
     sb.append(")");
     return sb.toString();
   }
@@ -515,6 +591,14 @@
               org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
             break;
+          case 4: // DEFLATED
+            if (schemeField.type == org.apache.thrift.protocol.TType.BOOL) {
+              struct.deflated = iprot.readBool();
+              struct.setDeflatedIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
+            }
+            break;
           default:
             org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
         }
@@ -549,6 +633,11 @@
         oprot.writeBinary(struct.body);
         oprot.writeFieldEnd();
       }
+      if (struct.isSetDeflated()) {
+        oprot.writeFieldBegin(DEFLATED_FIELD_DESC);
+        oprot.writeBool(struct.deflated);
+        oprot.writeFieldEnd();
+      }
       oprot.writeFieldStop();
       oprot.writeStructEnd();
     }
@@ -573,10 +662,16 @@
       if (struct.isSetSender()) {
         optionals.set(0);
       }
-      oprot.writeBitSet(optionals, 1);
+      if (struct.isSetDeflated()) {
+        optionals.set(1);
+      }
+      oprot.writeBitSet(optionals, 2);
       if (struct.isSetSender()) {
         oprot.writeString(struct.sender);
       }
+      if (struct.isSetDeflated()) {
+        oprot.writeBool(struct.deflated);
+      }
     }
 
     @Override
@@ -586,11 +681,15 @@
       struct.setKindIsSet(true);
       struct.body = iprot.readBinary();
       struct.setBodyIsSet(true);
-      java.util.BitSet incoming = iprot.readBitSet(1);
+      java.util.BitSet incoming = iprot.readBitSet(2);
       if (incoming.get(0)) {
         struct.sender = iprot.readString();
         struct.setSenderIsSet(true);
       }
+      if (incoming.get(1)) {
+        struct.deflated = iprot.readBool();
+        struct.setDeflatedIsSet(true);
+      }
     }
   }
 
--- a/rhubarbward-net/src/main/java/io/rhubarbward/net/peer/PeerCodecs.java
+++ b/rhubarbward-net/src/main/java/io/rhubarbward/net/peer/PeerCodecs.java
@@ -16,7 +16,7 @@
                         ConfigCodecs.all(),
                         RequestCodecs.all(),
                         MoveCodecs.all(),
-                        GossipCodecs.all())
+                        RelayCodecs.all())
                 .flatMap(List::stream)
                 .toList();
     }
--- a/rhubarbward-net/src/main/java/io/rhubarbward/net/peer/PeerFrameCodec.java
+++ b/rhubarbward-net/src/main/java/io/rhubarbward/net/peer/PeerFrameCodec.java
@@ -4,11 +4,15 @@
 import io.rhubarbward.membership.PeerMessage;
 import io.vavr.control.Either;
 import io.vavr.control.Option;
+import java.io.ByteArrayOutputStream;
 import java.nio.ByteBuffer;
 import java.util.Map;
 import java.util.Optional;
 import java.util.function.Function;
 import java.util.stream.Collectors;
+import java.util.zip.DataFormatException;
+import java.util.zip.Deflater;
+import java.util.zip.Inflater;
 import org.apache.thrift.TDeserializer;
 import org.apache.thrift.TException;
 import org.apache.thrift.TSerializer;
@@ -24,6 +28,14 @@
     /** Size of the length prefix of each frame, in bytes. */
     public static final int LENGTH_BYTES = 4;
 
+    /** Size from which a body is compressed: smaller ones fit into a packet or two. */
+    private static final int MIN_DEFLATED_BYTES = 4096;
+
+    /** Limit that a few of the store's largest objects fit into. */
+    private static final int MAX_INFLATED_BYTES = 8_000_000;
+
+    private static final int BUFFER_BYTES = 8192;
+
     private final Map<Class<?>, PeerCodec<?, ?>> mCodecsByType =
             PeerCodecs.all().stream()
                     .collect(Collectors.toMap(PeerCodec::type, Function.identity()));
@@ -44,7 +56,7 @@
                     message.getClass() + ": expected a message type that has a codec");
         }
         try {
-            Envelope envelope = new Envelope(codec.kind(), ByteBuffer.wrap(codec.encode(message)));
+            Envelope envelope = envelope(codec.kind(), codec.encode(message));
             sender.ifPresent(envelope::setSender);
             return new TSerializer(new TCompactProtocol.Factory()).serialize(envelope);
         } catch (TException e) {
@@ -53,6 +65,53 @@
         }
     }
 
+    private static Envelope envelope(int kind, byte[] body) {
+        if (body.length < MIN_DEFLATED_BYTES) {
+            return new Envelope(kind, ByteBuffer.wrap(body));
+        }
+        return new Envelope(kind, ByteBuffer.wrap(deflate(body))).setDeflated(true);
+    }
+
+    private static byte[] deflate(byte[] body) {
+        Deflater deflater = new Deflater(Deflater.BEST_SPEED);
+        deflater.setInput(body);
+        deflater.finish();
+        ByteArrayOutputStream deflated = new ByteArrayOutputStream(body.length / 4);
+        byte[] buffer = new byte[BUFFER_BYTES];
+        while (!deflater.finished()) {
+            deflated.write(buffer, 0, deflater.deflate(buffer));
+        }
+        deflater.end();
+        return deflated.toByteArray();
+    }
+
+    private static Either<TException, byte[]> inflate(byte[] body) {
+        Inflater inflater = new Inflater();
+        inflater.setInput(body);
+        ByteArrayOutputStream inflated = new ByteArrayOutputStream(body.length * 4);
+        byte[] buffer = new byte[BUFFER_BYTES];
+        try {
+            while (!inflater.finished()) {
+                int length = inflater.inflate(buffer);
+                inflated.write(buffer, 0, length);
+                if (inflated.size() > MAX_INFLATED_BYTES || (length == 0 && !inflater.finished())) {
+                    return Either.left(
+                            new TException(
+                                    inflated.size()
+                                            + " bytes inflated of "
+                                            + body.length
+                                            + ": expected a complete body of at most "
+                                            + MAX_INFLATED_BYTES));
+                }
+            }
+            return Either.right(inflated.toByteArray());
+        } catch (DataFormatException e) {
+            return Either.left(new TException(e));
+        } finally {
+            inflater.end();
+        }
+    }
+
     /** Returns the message in a frame, or none if this version does not know its kind. */
     public Either<TException, Option<Received>> decode(byte[] frame) {
         Envelope envelope = new Envelope();
@@ -65,7 +124,11 @@
         if (codec == null) {
             return Either.right(Option.none());
         }
-        return codec.decode(envelope.getBody())
+        Either<TException, byte[]> body =
+                envelope.isDeflated()
+                        ? inflate(envelope.getBody())
+                        : Either.right(envelope.getBody());
+        return body.flatMap(codec::decode)
                 .map(message -> Option.of(new Received(sender(envelope), message)));
     }
 
--- /dev/null
+++ b/rhubarbward-net/src/main/java/io/rhubarbward/net/peer/RelayCodecs.java
@@ -0,0 +1,133 @@
+package io.rhubarbward.net.peer;
+
+import io.rhubarbward.gen.fleet.DataCentreLoadStruct;
+import io.rhubarbward.gen.fleet.FollowAnswerStruct;
+import io.rhubarbward.gen.fleet.FollowRequestStruct;
+import io.rhubarbward.gen.fleet.KindNewsStruct;
+import io.rhubarbward.gen.fleet.LoadReportStruct;
+import io.rhubarbward.gen.fleet.LoadTotalsStruct;
+import io.rhubarbward.gen.fleet.ObjectStateStruct;
+import io.rhubarbward.relay.DataCentreLoad;
+import io.rhubarbward.relay.FollowAnswer;
+import io.rhubarbward.relay.FollowAnswer.KindNews;
+import io.rhubarbward.relay.FollowRequest;
+import io.rhubarbward.relay.LoadReport;
+import io.rhubarbward.relay.LoadTotals;
+import io.rhubarbward.store.KindUpdate;
+import io.rhubarbward.store.KindUpdate.ObjectState;
+import java.util.List;
+
+/** The codecs of the messages between relays and their followers: kinds 71 to 79. */
+final class RelayCodecs {
+    private static final PeerCodec<FollowRequest, FollowRequestStruct> FOLLOW_REQUEST =
+            new PeerCodec<>(
+                    71,
+                    FollowRequest.class,
+                    FollowRequestStruct::new,
+                    request ->
+                            new FollowRequestStruct(
+                                    request.sentMillis(),
+                                    request.unansweredMillis(),
+                                    request.revisions()),
+                    struct ->
+                            new FollowRequest(
+                                    struct.getSentMillis(),
+                                    struct.getUnansweredMillis(),
+                                    struct.getRevisions()));
+
+    private static final PeerCodec<FollowAnswer, FollowAnswerStruct> FOLLOW_ANSWER =
+            new PeerCodec<>(
+                    72,
+                    FollowAnswer.class,
+                    FollowAnswerStruct::new,
+                    answer ->
+                            new FollowAnswerStruct(
+                                    answer.echoMillis(),
+                                    answer.serving(),
+                                    answer.millisSinceOutage(),
+                                    answer.kinds().stream().map(RelayCodecs::toStruct).toList()),
+                    struct ->
+                            new FollowAnswer(
+                                    struct.getEchoMillis(),
+                                    struct.isServing(),
+                                    struct.getMillisSinceOutage(),
+                                    struct.getKinds().stream()
+                                            .map(RelayCodecs::fromStruct)
+                                            .toList()));
+
+    private static final PeerCodec<LoadReport, LoadReportStruct> LOAD_REPORT =
+            new PeerCodec<>(
+                    73,
+                    LoadReport.class,
+                    LoadReportStruct::new,
+                    report -> new LoadReportStruct(report.sequence(), report.inFlight()),
+                    struct -> new LoadReport(struct.getSequence(), struct.getInFlight()));
+
+    private static final PeerCodec<LoadTotals, LoadTotalsStruct> LOAD_TOTALS =
+            new PeerCodec<>(
+                    74,
+                    LoadTotals.class,
+                    LoadTotalsStruct::new,
+                    totals -> new LoadTotalsStruct(totals.echoSequence(), totals.inFlight()),
+                    struct -> new LoadTotals(struct.getEchoSequence(), struct.getInFlight()));
+
+    private static final PeerCodec<DataCentreLoad, DataCentreLoadStruct> DATA_CENTRE_LOAD =
+            new PeerCodec<>(
+                    75,
+                    DataCentreLoad.class,
+                    DataCentreLoadStruct::new,
+                    load ->
+                            new DataCentreLoadStruct(
+                                    load.aggregator(),
+                                    load.unheardMillis(),
+                                    load.forwarded(),
+                                    load.inFlight()),
+                    struct ->
+                            new DataCentreLoad(
+                                    struct.getAggregator(),
+                                    struct.getUnheardMillis(),
+                                    struct.isForwarded(),
+                                    struct.getInFlight()));
+
+    private RelayCodecs() {}
+
+    static List<PeerCodec<?, ?>> all() {
+        return List.of(FOLLOW_REQUEST, FOLLOW_ANSWER, LOAD_REPORT, LOAD_TOTALS, DATA_CENTRE_LOAD);
+    }
+
+    private static KindNewsStruct toStruct(KindNews news) {
+        KindUpdate update = news.update();
+        return new KindNewsStruct(
+                update.kind(),
+                update.sinceRevision(),
+                update.revision(),
+                update.objects().stream().map(RelayCodecs::toStruct).toList(),
+                news.stalenessMillis());
+    }
+
+    private static ObjectStateStruct toStruct(ObjectState object) {
+        ObjectStateStruct struct = new ObjectStateStruct(object.name(), object.revision());
+        if (!object.deleted()) {
+            struct.setText(object.text());
+        }
+        return struct;
+    }
+
+    private static KindNews fromStruct(KindNewsStruct struct) {
+        return new KindNews(
+                new KindUpdate(
+                        struct.getKind(),
+                        struct.getSinceRevision(),
+                        struct.getRevision(),
+                        struct.getObjects().stream().map(RelayCodecs::fromStruct).toList()),
+                struct.getStalenessMillis());
+    }
+
+    private static ObjectState fromStruct(ObjectStateStruct struct) {
+        if (!struct.isSetText()) {
+            return ObjectState.deleted(struct.getName());
+        }
+        String text = struct.getText();
+        return new ObjectState(struct.getName(), struct.getRevision(), () -> text);
+    }
+}
--- a/rhubarbward-net/src/main/java/io/rhubarbward/net/peer/ThriftPeerTransport.java
+++ b/rhubarbward-net/src/main/java/io/rhubarbward/net/peer/ThriftPeerTransport.java
@@ -32,12 +32,15 @@
 import io.rhubarbward.timer.TimerService;
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
+import java.util.Collection;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Objects;
 import java.util.Optional;
 import java.util.function.BiConsumer;
 import java.util.function.IntSupplier;
+import java.util.stream.Collectors;
 
 /**
  * Carries messages between routers as Thrift structs in length-prefixed frames.
@@ -143,6 +146,33 @@
         // The first frame names the sender. It is not dropped on a connection that takes later
         // frames, because a new channel is writable.
         byte[] frame = encode(Optional.of(mOwnVm).filter(vm -> existing == null), message);
+        write(connecting, frame);
+    }
+
+    @Override
+    public void sendToAll(Collection<Peer> receivers, PeerMessage message) {
+        Map<Boolean, List<Peer>> byConnected =
+                receivers.stream()
+                        .collect(
+                                Collectors.partitioningBy(
+                                        peer -> mOutgoingByVm.containsKey(peer.vm())));
+        byConnected.getOrDefault(false, List.of()).forEach(peer -> send(peer, message));
+        List<ChannelFuture> connected =
+                byConnected.getOrDefault(true, List.of()).stream()
+                        .map(peer -> mOutgoingByVm.get(peer.vm()))
+                        .filter(Objects::nonNull)
+                        .toList();
+        if (!connected.isEmpty()) {
+            byte[] frame = mFrameCodec.encode(Optional.empty(), message);
+            connected.forEach(
+                    connection -> {
+                        count("sent", message, frame.length);
+                        write(connection, frame);
+                    });
+        }
+    }
+
+    private static void write(ChannelFuture connecting, byte[] frame) {
         connecting.addListener(
                 (ChannelFutureListener)
                         connected -> {
--- a/rhubarbward-net/src/main/thrift/fleet.thrift
+++ b/rhubarbward-net/src/main/thrift/fleet.thrift
@@ -1,11 +1,52 @@
-// Messages of the gossip slice.
+// Messages of the relay slice.
 namespace java io.rhubarbward.gen.fleet
 
-struct LoadNewsStruct {
+struct FollowRequestStruct {
   // The sender's monotonic clock, in milliseconds.
   1: required i64 sentMillis;
-  // The newest such time that the sender has had from the receiver; 0 if none.
-  2: required i64 echoMillis;
-  // Requests in flight by the 32 low bits of the hash of the server's id; those with none left out.
-  3: required map<i32, i32> inFlight;
+  2: required i64 unansweredMillis;
+  // Revision of the sender's state by kind.
+  3: required map<string, i64> revisions;
+}
+
+struct ObjectStateStruct {
+  1: required string name;
+  2: required i64 revision;
+  // As the store sent it; left out for a deleted object.
+  3: optional string text;
+}
+
+struct KindNewsStruct {
+  1: required string kind;
+  2: required i64 sinceRevision;
+  3: required i64 revision;
+  4: required list<ObjectStateStruct> objects;
+  5: required i64 stalenessMillis;
+}
+
+struct FollowAnswerStruct {
+  1: required i64 echoMillis;
+  2: required bool serving;
+  3: required i64 millisSinceOutage;
+  4: required list<KindNewsStruct> kinds;
+}
+
+// In the structs below, requests in flight are keyed by the 32 low bits of the hash of the server's
+// id; servers without any are left out.
+
+struct LoadReportStruct {
+  1: required i64 sequence;
+  2: required map<i32, i32> inFlight;
+}
+
+struct LoadTotalsStruct {
+  1: required i64 echoSequence;
+  2: required map<i32, i32> inFlight;
+}
+
+struct DataCentreLoadStruct {
+  1: required string aggregator;
+  2: required i64 unheardMillis;
+  3: required bool forwarded;
+  4: required map<i32, i32> inFlight;
 }
--- a/rhubarbward-net/src/main/thrift/peer.thrift
+++ b/rhubarbward-net/src/main/thrift/peer.thrift
@@ -7,4 +7,6 @@
   // Which message the body holds; a receiver ignores kinds that it does not know.
   2: required i32 kind;
   3: required binary body;
+  // Whether the body is compressed (RFC 1951); left out if it is not.
+  4: optional bool deflated;
 }
--- a/rhubarbward-net/src/test/java/io/rhubarbward/net/peer/PeerFrameCodecTest.java
+++ b/rhubarbward-net/src/test/java/io/rhubarbward/net/peer/PeerFrameCodecTest.java
@@ -10,8 +10,16 @@
 import io.rhubarbward.quota.HoldingsQuery;
 import io.rhubarbward.quota.QuotaAnswer;
 import io.rhubarbward.quota.QuotaAsk;
+import io.rhubarbward.relay.DataCentreLoad;
+import io.rhubarbward.relay.FollowAnswer;
+import io.rhubarbward.relay.FollowAnswer.KindNews;
+import io.rhubarbward.relay.FollowRequest;
+import io.rhubarbward.relay.LoadReport;
+import io.rhubarbward.relay.LoadTotals;
+import io.rhubarbward.store.KindUpdate;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.stream.Stream;
 import org.junit.jupiter.api.Test;
@@ -31,7 +39,12 @@
                 new QuotaAsk(1, QuotaAsk.NO_QUERY, claims),
                 new QuotaAsk(2, 9, claims),
                 new QuotaAnswer(2, List.of(new QuotaAnswer.Grant("backend/e", 1, 1000))),
-                new HoldingsQuery(9, List.of("backend/e", "backend/f")));
+                new HoldingsQuery(9, List.of("backend/e", "backend/f")),
+                new FollowRequest(7, 900, Map.of("config", 12L)),
+                new FollowAnswer(7, false, 0, List.of()),
+                new LoadReport(3, Map.of(-5, 2)),
+                new LoadTotals(3, Map.of(-5, 2, 9, 1)),
+                new DataCentreLoad("entry-2", 80, true, Map.of(9, 1)));
     }
 
     @ParameterizedTest
@@ -43,6 +56,72 @@
         }
     }
 
+    /** A configuration of many routes goes to every follower of a relay. */
+    @Test
+    void aLargeObjectIsCompressedAndSurvivesTheRoundTrip() {
+        String text = "{\"prefix\":\"/orders/\",\"service\":\"orders\"}".repeat(10_000);
+        KindUpdate update =
+                new KindUpdate(
+                        "config",
+                        KindUpdate.SNAPSHOT,
+                        9,
+                        List.of(
+                                new KindUpdate.ObjectState("main", 9, () -> text),
+                                KindUpdate.ObjectState.deleted("old")));
+        byte[] frame =
+                mCodec.encode(
+                        Optional.empty(),
+                        new FollowAnswer(1, true, 5, List.of(new KindNews(update, 300))));
+        assertThat(frame.length).isLessThan(text.length() / 20);
+        FollowAnswer decoded = (FollowAnswer) mCodec.decode(frame).get().get().message();
+        KindNews news = decoded.kinds().get(0);
+        assertThat(news.stalenessMillis()).isEqualTo(300);
+        assertThat(news.update().snapshot()).isTrue();
+        assertThat(news.update().objects().get(0).text()).isEqualTo(text);
+        assertThat(news.update().objects().get(1).deleted()).isTrue();
+    }
+
+    /** A body that inflates without end must not fill the memory. */
+    @Test
+    void aBodyThatInflatesBeyondTheLimitIsRefused() {
+        String text = "0".repeat(9_000_000);
+        KindUpdate update =
+                new KindUpdate(
+                        "config", 1, 2, List.of(new KindUpdate.ObjectState("x", 2, () -> text)));
+        byte[] frame =
+                mCodec.encode(
+                        Optional.empty(),
+                        new FollowAnswer(1, true, 5, List.of(new KindNews(update, 0))));
+        assertThat(mCodec.decode(frame).isLeft()).isTrue();
+    }
+
+    @Test
+    void aTruncatedCompressedBodyIsReturnedAsAFailure() {
+        byte[] frame =
+                mCodec.encode(
+                        Optional.empty(),
+                        new FollowAnswer(
+                                1,
+                                true,
+                                5,
+                                List.of(
+                                        new KindNews(
+                                                new KindUpdate(
+                                                        "config",
+                                                        1,
+                                                        2,
+                                                        List.of(
+                                                                new KindUpdate.ObjectState(
+                                                                        "x",
+                                                                        2,
+                                                                        () -> "ab".repeat(9000)))),
+                                                0))));
+        for (int length = 1; length < frame.length; length += 3) {
+            byte[] cut = java.util.Arrays.copyOf(frame, length);
+            assertThat(mCodec.decode(cut).isLeft()).isTrue();
+        }
+    }
+
     @Test
     void invalidFrameIsReturnedAsAFailure() {
         byte[] frame = "GET / HTTP/1.1".getBytes(StandardCharsets.US_ASCII);
