Take the time that a request waited unread off its deadline

Cause: a request's time began when the event loop read it.

Change: the lateness of the 200 ms tick bounds how long a request that is read now may have waited. It comes off the deadline, behind by 250 ms the send waits for one more pass of the loop, which shows a closed connection, and a request that may run again and that its caller has given up is refused as not run.

Also the relay's metrics: calls to the store, staleness, followers.

--- a/rhubarbward-core/src/main/java/io/rhubarbward/forward/ForwardContext.java
+++ b/rhubarbward-core/src/main/java/io/rhubarbward/forward/ForwardContext.java
@@ -6,6 +6,7 @@
 import io.rhubarbward.placement.ServerTable;
 import io.rhubarbward.request.BackendClient;
 import io.rhubarbward.timer.TimerService;
+import java.util.function.LongSupplier;
 
 /**
  * The dependencies that all forwarded requests of a router share.
@@ -19,6 +20,8 @@
  * @param sendObserver told how each send ended
  * @param backends sends requests to backend servers
  * @param timers clock and timers
+ * @param loopLagMillis how far the event loop may be behind: a request that is read now may have
+ *     been waiting for that long
  * @param events the event log
  * @param metrics counters and histograms
  */
@@ -32,5 +35,6 @@
         SendObserver sendObserver,
         BackendClient backends,
         TimerService timers,
+        LongSupplier loopLagMillis,
         EventLog events,
         ForwardMetrics metrics) {}
--- a/rhubarbward-core/src/main/java/io/rhubarbward/forward/ForwardedExchange.java
+++ b/rhubarbward-core/src/main/java/io/rhubarbward/forward/ForwardedExchange.java
@@ -43,6 +43,12 @@
     /** Remaining time below which sending is pointless: servers stop at the deadline. */
     private static final long MIN_REMAINING_MILLIS = 20;
 
+    /** Time unread after which callers try another router, for requests that may run again. */
+    private static final long MAX_UNREAD_MILLIS = 1000;
+
+    /** The same as a part of the caller's time, if that is shorter. */
+    private static final long MAX_UNREAD_PART = 3;
+
     /** Retry-after of a request that did not run. */
     private static final long RETRY_AFTER_MILLIS = 400;
 
@@ -51,6 +57,7 @@
     private final ForwardContext mContext;
     private final Consumer<ForwardedExchange> mOnEnd;
     private final Set<String> mTriedServers = new HashSet<>();
+    private final long mLagMillis;
     private final long mArrivedMillis;
     private final long mDeadlineMillis;
     private TimerService.Subscription mDeadlineTimer = () -> {};
@@ -71,7 +78,8 @@
         mResponse = response;
         mContext = context;
         mOnEnd = onEnd;
-        mArrivedMillis = context.timers().nowMillis();
+        mLagMillis = context.loopLagMillis().getAsLong();
+        mArrivedMillis = context.timers().nowMillis() - mLagMillis;
         mDeadlineMillis = mArrivedMillis + timeout(request).toMillis();
     }
 
@@ -84,10 +92,22 @@
     }
 
     void start() {
+        if (mEnded) {
+            return;
+        }
+        long timeoutMillis = mDeadlineMillis - mArrivedMillis;
+        if (route().mayRunAgain()
+                && mLagMillis > Math.min(MAX_UNREAD_MILLIS, timeoutMillis / MAX_UNREAD_PART)) {
+            refuse(RefusalCode.OVERLOADED, "waited " + mLagMillis + " ms to be read");
+            return;
+        }
         mDeadlineTimer =
                 mContext.timers()
                         .after(
-                                Duration.ofMillis(mDeadlineMillis - mArrivedMillis),
+                                Duration.ofMillis(
+                                        Math.max(
+                                                0,
+                                                mDeadlineMillis - mContext.timers().nowMillis())),
                                 this::onTimeout);
         placeAndSend();
     }
--- a/rhubarbward-core/src/main/java/io/rhubarbward/forward/ForwardingService.java
+++ b/rhubarbward-core/src/main/java/io/rhubarbward/forward/ForwardingService.java
@@ -8,6 +8,7 @@
 import io.rhubarbward.request.Refusal;
 import io.rhubarbward.request.RefusalCode;
 import io.vavr.control.Either;
+import java.time.Duration;
 import java.util.HashSet;
 import java.util.Set;
 
@@ -25,6 +26,14 @@
     /** Retry-after of a stopping router: another one takes its place within two seconds. */
     private static final long DRAINING_RETRY_MILLIS = 200;
 
+    /**
+     * Lag of the event loop from which a request waits for one more pass of the loop, which shows
+     * whether its caller has left while the request waited to be read.
+     */
+    private static final long RECHECK_CALLER_LAG_MILLIS = 250;
+
+    private static final Duration ONE_PASS = Duration.ofMillis(1);
+
     private static final String UNKNOWN_ROUTE_KIND = "none";
 
     /** Ignores the connection events of a request that has already been answered. */
@@ -91,7 +100,11 @@
                 new ForwardedExchange(request, response, mContext, this::close);
         mOpenExchanges.add(exchange);
         mContext.metrics().setOpenRequests(mOpenExchanges.size());
-        exchange.start();
+        if (mContext.loopLagMillis().getAsLong() > RECHECK_CALLER_LAG_MILLIS) {
+            mContext.timers().after(ONE_PASS, exchange::start);
+        } else {
+            exchange.start();
+        }
         return exchange;
     }
 
--- a/rhubarbward-core/src/main/java/io/rhubarbward/node/FleetRouter.java
+++ b/rhubarbward-core/src/main/java/io/rhubarbward/node/FleetRouter.java
@@ -20,6 +20,7 @@
 import io.rhubarbward.placement.ServerTable;
 import io.rhubarbward.placement.VersionChoice;
 import io.rhubarbward.relay.LoadExchange;
+import io.rhubarbward.relay.RelayMetrics;
 import io.rhubarbward.relay.StoreFollower;
 import io.rhubarbward.request.CallerListener;
 import io.rhubarbward.request.CallerRequest;
@@ -29,6 +30,7 @@
 import io.rhubarbward.store.ObjectKind;
 import io.rhubarbward.store.StoreAvailability;
 import io.rhubarbward.timer.ClockJumpDetector;
+import io.rhubarbward.timer.EventLoopLag;
 import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.util.List;
@@ -79,6 +81,7 @@
     private final KindWatcher<RouterPresence> mRouterWatcher;
     private final ForwardingService mForwarding;
     private final ClockJumpDetector mClockJumpDetector;
+    private final EventLoopLag mLoopLag;
     private boolean mStopping;
 
     /** Creates the components; nothing runs until {@link #start}. */
@@ -90,6 +93,7 @@
         mEvacuations = new MarkerSet<>(ports.events(), LogEvent.DATA_CENTRE_EMPTIED);
         mRouters = new RouterDirectory(ports.events());
         mClockJumpDetector = new ClockJumpDetector(ports.timers());
+        mLoopLag = new EventLoopLag(ports.timers(), CLOCK_CHECK_PERIOD);
         ServerTable table = new ServerTable(ports.timers(), ports.events());
         table.subscribeToRemovals(
                 removed -> ports.backends().evictIdleConnections(removed.server().address()));
@@ -101,21 +105,20 @@
         mEvacuationWatcher =
                 watcher(ports.store().evacuations(), mEvacuations, WATCH_WAIT, WATCH_REST);
         mRouterWatcher = watcher(ports.store().routers(), mRouters, WATCH_WAIT, WATCH_REST);
+        List<KindWatcher<?>> watchers =
+                List.of(mCatalogWatcher, mServerWatcher, mEvacuationWatcher, mRouterWatcher);
         mStoreFollower =
                 new StoreFollower(
                         settings.vm(),
                         settings.dataCentre(),
-                        List.of(
-                                mCatalogWatcher,
-                                mServerWatcher,
-                                mEvacuationWatcher,
-                                mRouterWatcher),
+                        watchers,
                         mStoreAvailability,
                         mRouters::routers,
                         ports.peers(),
                         ports.timers(),
                         ports.events(),
                         this::relistAfterClockJump);
+        RelayMetrics.register(ports.metrics(), mStoreFollower, watchers);
         mLoadExchange =
                 new LoadExchange(
                         settings.vm(),
@@ -158,6 +161,7 @@
                 (server, route, result, firstByteMillis) -> {},
                 mPorts.backends(),
                 mPorts.timers(),
+                mLoopLag::millis,
                 mPorts.events(),
                 new ForwardMetrics(mPorts.metrics()));
     }
@@ -172,7 +176,14 @@
         mStoreFollower.start();
         announce();
         mLoadExchange.start();
-        mPorts.timers().every(CLOCK_CHECK_PERIOD, this::relistAfterClockJump);
+        mLoopLag.tick();
+        mPorts.timers()
+                .every(
+                        CLOCK_CHECK_PERIOD,
+                        () -> {
+                            mLoopLag.tick();
+                            relistAfterClockJump();
+                        });
     }
 
     private void announce() {
--- a/rhubarbward-core/src/main/java/io/rhubarbward/store/KindWatcher.java
+++ b/rhubarbward-core/src/main/java/io/rhubarbward/store/KindWatcher.java
@@ -55,6 +55,8 @@
     /** Number of the newest call; answers to older calls are ignored. */
     private long mCallNumber;
 
+    private long mCallsSent;
+
     private long mLastCallMillis = NEVER;
     private Runnable mRetry = () -> {};
     private long mBackoffMillis = MIN_BACKOFF_MILLIS;
@@ -146,6 +148,11 @@
         return mKind.name();
     }
 
+    /** Returns the number of calls to the store so far. */
+    public long calls() {
+        return mCallsSent;
+    }
+
     /** Returns the store's revision that the state matches; 0 before the first list. */
     public long revision() {
         return mRevision;
@@ -312,6 +319,7 @@
             Consumer<R> onResult,
             Runnable retry) {
         long number = ++mCallNumber;
+        mCallsSent++;
         mLastCallMillis = mTimers.nowMillis();
         mRetry = retry;
         request.get()
--- a/rhubarbward-core/src/test/java/io/rhubarbward/forward/ForwardFixture.java
+++ b/rhubarbward-core/src/test/java/io/rhubarbward/forward/ForwardFixture.java
@@ -34,6 +34,7 @@
     final CurrentCatalog mCatalog = new CurrentCatalog("main", mEvents);
     long mCatalogAgeMillis;
     boolean mClockJumped;
+    long mLoopLagMillis;
     final ForwardingService mService;
 
     ForwardFixture(Route... routes) {
@@ -66,6 +67,7 @@
                                 (server, route, result, firstByteMillis) -> {},
                                 mBackends,
                                 mTimers,
+                                () -> mLoopLagMillis,
                                 mEvents,
                                 new ForwardMetrics(new PrometheusRegistry())));
     }
