Record the classes of relays in the class archive

Cause: the rehearsal, from which the archive of classes is recorded, ran one router, so that a router loaded 237 to 275 classes from the jar or spun them at its start, most of them of the relays and of Thrift.

Change: the rehearsal runs three routers in two data centres and waits until one is another's relay. A router announces the port that its listener was bound to, which the rehearsal needs.

--- a/rhubarbward-core/src/main/java/io/rhubarbward/node/FleetNodeSettings.java
+++ b/rhubarbward-core/src/main/java/io/rhubarbward/node/FleetNodeSettings.java
@@ -22,4 +22,17 @@
         InetSocketAddress peers,
         String store,
         double processorCapacity,
-        FleetBounds bounds) {}
+        FleetBounds bounds) {
+    /** Returns these settings with another port for routers, such as the one that was bound. */
+    public FleetNodeSettings withPeersPort(int port) {
+        return new FleetNodeSettings(
+                vm,
+                dataCentre,
+                callers,
+                readiness,
+                new InetSocketAddress(peers.getAddress(), port),
+                store,
+                processorCapacity,
+                bounds);
+    }
+}
--- a/rhubarbward-core/src/main/java/io/rhubarbward/node/FleetRouter.java
+++ b/rhubarbward-core/src/main/java/io/rhubarbward/node/FleetRouter.java
@@ -222,6 +222,11 @@
         return jumpMillis != 0;
     }
 
+    /** Returns how many routers use this one as their relay. */
+    public int relayFollowers() {
+        return mStoreFollower.followers();
+    }
+
     /** Serves a caller's request. */
     public CallerListener serve(CallerRequest request, CallerResponse response) {
         return mForwarding.serve(request, response);
--- a/rhubarbward-daemon/src/main/java/io/rhubarbward/cli/RehearseCommand.java
+++ b/rhubarbward-daemon/src/main/java/io/rhubarbward/cli/RehearseCommand.java
@@ -9,7 +9,8 @@
 import net.sourceforge.argparse4j.inf.Subparsers;
 
 /**
- * {@code rhubarbward rehearse}: runs a router with stand-ins, sends it a few requests and exits.
+ * {@code rhubarbward rehearse}: runs three routers with stand-ins, sends one of them a few requests
+ * and exits.
  *
  * <p>The build runs it to record the classes that a router loads, so that a router starts quickly.
  */
@@ -19,7 +20,8 @@
     @Override
     public void configure(Subparsers commands) {
         commands.addParser("rehearse")
-                .help("run a router with stand-ins in one process, send it a few requests and exit")
+                .help(
+                        "run three routers with stand-ins in one process, send one a few requests and exit")
                 .setDefault(COMMAND_KEY, this);
     }
 
@@ -35,6 +37,8 @@
                                         TimeUnit.NANOSECONDS.toMillis(System.nanoTime())));
         try (LocalFleet fleet = LocalFleet.start(events)) {
             fleet.awaitReady();
+            fleet.startMoreRouters();
+            fleet.awaitRelay();
             for (int round = 0; round < ROUNDS; round++) {
                 fleet.send("POST", "/plain/" + round, "plain-" + round);
                 fleet.send("POST", "/stream/" + round, "stream-" + round);
--- a/rhubarbward-daemon/src/main/java/io/rhubarbward/daemon/FleetRouterDaemon.java
+++ b/rhubarbward-daemon/src/main/java/io/rhubarbward/daemon/FleetRouterDaemon.java
@@ -101,7 +101,7 @@
                         settings.vm(), settings.peers(), mGroup, mTimers, events, metrics);
         mRouter =
                 new FleetRouter(
-                        settings,
+                        settings.withPeersPort(mPeers.port()),
                         new FleetPorts(
                                 mTimers,
                                 new SplittableRandom(),
@@ -173,6 +173,11 @@
         return mCallerSocket.socket().getLocalPort();
     }
 
+    /** Completes with the number of routers that use this one as their relay. */
+    CompletableFuture<Integer> relayFollowers() {
+        return CompletableFuture.supplyAsync(mRouter::relayFollowers, mTimers);
+    }
+
     /** Returns the port at which the balancer asks whether the router is ready. */
     public int readinessPort() {
         return mReadinessListener.port();
--- a/rhubarbward-daemon/src/main/java/io/rhubarbward/daemon/LocalFleet.java
+++ b/rhubarbward-daemon/src/main/java/io/rhubarbward/daemon/LocalFleet.java
@@ -17,7 +17,10 @@
 import java.net.URI;
 import java.net.URL;
 import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.concurrent.TimeUnit;
+import java.util.stream.Stream;
 
 /**
  * A fleet router with stand-ins for the platform's store and two replicas, in one process.
@@ -31,6 +34,7 @@
  */
 public final class LocalFleet implements AutoCloseable {
     private static final String ZONE = "a";
+    private static final String OTHER_ZONE = "b";
     private static final int OK = 200;
     private static final long READY_TIMEOUT_MILLIS = 20_000;
 
@@ -40,32 +44,55 @@
     private final ReplicaStandin mOrdersReplica;
     private final ReplicaStandin mChatReplica;
     private final FleetRouterDaemon mRouter;
+    private final List<FleetRouterDaemon> mMoreRouters = new ArrayList<>();
+    private final EventLog mEvents;
 
     private LocalFleet(EventLog events) {
+        mEvents = events;
         mTimers = new EventLoopTimerService(mGroup.next(), events);
         mStore = new StoreStandin(mGroup, DemoPorts.loopback(0), mTimers);
         mOrdersReplica = new ReplicaStandin("i-orders", mGroup, DemoPorts.loopback(0), mTimers);
         mChatReplica = new ReplicaStandin("i-chat", mGroup, DemoPorts.loopback(0), mTimers);
         SampleConfig.writeTo(mStore, mOrdersReplica, mChatReplica);
-        mRouter =
-                FleetRouterDaemon.start(
-                        new FleetNodeSettings(
-                                "front-1",
-                                ZONE,
-                                DemoPorts.loopback(0),
-                                DemoPorts.loopback(0),
-                                DemoPorts.loopback(0),
-                                mStore.address(),
-                                0,
-                                new FleetBounds(
-                                        true,
-                                        Duration.ofSeconds(5),
-                                        new LocalRetryBudget.Bound(0.2, Duration.ofSeconds(10), 50),
-                                        0.1,
-                                        Duration.ofSeconds(8))),
-                        HttpListener.bind(DemoPorts.loopback(0)),
+        mRouter = startRouter("front-1", ZONE);
+    }
+
+    private FleetRouterDaemon startRouter(String name, String dataCentre) {
+        FleetNodeSettings settings =
+                new FleetNodeSettings(
+                        name,
+                        dataCentre,
+                        DemoPorts.loopback(0),
+                        DemoPorts.loopback(0),
+                        DemoPorts.loopback(0),
+                        mStore.address(),
                         0,
-                        events);
+                        new FleetBounds(
+                                true,
+                                Duration.ofSeconds(5),
+                                new LocalRetryBudget.Bound(0.2, Duration.ofSeconds(10), 50),
+                                0.1,
+                                Duration.ofSeconds(8)));
+        return FleetRouterDaemon.start(
+                settings, HttpListener.bind(DemoPorts.loopback(0)), 0, mEvents);
+    }
+
+    /** Starts a second router in the same data centre and one in another. */
+    public void startMoreRouters() {
+        mMoreRouters.add(startRouter("front-2", ZONE));
+        mMoreRouters.add(startRouter("front-3", OTHER_ZONE));
+    }
+
+    /** Waits until one of the routers is the relay of another. */
+    public void awaitRelay() throws IOException {
+        long deadlineMillis = mTimers.nowMillis() + READY_TIMEOUT_MILLIS;
+        while (Stream.concat(Stream.of(mRouter), mMoreRouters.stream())
+                .allMatch(router -> router.relayFollowers().join() == 0)) {
+            if (mTimers.nowMillis() > deadlineMillis) {
+                throw new IOException(
+                        "no router was a relay within " + READY_TIMEOUT_MILLIS + " ms");
+            }
+        }
     }
 
     /** Starts everything. */
@@ -114,6 +141,7 @@
 
     @Override
     public void close() {
+        mMoreRouters.forEach(FleetRouterDaemon::close);
         mRouter.close();
         mOrdersReplica.close();
         mChatReplica.close();
