Wait for the VM list before a router of the product says ready

Change: ready once the list was answered, or the platform was found unavailable, as a router that starts in an outage gets its configuration from its seeds and is ready. RouterNodeTest's new case holds the list back; it fails without the change.

--- a/rhubarbward-core/src/main/java/io/rhubarbward/membership/Membership.java
+++ b/rhubarbward-core/src/main/java/io/rhubarbward/membership/Membership.java
@@ -58,6 +58,7 @@
     private List<Peer> mSeeds = List.of();
     private boolean mPlatformAvailable = true;
     private boolean mVmListRead;
+    private boolean mVmListAnswered;
     // Caches siteOwner, since ordering all routers is the most expensive step of a quota permit.
     // Cleared every heartbeat period, since the end of this router's flap damping depends
     // on the time.
@@ -324,11 +325,20 @@
         }
     }
 
+    /**
+     * Returns whether the platform has answered for the VM list, which names the backend servers
+     * too, or was found unavailable.
+     */
+    public boolean vmListAnswered() {
+        return mVmListAnswered;
+    }
+
     private void readVmList() {
         mVmList.read().thenAccept(this::onVmListRead);
     }
 
     private void onVmListRead(Either<PlatformFailure, List<Vm>> read) {
+        mVmListAnswered = true;
         if (read.isRight() != mPlatformAvailable) {
             mPlatformAvailable = read.isRight();
             logAvailability(read);
--- a/rhubarbward-core/src/main/java/io/rhubarbward/node/RouterNode.java
+++ b/rhubarbward-core/src/main/java/io/rhubarbward/node/RouterNode.java
@@ -216,13 +216,14 @@
 
     /**
      * Returns whether the balancer may send requests here: not while the router drains, has no
-     * configuration, hears from no source of configuration changes, does not know the rollouts yet,
-     * or runs in a data centre that is out. A router that is not ready does not refuse requests for
-     * that reason.
+     * configuration, hears from no source of configuration changes, does not know the backend
+     * servers or the rollouts yet, or runs in a data centre that is out. A router that is not ready
+     * does not refuse requests for that reason.
      */
     public boolean ready() {
         return !mDraining
                 && mDistribution.hasRecentContact()
+                && mMembership.vmListAnswered()
                 && mConfiguration.settings().map(this::ownDataCentreTakesWork).orElse(false)
                 && mRollouts.loaded();
     }
--- a/rhubarbward-core/src/test/java/io/rhubarbward/node/RouterNodeTest.java
+++ b/rhubarbward-core/src/test/java/io/rhubarbward/node/RouterNodeTest.java
@@ -6,6 +6,7 @@
 import io.rhubarbward.testing.RecordingResponse;
 import io.rhubarbward.testing.Site;
 import java.time.Duration;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.atomic.AtomicInteger;
 import org.junit.jupiter.api.Test;
 
@@ -53,6 +54,20 @@
         assertThat(router.ready()).isTrue();
     }
 
+    /** A router that was ready before it knew an engine refused its first chats. */
+    @Test
+    void aRouterIsNotReadyBeforeTheVmListIsAnswered() {
+        Site site = Site.start(1);
+        CompletableFuture<Boolean> released = new CompletableFuture<>();
+        site.holdVmListUntil(released);
+        RouterNode router = site.addRouter("entry-late");
+        site.advance(Duration.ofSeconds(10));
+        assertThat(router.ready()).isFalse();
+        released.complete(true);
+        site.advance(Duration.ofSeconds(10));
+        assertThat(router.ready()).isTrue();
+    }
+
     @Test
     void aDrainWaitsForOpenRequestsAndCutsNone() {
         Site site = Site.start(1);
--- a/rhubarbward-core/src/test/java/io/rhubarbward/testing/PlatformLink.java
+++ b/rhubarbward-core/src/test/java/io/rhubarbward/testing/PlatformLink.java
@@ -12,6 +12,7 @@
 import io.vavr.control.Either;
 import java.time.Duration;
 import java.util.List;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
 import java.util.function.Function;
 import java.util.function.Supplier;
@@ -21,10 +22,14 @@
     private final MemoryObjectStore mStore;
     private Supplier<List<Vm>> mVms;
     private boolean mCut;
+    private final CompletableFuture<?> mVmListReleased;
 
-    PlatformLink(MemoryObjectStore store, Supplier<List<Vm>> vms) {
+    /** Creates a link that answers reads of the VM list only once the stage is complete. */
+    PlatformLink(
+            MemoryObjectStore store, Supplier<List<Vm>> vms, CompletableFuture<?> vmListReleased) {
         mStore = store;
         mVms = vms;
+        mVmListReleased = vmListReleased;
     }
 
     /** Cuts or restores the connection. */
@@ -40,6 +45,10 @@
 
     @Override
     public CompletionStage<Either<PlatformFailure, List<Vm>>> read() {
+        return mVmListReleased.thenCompose(released -> readVmList());
+    }
+
+    private CompletionStage<Either<PlatformFailure, List<Vm>>> readVmList() {
         boolean down = mCut || mStore.faults().down();
         return down ? unavailable() : EitherStage.completed(Either.right(mVms.get()));
     }
--- a/rhubarbward-core/src/test/java/io/rhubarbward/testing/Site.java
+++ b/rhubarbward-core/src/test/java/io/rhubarbward/testing/Site.java
@@ -23,6 +23,7 @@
 import java.util.Objects;
 import java.util.Set;
 import java.util.SplittableRandom;
+import java.util.concurrent.CompletableFuture;
 import java.util.function.BiPredicate;
 
 /**
@@ -63,6 +64,7 @@
     private final List<Vm> mVms = new ArrayList<>();
     private final List<RouterNode> mRouters = new ArrayList<>();
     private final Map<String, PlatformLink> mPlatformLinks = new HashMap<>();
+    private CompletableFuture<?> mVmListReleased = CompletableFuture.completedFuture(null);
     private final Set<String> mKilledVms = new HashSet<>();
     private final RecordingEvents mEvents = new RecordingEvents();
 
@@ -79,6 +81,11 @@
         return site;
     }
 
+    /** Leaves reads of the VM list by routers added from now on open until the stage completes. */
+    public void holdVmListUntil(CompletableFuture<?> released) {
+        mVmListReleased = released;
+    }
+
     /** Adds and starts a router in data centre dc-a. */
     public RouterNode addRouter(String vm) {
         return addRouter(vm, "dc-a", List.of());
@@ -87,7 +94,7 @@
     /** Adds and starts a router with the peer addresses of other routers as its seeds. */
     public RouterNode addRouter(String vm, String dataCentre, List<String> seeds) {
         mVms.add(new Vm(vm, dataCentre, Vm.Role.ROUTER, vm + ":1", Vm.State.LIVE, null, null));
-        PlatformLink link = new PlatformLink(mStore, () -> List.copyOf(mVms));
+        PlatformLink link = new PlatformLink(mStore, () -> List.copyOf(mVms), mVmListReleased);
         RouterNode node =
                 new RouterNode(
                         new RouterIdentity(vm, "site", dataCentre, 1, vm + ":1", seeds),
