Hand a stopping relay's followers over before it ends

Cause: a relay that was told to stop served its followers to its end, and they then took 0.9 s to turn to another; in a rolling restart that comes with every relay. The test of it found a second fault: a candidate that was once asked in vain and then not needed counted as suspect when it was needed later, so that its followers passed it over.

Change: a stopping relay says that it serves no more, while it still runs; the time asked in vain starts anew after a pause. A relay that has just begun to call the store no longer asks others meanwhile. The aggregator copies the totals once, not for each receiver.

Tests: aRelayThatStopsHandsItsFollowersOverBeforeItEnds failed with one relay too many.

--- a/rhubarbward-core/src/main/java/io/rhubarbward/node/FleetRouter.java
+++ b/rhubarbward-core/src/main/java/io/rhubarbward/node/FleetRouter.java
@@ -259,6 +259,7 @@
     /** Makes the router not ready; new requests are still served. */
     public void beginStop() {
         mStopping = true;
+        mStoreFollower.stopRelaying();
         mPorts.events().log(LogEvent.ROUTER_DRAINING, EventField.of("open", openRequests()));
     }
 
--- a/rhubarbward-core/src/main/java/io/rhubarbward/relay/LoadAggregator.java
+++ b/rhubarbward-core/src/main/java/io/rhubarbward/relay/LoadAggregator.java
@@ -203,7 +203,9 @@
                                         .forEach(
                                                 (server, count) ->
                                                         totals.merge(server, count, Integer::sum)));
-        mReports.forEach((vm, report) -> tell(vm, report.message().sequence(), totals));
+        // Copied here once rather than in each message.
+        Map<Integer, Integer> sharedTotals = Map.copyOf(totals);
+        mReports.forEach((vm, report) -> tell(vm, report.message().sequence(), sharedTotals));
     }
 
     private void expire(long now) {
--- a/rhubarbward-core/src/main/java/io/rhubarbward/relay/RelaySelection.java
+++ b/rhubarbward-core/src/main/java/io/rhubarbward/relay/RelaySelection.java
@@ -95,7 +95,7 @@
                 asked.add(ask(peer, candidate, now));
                 return new Choice(asked, false);
             }
-            if (suspect(candidate, now)) {
+            if (suspect(candidate)) {
                 if (now - candidate.mAskedMillis >= SUSPECT_RETRY_MILLIS) {
                     asked.add(ask(peer, candidate, now));
                 }
@@ -114,16 +114,17 @@
     }
 
     private static Peer ask(Peer peer, Candidate candidate, long now) {
-        candidate.mAskedMillis = now;
-        if (candidate.mAskedInVainMillis == NEVER) {
+        boolean afterPause = now - candidate.mAskedMillis > SUSPECT_AFTER_MILLIS;
+        if (candidate.mAskedInVainMillis == NEVER || (afterPause && !suspect(candidate))) {
             candidate.mAskedInVainMillis = now;
         }
+        candidate.mAskedMillis = now;
         return peer;
     }
 
-    private static boolean suspect(Candidate candidate, long now) {
+    private static boolean suspect(Candidate candidate) {
         return candidate.mAskedInVainMillis != NEVER
-                && now - candidate.mAskedInVainMillis > SUSPECT_AFTER_MILLIS;
+                && candidate.mAskedMillis - candidate.mAskedInVainMillis > SUSPECT_AFTER_MILLIS;
     }
 
     /** Records an answer to a request. */
--- a/rhubarbward-core/src/main/java/io/rhubarbward/relay/StoreFollower.java
+++ b/rhubarbward-core/src/main/java/io/rhubarbward/relay/StoreFollower.java
@@ -58,6 +58,7 @@
     private final Runnable mCheckClocks;
     private Source mSource = Source.LIST_AT_START;
     private long mStartedMillis;
+    private long mSourceSinceMillis;
     private String mFollowed = "";
     private long mServedMillis = NEVER;
 
@@ -134,6 +135,11 @@
         return mSelection.firstAlive();
     }
 
+    /** Hands the followers over to another relay, before this process ends. */
+    public void stopRelaying() {
+        mRelay.stop();
+    }
+
     /** Returns whether this router itself calls the store. */
     public boolean callsStore() {
         return mSource.mCallsStore;
@@ -147,7 +153,11 @@
     private void askRelay() {
         boolean reachesStore = mAvailability.millisSinceFailure() > FAILURE_EXPIRY_MILLIS;
         RelaySelection.Choice choice = mSelection.choose(reachesStore);
-        if (choice.self() && mWatchers.get(0).stalenessMillis() > SUBSTITUTE_STALENESS_MILLIS) {
+        boolean callsLongEnough =
+                mTimers.nowMillis() - mSourceSinceMillis > REQUEST_PERIOD.toMillis();
+        if (choice.self()
+                && callsLongEnough
+                && mWatchers.get(0).stalenessMillis() > SUBSTITUTE_STALENESS_MILLIS) {
             mSelection.choose(false).peers().forEach(this::ask);
         }
         choice.peers().forEach(this::ask);
@@ -193,6 +203,7 @@
         }
         Source before = mSource;
         mSource = source;
+        mSourceSinceMillis = mTimers.nowMillis();
         mRelay.setActive(source.mCallsStore);
         mEvents.log(
                 LogEvent.STORE_SOURCE_CHANGED,
--- a/rhubarbward-core/src/main/java/io/rhubarbward/relay/StoreRelay.java
+++ b/rhubarbward-core/src/main/java/io/rhubarbward/relay/StoreRelay.java
@@ -48,6 +48,7 @@
     private final Map<String, Follower> mFollowers = new HashMap<>();
     private Runnable mOnFirstFollower = () -> {};
     private boolean mActive;
+    private boolean mStopping;
 
     /**
      * Creates a relay of the watched kinds.
@@ -108,6 +109,11 @@
         mActive = active;
     }
 
+    /** Tells followers from now on to use another relay, as this process is about to end. */
+    void stop() {
+        mStopping = true;
+    }
+
     /** Returns how many routers use this one as their relay. */
     int followers() {
         long now = mTimers.nowMillis();
@@ -121,6 +127,7 @@
 
     private boolean serving() {
         return mActive
+                && !mStopping
                 && mWatchers.values().stream().allMatch(KindWatcher::hasListed)
                 && mAvailability.millisSinceFailure() > FAILURE_EXPIRY_MILLIS
                 && mWatchers.values().iterator().next().stalenessMillis() < MAX_STALENESS_MILLIS;
--- a/rhubarbward-core/src/test/java/io/rhubarbward/relay/RelayFleet.java
+++ b/rhubarbward-core/src/test/java/io/rhubarbward/relay/RelayFleet.java
@@ -199,6 +199,7 @@
 
         void kill() {
             mRuns = false;
+            mFrozen = false;
             mTimers.stop();
             mPeers.remove(mName);
         }
@@ -219,6 +220,11 @@
             mTimers.thaw();
         }
 
+        @Override
+        public String toString() {
+            return mName + (mRuns ? " followed by " + mFollower.followers() : " ended");
+        }
+
         /** A router that sends a request now checks its clocks first. */
         private void check() {
             if (!mRuns || mFrozen) {
--- a/rhubarbward-core/src/test/java/io/rhubarbward/relay/StoreFollowerTest.java
+++ b/rhubarbward-core/src/test/java/io/rhubarbward/relay/StoreFollowerTest.java
@@ -97,6 +97,21 @@
         assertThat(mFleet.relays()).hasSize(3);
     }
 
+    /** Between the order to stop and its end a router has 2.8 s. */
+    @Test
+    void aRelayThatStopsHandsItsFollowersOverBeforeItEnds() {
+        startThreeDataCentres(10);
+        Router relay = mFleet.relayOf("a");
+        relay.mFollower.stopRelaying();
+        mFleet.advance(Duration.ofMillis(2800));
+        assertThat(mFleet.relays()).hasSize(4);
+        relay.kill();
+        mFleet.writeVersion(2);
+        mFleet.advance(Duration.ofMillis(200));
+        assertAllUpToDate();
+        assertThat(mFleet.trusted()).hasSize(29);
+    }
+
     @Test
     void bothRelaysOfADataCentreLostAtOnceAreReplaced() {
         startThreeDataCentres(10);
