--- a/rhubarbward-daemon/src/main/java/io/rhubarbward/cli/RehearseCommand.java
+++ b/rhubarbward-daemon/src/main/java/io/rhubarbward/cli/RehearseCommand.java
@@ -20,8 +20,7 @@
     @Override
     public void configure(Subparsers commands) {
         commands.addParser("rehearse")
-                .help(
-                        "run three routers with stand-ins in one process, send one a few requests and exit")
+                .help("run three routers with stand-ins, send one a few requests and exit")
                 .setDefault(COMMAND_KEY, this);
     }
 
