Log each connection to a backend server that ends during a request

The lines could not tell a request that crashes its server from one that happened to run there: none named the server, the age of the answer or the shared prompt parts. One line for each loss, as for each request.

--- a/rhubarbward-core/src/main/java/io/rhubarbward/forward/PromptMetadata.java
+++ b/rhubarbward-core/src/main/java/io/rhubarbward/forward/PromptMetadata.java
@@ -17,6 +17,11 @@
         parts = List.copyOf(parts);
     }
 
+    /** Returns the parts that other requests share, in order: all but the last one. */
+    public List<PromptPart> sharedParts() {
+        return parts.subList(0, Math.max(0, parts.size() - 1));
+    }
+
     /** Returns the id of the last part that other requests share; empty if there is none. */
     public Optional<String> lastSharedPart() {
         return parts.size() < 2 ? Optional.empty() : Optional.of(parts.get(parts.size() - 2).id());
@@ -24,10 +29,7 @@
 
     /** Returns the number of tokens in the parts that other requests share. */
     public int sharedTokens() {
-        return parts.stream()
-                .limit(Math.max(0, parts.size() - 1))
-                .mapToInt(PromptPart::tokens)
-                .sum();
+        return sharedParts().stream().mapToInt(PromptPart::tokens).sum();
     }
 
     /**
--- a/rhubarbward-core/src/main/java/io/rhubarbward/forward/ResolvedRequest.java
+++ b/rhubarbward-core/src/main/java/io/rhubarbward/forward/ResolvedRequest.java
@@ -5,6 +5,7 @@
 import io.rhubarbward.catalog.ServiceProfile;
 import io.rhubarbward.hash.RendezvousHash;
 import io.rhubarbward.request.CallerRequest;
+import java.util.List;
 import java.util.Optional;
 import java.util.OptionalInt;
 import org.jspecify.annotations.Nullable;
@@ -53,6 +54,14 @@
         return metadata.prompt().map(PromptMetadata::sharedTokens).orElse(0);
     }
 
+    /** Returns the ids of the prompt parts that other requests share; empty without a prompt. */
+    List<String> sharedPartIds() {
+        return metadata.prompt().stream()
+                .flatMap(prompt -> prompt.sharedParts().stream())
+                .map(PromptMetadata.PromptPart::id)
+                .toList();
+    }
+
     Optional<String> affinityKey() {
         return metadata.prompt().flatMap(PromptMetadata::lastSharedPart);
     }
--- a/rhubarbward-core/src/main/java/io/rhubarbward/forward/ServerCall.java
+++ b/rhubarbward-core/src/main/java/io/rhubarbward/forward/ServerCall.java
@@ -1,5 +1,7 @@
 package io.rhubarbward.forward;
 
+import io.rhubarbward.event.EventField;
+import io.rhubarbward.event.LogEvent;
 import io.rhubarbward.placement.SendResult;
 import io.rhubarbward.placement.TrackedServer;
 import io.rhubarbward.request.BackendCall;
@@ -20,6 +22,7 @@
 final class ServerCall implements BackendListener {
     private static final int MIN_SERVER_ERROR_STATUS = 500;
     private static final long NO_FIRST_BYTE = -1;
+    private static final long NOT_BEGUN = -1;
 
     private final ResolvedRequest mRequest;
     private final ForwardContext mContext;
@@ -29,6 +32,7 @@
     private @Nullable BackendCall mCall;
     private int mStatus;
     private long mFirstByteMillis = NO_FIRST_BYTE;
+    private long mAnswerBegunMillis = NOT_BEGUN;
     private boolean mEnded;
 
     ServerCall(
@@ -116,6 +120,7 @@
             return;
         }
         mStatus = status;
+        mAnswerBegunMillis = mContext.timers().nowMillis();
         ResponseMetadata metadata = mContext.dialect().readAnswer(status, headers);
         metadata.load().ifPresent(load -> mServer.recordLoad(load, mContext.timers().nowMillis()));
         boolean answersThisAttempt =
@@ -167,10 +172,31 @@
     public void onFailure(BackendFailure failure) {
         SendResult result = result(failure);
         if (end(result)) {
+            if (failure == BackendFailure.CONNECTION_LOST) {
+                logConnectionLost(result);
+            }
             mListener.onFailed(mServer, result, !failure.provesNotRun());
         }
     }
 
+    private void logConnectionLost(SendResult result) {
+        mContext.events()
+                .log(
+                        LogEvent.BACKEND_CONNECTION_LOST,
+                        EventField.of("id", mRequest.metadata().attemptId()),
+                        EventField.of("server", mServer.server().name()),
+                        EventField.of("result", result),
+                        EventField.of("answerMs", answerMillis()),
+                        EventField.of("parts", mRequest.sharedPartIds()));
+    }
+
+    /** Returns how long the answer has been arriving; negative if it has not begun. */
+    private long answerMillis() {
+        return mAnswerBegunMillis == NOT_BEGUN
+                ? NOT_BEGUN
+                : mContext.timers().nowMillis() - mAnswerBegunMillis;
+    }
+
     private SendResult result(BackendFailure failure) {
         return switch (failure) {
             case NOT_CONNECTED -> SendResult.UNREACHABLE;
