--- a/rhubarbward-core/src/main/java/io/rhubarbward/event/LogEvent.java
+++ b/rhubarbward-core/src/main/java/io/rhubarbward/event/LogEvent.java
@@ -71,6 +71,7 @@
     REQUEST_QUARANTINED(1803, WARNING),
     REQUEST_SENT(1804, INFO),
     REQUEST_ENDED(1805, INFO),
+    REQUEST_TRAIT_BLOCKED(1806, WARNING),
 
     // 1900: rollouts of backend versions.
     MOVE_WORD_TAKEN(1901, DEBUG),
--- a/rhubarbward-core/src/main/java/io/rhubarbward/forward/ForwardContext.java
+++ b/rhubarbward-core/src/main/java/io/rhubarbward/forward/ForwardContext.java
@@ -1,6 +1,7 @@
 package io.rhubarbward.forward;
 
 import io.rhubarbward.catalog.CurrentCatalog;
+import io.rhubarbward.crash.CrashSuspects;
 import io.rhubarbward.event.EventLog;
 import io.rhubarbward.placement.PlacementPolicy;
 import io.rhubarbward.placement.ServerTable;
@@ -17,6 +18,7 @@
  * @param policy chooses a backend server for each request
  * @param table the backend servers with their tracked load and health
  * @param retryBudget limits retries
+ * @param crashSuspects finds and blocks requests that crash backend servers
  * @param sendObserver told how each send ended
  * @param backends sends requests to backend servers
  * @param timers clock and timers
@@ -32,6 +34,7 @@
         PlacementPolicy policy,
         ServerTable table,
         LocalRetryBudget retryBudget,
+        CrashSuspects crashSuspects,
         SendObserver sendObserver,
         BackendClient backends,
         TimerService timers,
--- a/rhubarbward-core/src/main/java/io/rhubarbward/forward/ForwardedExchange.java
+++ b/rhubarbward-core/src/main/java/io/rhubarbward/forward/ForwardedExchange.java
@@ -1,6 +1,7 @@
 package io.rhubarbward.forward;
 
 import io.rhubarbward.catalog.Route;
+import io.rhubarbward.crash.CrashSuspects;
 import io.rhubarbward.event.EventField;
 import io.rhubarbward.event.LogEvent;
 import io.rhubarbward.placement.Placement;
@@ -118,6 +119,9 @@
             refuse(RefusalCode.DEADLINE_EXCEEDED, "no time is left");
             return;
         }
+        if (refuseIfBlocked()) {
+            return;
+        }
         Placement placement =
                 mContext.policy()
                         .place(
@@ -135,6 +139,20 @@
         }
     }
 
+    /** Refuses a request that would crash its server; returns whether it did. */
+    private boolean refuseIfBlocked() {
+        CrashSuspects suspects = mContext.crashSuspects();
+        long blockedMillis = suspects.empty() ? 0 : suspects.blockedMillis(mRequest.traits());
+        if (blockedMillis == 0) {
+            return false;
+        }
+        refuse(
+                RefusalCode.CRASHES_SERVERS,
+                "servers crashed during requests with the same part or content",
+                blockedMillis);
+        return true;
+    }
+
     private void refuseUnplaced(Placement.None none) {
         RefusalCode code =
                 none.cause() == Placement.Cause.FULL
@@ -283,9 +301,13 @@
 
     /** Refuses the request, with a code that says "not run" only if no server may have run it. */
     private void refuse(RefusalCode code, String detail) {
+        refuse(code, detail, RETRY_AFTER_MILLIS);
+    }
+
+    private void refuse(RefusalCode code, String detail, long notRunRetryAfterMillis) {
         boolean mayHaveRun = mPossibleRuns > 0;
         RefusalCode truthfulCode = mayHaveRun ? codeOfUnknownOutcome(code) : codeOfNotRun(code);
-        long retryAfterMillis = mayHaveRun ? 0 : RETRY_AFTER_MILLIS;
+        long retryAfterMillis = mayHaveRun ? 0 : notRunRetryAfterMillis;
         Refusal refusal =
                 new Refusal(truthfulCode, detail, retryAfterMillis).withRunState(mayHaveRun);
         end(
@@ -302,7 +324,7 @@
 
     private static RefusalCode codeOfNotRun(RefusalCode code) {
         return switch (code) {
-            case OVERLOADED, NOT_READY, DEADLINE_EXCEEDED -> code;
+            case OVERLOADED, NOT_READY, DEADLINE_EXCEEDED, CRASHES_SERVERS -> code;
             default -> RefusalCode.NO_BACKEND;
         };
     }
--- a/rhubarbward-core/src/main/java/io/rhubarbward/forward/ResolvedRequest.java
+++ b/rhubarbward-core/src/main/java/io/rhubarbward/forward/ResolvedRequest.java
@@ -3,6 +3,7 @@
 import io.rhubarbward.catalog.KeyedAccount;
 import io.rhubarbward.catalog.Route;
 import io.rhubarbward.catalog.ServiceProfile;
+import io.rhubarbward.crash.RequestTraits;
 import io.rhubarbward.hash.RendezvousHash;
 import io.rhubarbward.request.CallerRequest;
 import java.util.List;
@@ -62,6 +63,12 @@
                 .toList();
     }
 
+    /** Returns the traits by which requests that crash backend servers are recognised. */
+    List<Long> traits() {
+        return RequestTraits.of(
+                sharedPartIds(), caller.target(), accountName().orElse(""), caller.body());
+    }
+
     Optional<String> affinityKey() {
         return metadata.prompt().flatMap(PromptMetadata::lastSharedPart);
     }
--- a/rhubarbward-core/src/main/java/io/rhubarbward/forward/ServerCall.java
+++ b/rhubarbward-core/src/main/java/io/rhubarbward/forward/ServerCall.java
@@ -164,6 +164,10 @@
         SendResult result =
                 mStatus >= MIN_SERVER_ERROR_STATUS ? SendResult.SERVER_ERROR : SendResult.ANSWERED;
         if (end(result)) {
+            if (result == SendResult.ANSWERED && !mContext.crashSuspects().empty()) {
+                mContext.crashSuspects()
+                        .recordAnswer(mRequest.traits(), mRequest.metadata().attemptId());
+            }
             mListener.onComplete();
         }
     }
@@ -173,13 +177,13 @@
         SendResult result = result(failure);
         if (end(result)) {
             if (failure == BackendFailure.CONNECTION_LOST) {
-                logConnectionLost(result);
+                recordConnectionLost(result);
             }
             mListener.onFailed(mServer, result, !failure.provesNotRun());
         }
     }
 
-    private void logConnectionLost(SendResult result) {
+    private void recordConnectionLost(SendResult result) {
         mContext.events()
                 .log(
                         LogEvent.BACKEND_CONNECTION_LOST,
@@ -188,6 +192,11 @@
                         EventField.of("result", result),
                         EventField.of("answerMs", answerMillis()),
                         EventField.of("parts", mRequest.sharedPartIds()));
+        // A server that is shutting down ends its connections by itself.
+        if (!mServer.entry().draining()) {
+            mContext.crashSuspects()
+                    .recordCrash(mRequest.traits(), mServer.incarnation(), answerMillis());
+        }
     }
 
     /** Returns how long the answer has been arriving; negative if it has not begun. */
--- a/rhubarbward-core/src/main/java/io/rhubarbward/hash/RendezvousHash.java
+++ b/rhubarbward-core/src/main/java/io/rhubarbward/hash/RendezvousHash.java
@@ -1,5 +1,6 @@
 package io.rhubarbward.hash;
 
+import java.nio.ByteBuffer;
 import java.util.Comparator;
 import java.util.List;
 import java.util.function.Function;
@@ -37,6 +38,15 @@
         return mix(hash);
     }
 
+    /** Returns the FNV-1a hash of the remaining bytes, mixed to spread over all 64 bits. */
+    public static long hash(ByteBuffer bytes) {
+        long hash = FNV_OFFSET;
+        for (int i = bytes.position(); i < bytes.limit(); i++) {
+            hash = (hash ^ (bytes.get(i) & 0xff)) * FNV_PRIME;
+        }
+        return mix(hash);
+    }
+
     private static long weight(long keyHash, String node) {
         return mix(keyHash ^ hash(node));
     }
--- a/rhubarbward-core/src/main/java/io/rhubarbward/node/FleetRouter.java
+++ b/rhubarbward-core/src/main/java/io/rhubarbward/node/FleetRouter.java
@@ -3,6 +3,7 @@
 import io.rhubarbward.catalog.CallerLimits;
 import io.rhubarbward.catalog.Catalog;
 import io.rhubarbward.catalog.CurrentCatalog;
+import io.rhubarbward.crash.CrashSuspects;
 import io.rhubarbward.directory.BackendDirectory;
 import io.rhubarbward.directory.FleetLimitSplitter;
 import io.rhubarbward.directory.ListedServer;
@@ -73,6 +74,7 @@
     private final CurrentCatalog mCatalog;
     private final MarkerSet<String> mEvacuations;
     private final RouterDirectory mRouters;
+    private final CrashSuspects mCrashSuspects;
     private final LoadExchange mLoadExchange;
     private final StoreFollower mStoreFollower;
     private final KindWatcher<Catalog> mCatalogWatcher;
@@ -119,6 +121,7 @@
                         ports.events(),
                         this::relistAfterClockJump);
         RelayMetrics.register(ports.metrics(), mStoreFollower, watchers);
+        mCrashSuspects = new CrashSuspects(ports.timers(), ports.events());
         mLoadExchange =
                 new LoadExchange(
                         settings.vm(),
@@ -126,6 +129,7 @@
                         mRouters::routers,
                         mStoreFollower::aggregator,
                         ports.peers(),
+                        mCrashSuspects,
                         table,
                         ports.timers());
         mForwarding = new ForwardingService(forwardContext(table));
@@ -158,6 +162,7 @@
                 policy,
                 table,
                 new LocalRetryBudget(mSettings.bounds().retries(), mPorts.timers(), limitSplitter),
+                mCrashSuspects,
                 (server, route, result, firstByteMillis) -> {},
                 mPorts.backends(),
                 mPorts.timers(),
--- a/rhubarbward-core/src/main/java/io/rhubarbward/placement/TrackedServer.java
+++ b/rhubarbward-core/src/main/java/io/rhubarbward/placement/TrackedServer.java
@@ -76,6 +76,11 @@
         return (int) RendezvousHash.hash(serverId);
     }
 
+    /** Returns a hash that names this incarnation of the server, the same at every router. */
+    public long incarnation() {
+        return RendezvousHash.hash(mEntry.id() + '/' + mEntry.startedAtMillis());
+    }
+
     /** Returns the server's directory entry. */
     public ListedServer entry() {
         return mEntry;
--- a/rhubarbward-core/src/main/java/io/rhubarbward/relay/DataCentreLoad.java
+++ b/rhubarbward-core/src/main/java/io/rhubarbward/relay/DataCentreLoad.java
@@ -9,17 +9,22 @@
  * @param aggregator the VM name of the router that made the sum
  * @param unheardMillis for how long it has not heard from the receiver's data centre
  * @param forwarded whether a router that is no aggregator has passed the message on
+ * @param suspectsDigest digest of what the aggregator knows of requests that crash servers
  * @param inFlight the sum over the routers that report to the aggregator, keyed as in {@link
  *     LoadReport}
  */
 public record DataCentreLoad(
-        String aggregator, long unheardMillis, boolean forwarded, Map<Integer, Integer> inFlight)
+        String aggregator,
+        long unheardMillis,
+        boolean forwarded,
+        long suspectsDigest,
+        Map<Integer, Integer> inFlight)
         implements PeerMessage {
     public DataCentreLoad {
         inFlight = Map.copyOf(inFlight);
     }
 
     DataCentreLoad asForwarded() {
-        return new DataCentreLoad(aggregator, unheardMillis, true, inFlight);
+        return new DataCentreLoad(aggregator, unheardMillis, true, suspectsDigest, inFlight);
     }
 }
--- a/rhubarbward-core/src/main/java/io/rhubarbward/relay/LoadAggregator.java
+++ b/rhubarbward-core/src/main/java/io/rhubarbward/relay/LoadAggregator.java
@@ -46,6 +46,7 @@
     private final Supplier<Map<String, RouterPresence>> mRouters;
     private final Supplier<Optional<Peer>> mAggregatorPeer;
     private final PeerTransport mTransport;
+    private final SuspectExchange mSuspects;
     private final TimerService mTimers;
     private final LongSupplier mMinIntervalMillis;
     private final Consumer<LoadTotals> mOwnTotals;
@@ -64,6 +65,7 @@
             Supplier<Map<String, RouterPresence>> routers,
             Supplier<Optional<Peer>> aggregator,
             PeerTransport transport,
+            SuspectExchange suspects,
             TimerService timers,
             LongSupplier minIntervalMillis,
             Consumer<LoadTotals> ownTotals) {
@@ -72,6 +74,7 @@
         mRouters = routers;
         mAggregatorPeer = aggregator;
         mTransport = transport;
+        mSuspects = suspects;
         mTimers = timers;
         mMinIntervalMillis = minIntervalMillis;
         mOwnTotals = ownTotals;
@@ -113,6 +116,7 @@
         if (!mRouters.get().containsKey(sender)) {
             return;
         }
+        mSuspects.compareDigest(sender, report.suspectsDigest());
         Received<LoadReport> before =
                 mReports.put(sender, new Received<>(report, mTimers.nowMillis()));
         Map<Integer, Integer> inFlightBefore =
@@ -148,6 +152,7 @@
             }
             return;
         }
+        mSuspects.compareDigest(load.aggregator(), load.suspectsDigest());
         long now = mTimers.nowMillis();
         RemoteDataCentre remote = remote(presence.dataCentre());
         remote.mAggregator = load.aggregator();
@@ -225,7 +230,7 @@
     }
 
     private void tell(String vm, long sequence, Map<Integer, Integer> totals) {
-        LoadTotals message = new LoadTotals(sequence, totals);
+        LoadTotals message = new LoadTotals(sequence, mSuspects.digest(), totals);
         if (vm.equals(mSelf)) {
             mOwnTotals.accept(message);
             return;
@@ -257,6 +262,7 @@
                                                                     mSelf,
                                                                     now - remote.mHeardMillis,
                                                                     false,
+                                                                    mSuspects.digest(),
                                                                     mPublishedOwnSum)));
                         });
     }
--- a/rhubarbward-core/src/main/java/io/rhubarbward/relay/LoadExchange.java
+++ b/rhubarbward-core/src/main/java/io/rhubarbward/relay/LoadExchange.java
@@ -1,5 +1,6 @@
 package io.rhubarbward.relay;
 
+import io.rhubarbward.crash.CrashSuspects;
 import io.rhubarbward.directory.RouterPresence;
 import io.rhubarbward.membership.Peer;
 import io.rhubarbward.membership.PeerTransport;
@@ -44,6 +45,7 @@
     private final PeerTransport mTransport;
     private final ServerTable mTable;
     private final TimerService mTimers;
+    private final SuspectExchange mSuspects;
     private final LoadAggregator mAggregator;
     private final Deque<LoadReport> mSentReports = new ArrayDeque<>();
     private long mSequence;
@@ -57,6 +59,7 @@
      * @param dataCentre this router's data centre
      * @param routers returns the listed routers by VM name
      * @param aggregator returns the router to report to; empty if it is this one
+     * @param suspects what this router knows of requests that crash servers
      * @param table counts this router's requests in flight and takes those of the others
      */
     public LoadExchange(
@@ -65,6 +68,7 @@
             Supplier<Map<String, RouterPresence>> routers,
             Supplier<Optional<Peer>> aggregator,
             PeerTransport transport,
+            CrashSuspects suspects,
             ServerTable table,
             TimerService timers) {
         mSelf = self;
@@ -73,6 +77,9 @@
         mTransport = transport;
         mTable = table;
         mTimers = timers;
+        mSuspects =
+                new SuspectExchange(
+                        self, dataCentre, routers, aggregator, transport, suspects, timers);
         mAggregator =
                 new LoadAggregator(
                         self,
@@ -80,6 +87,7 @@
                         routers,
                         aggregator,
                         transport,
+                        mSuspects,
                         timers,
                         this::minIntervalMillis,
                         this::onTotals);
@@ -87,7 +95,13 @@
 
     /** Starts to send and to receive messages. */
     public void start() {
-        mTransport.subscribe(LoadTotals.class, (sender, totals) -> onTotals(totals));
+        mTransport.subscribe(
+                LoadTotals.class,
+                (sender, totals) -> {
+                    mSuspects.compareDigest(sender, totals.suspectsDigest());
+                    onTotals(totals);
+                });
+        mSuspects.start();
         mAggregator.start();
         mTable.subscribeToSends(this::reportEarly);
         mTimers.every(REPORT_PERIOD, this::reportIfDue);
@@ -127,7 +141,7 @@
     private void report() {
         mEarlyReportPending = false;
         mReportedMillis = mTimers.nowMillis();
-        LoadReport report = new LoadReport(++mSequence, inFlight());
+        LoadReport report = new LoadReport(++mSequence, mSuspects.digest(), inFlight());
         mSentReports.addLast(report);
         if (mSentReports.size() > MAX_KEPT_REPORTS) {
             mSentReports.removeFirst();
--- a/rhubarbward-core/src/main/java/io/rhubarbward/request/RefusalCode.java
+++ b/rhubarbward-core/src/main/java/io/rhubarbward/request/RefusalCode.java
@@ -32,6 +32,8 @@
             return mayHaveRun ? RunState.UNKNOWN : RunState.NOT_RUN;
         }
     },
+    CRASHES_SERVERS(
+            503, RunState.NOT_RUN, "Requests with the same part or content crash backend servers"),
     CRASH_SUSPECT(
             503, RunState.NOT_RUN, "An engine crashed under the request; it is running again"),
     QUARANTINED(422, RunState.NOT_RUN, "Engines crashed under the request"),
--- a/rhubarbward-core/src/test/java/io/rhubarbward/forward/ForwardFixture.java
+++ b/rhubarbward-core/src/test/java/io/rhubarbward/forward/ForwardFixture.java
@@ -3,6 +3,7 @@
 import io.prometheus.metrics.model.registry.PrometheusRegistry;
 import io.rhubarbward.catalog.CurrentCatalog;
 import io.rhubarbward.catalog.Route;
+import io.rhubarbward.crash.CrashSuspects;
 import io.rhubarbward.directory.FleetLimitSplitter;
 import io.rhubarbward.placement.PlacementPolicy;
 import io.rhubarbward.placement.ServerTable;
@@ -31,6 +32,7 @@
     final RecordingEvents mEvents = new RecordingEvents();
     final FakeBackends mBackends = new FakeBackends();
     final ServerTable mTable = new ServerTable(mTimers, mEvents);
+    final CrashSuspects mCrashSuspects = new CrashSuspects(mTimers, mEvents);
     final CurrentCatalog mCatalog = new CurrentCatalog("main", mEvents);
     long mCatalogAgeMillis;
     boolean mClockJumped;
@@ -64,6 +66,7 @@
                                         VersionChoice.ANY),
                                 mTable,
                                 new LocalRetryBudget(RETRY_BOUND, mTimers, limitSplitter),
+                                mCrashSuspects,
                                 (server, route, result, firstByteMillis) -> {},
                                 mBackends,
                                 mTimers,
--- a/rhubarbward-core/src/test/java/io/rhubarbward/relay/LoadExchangeTest.java
+++ b/rhubarbward-core/src/test/java/io/rhubarbward/relay/LoadExchangeTest.java
@@ -2,6 +2,7 @@
 
 import static com.google.common.truth.Truth.assertThat;
 
+import io.rhubarbward.crash.CrashSuspects;
 import io.rhubarbward.directory.FleetLimitSplitter;
 import io.rhubarbward.directory.RouterPresence;
 import io.rhubarbward.membership.Peer;
@@ -89,6 +90,7 @@
                             () -> mListedRouters,
                             () -> aggregator(dataCentre),
                             mPeers.endpoint(name),
+                            new CrashSuspects(mTimers, new RecordingEvents()),
                             mTable,
                             mTimers);
         }
--- a/rhubarbward-core/src/test/java/io/rhubarbward/testing/FakeRequestDialect.java
+++ b/rhubarbward-core/src/test/java/io/rhubarbward/testing/FakeRequestDialect.java
@@ -10,7 +10,8 @@
 import io.rhubarbward.request.HeaderFields;
 import io.vavr.control.Either;
 import java.time.Duration;
-import java.util.List;
+import java.util.Arrays;
+import java.util.stream.Stream;
 
 /** A dialect with one short header field for each value of the request or response metadata. */
 public final class FakeRequestDialect implements RequestDialect {
@@ -32,14 +33,19 @@
                 .orElseGet(() -> Either.left("id: expected one"));
     }
 
-    private PromptMetadata prompt(String part) {
+    /**
+     * Returns a prompt with the shared parts, which are separated by commas, and one of its own.
+     */
+    private PromptMetadata prompt(String sharedParts) {
         return new PromptMetadata(
                 "m",
                 100,
                 10,
-                List.of(
-                        new PromptMetadata.PromptPart(part, 90),
-                        new PromptMetadata.PromptPart("own", 10)));
+                Stream.concat(
+                                Arrays.stream(sharedParts.split(","))
+                                        .map(id -> new PromptMetadata.PromptPart(id, 90)),
+                                Stream.of(new PromptMetadata.PromptPart("own", 10)))
+                        .toList());
     }
 
     @Override
--- a/rhubarbward-core/src/test/java/io/rhubarbward/testing/FakeStore.java
+++ b/rhubarbward-core/src/test/java/io/rhubarbward/testing/FakeStore.java
@@ -16,6 +16,7 @@
 import java.util.TreeMap;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
+import java.util.function.BiFunction;
 import java.util.function.Function;
 import java.util.function.Predicate;
 
@@ -102,15 +103,22 @@
     /** Returns the kind as the router reads it. */
     public <T> ObjectKind<T> kind(
             String router, String kind, Function<String, Either<String, T>> decoder) {
+        return kind(router, kind, (name, text) -> decoder.apply(text));
+    }
+
+    /** Returns the kind as the router reads it, with a decoder that takes name and text. */
+    public <T> ObjectKind<T> kind(
+            String router, String kind, BiFunction<String, String, Either<String, T>> decoder) {
         return new KindOfRouter<>(router, kind, decoder);
     }
 
     private final class KindOfRouter<T> implements ObjectKind<T> {
         private final String mRouter;
         private final String mKind;
-        private final Function<String, Either<String, T>> mDecoder;
+        private final BiFunction<String, String, Either<String, T>> mDecoder;
 
-        KindOfRouter(String router, String kind, Function<String, Either<String, T>> decoder) {
+        KindOfRouter(
+                String router, String kind, BiFunction<String, String, Either<String, T>> decoder) {
             mRouter = router;
             mKind = kind;
             mDecoder = decoder;
@@ -123,7 +131,7 @@
 
         @Override
         public DecodedObject<T> decode(String name, long revision, String text) {
-            return new DecodedObject<>(name, revision, mDecoder.apply(text), () -> text);
+            return new DecodedObject<>(name, revision, mDecoder.apply(name, text), () -> text);
         }
 
         @Override
--- /dev/null
+++ b/rhubarbward-core/src/test/java/io/rhubarbward/testing/RouterFleet.java
@@ -0,0 +1,273 @@
+package io.rhubarbward.testing;
+
+import io.prometheus.metrics.model.registry.PrometheusRegistry;
+import io.rhubarbward.catalog.Catalog;
+import io.rhubarbward.catalog.RouteKind;
+import io.rhubarbward.catalog.WeightedService;
+import io.rhubarbward.config.BackendServer;
+import io.rhubarbward.directory.ListedServer;
+import io.rhubarbward.directory.RouterPresence;
+import io.rhubarbward.forward.LocalRetryBudget;
+import io.rhubarbward.membership.Peer;
+import io.rhubarbward.membership.PeerMessage;
+import io.rhubarbward.membership.PeerTransport;
+import io.rhubarbward.node.FleetBounds;
+import io.rhubarbward.node.FleetNodeSettings;
+import io.rhubarbward.node.FleetPorts;
+import io.rhubarbward.node.FleetRouter;
+import io.rhubarbward.request.CallerRequest;
+import io.rhubarbward.request.HeaderFields;
+import io.rhubarbward.timer.VirtualTimerService;
+import io.vavr.control.Either;
+import java.net.InetSocketAddress;
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.SplittableRandom;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.BiConsumer;
+import java.util.stream.IntStream;
+
+/** Whole fleet routers of three data centres with a store and servers, in virtual time. */
+public final class RouterFleet {
+    public static final String PATH = "/chat/1";
+    private static final List<String> DATA_CENTRES = List.of("a", "b", "c");
+    private static final String CATALOGS = "catalogs";
+    private static final String SERVERS = "servers";
+    private static final String ROUTERS = "routers";
+    private static final Duration START = Duration.ofSeconds(4);
+
+    public final VirtualTimerService mTimers = new VirtualTimerService();
+    public final FakeStore mStore = new FakeStore(mTimers);
+    public final FakePeers mPeers = new FakePeers(mTimers);
+    public final SimulatedServers mServers = new SimulatedServers(mTimers, this::list);
+    public final List<Router> mRouters = new ArrayList<>();
+    public final List<Sent> mSent = new ArrayList<>();
+    public final SplittableRandom mRandom;
+    private final Map<String, String> mDataCentreByServer = new HashMap<>();
+    private final Map<String, String> mVersionByServer = new HashMap<>();
+    private final Catalog mCatalog =
+            Catalogs.of(
+                    1,
+                    Catalogs.route(
+                            "chat",
+                            "/chat/",
+                            RouteKind.STREAMING,
+                            List.of(new WeightedService("chat", 1)),
+                            1));
+
+    /** Starts routers and servers in equal numbers a data centre. */
+    public RouterFleet(long seed, int routers, int servers) {
+        mRandom = new SplittableRandom(seed);
+        mStore.put(CATALOGS, "main", "");
+        IntStream.range(0, servers)
+                .forEach(index -> addServer("e-" + index, DATA_CENTRES.get(index % 3), "v1"));
+        IntStream.range(0, routers)
+                .forEach(
+                        index ->
+                                mRouters.add(
+                                        new Router("r-" + index, DATA_CENTRES.get(index % 3))));
+        mRouters.forEach(
+                router ->
+                        mTimers.after(
+                                Duration.ofMillis(mRandom.nextInt(300)),
+                                () -> router.mTimers.run(router::start)));
+        mTimers.advance(START);
+    }
+
+    /** A caller's request and the answer to it. */
+    public record Sent(long atMillis, String router, String parts, RecordingResponse response) {}
+
+    public void addServer(String name, String dataCentre, String version) {
+        mDataCentreByServer.put(name, dataCentre);
+        mVersionByServer.put(name, version);
+        list(name, 1L);
+    }
+
+    public String versionOf(String server) {
+        return mVersionByServer.getOrDefault(server, "");
+    }
+
+    private void list(String server, long startedAtMillis) {
+        mStore.put(
+                SERVERS,
+                server,
+                mDataCentreByServer.get(server)
+                        + ' '
+                        + startedAtMillis
+                        + ' '
+                        + mVersionByServer.get(server));
+    }
+
+    private static Either<String, ListedServer> decodeServer(String name, String text) {
+        String[] fields = text.split(" ");
+        return Either.right(
+                new ListedServer(
+                        new BackendServer(
+                                name,
+                                "chat",
+                                fields[0],
+                                name + ":1",
+                                fields[2],
+                                BackendServer.Fencing.IGNORES),
+                        64,
+                        false,
+                        Duration.ZERO,
+                        Long.parseLong(fields[1])));
+    }
+
+    /** Sends a request whose prompt has the shared parts to a router that runs, drawn at random. */
+    public Sent send(String parts) {
+        return send(drawRunning(), parts);
+    }
+
+    private Router drawRunning() {
+        List<Router> running =
+                mRouters.stream().filter(router -> router.mRuns && !router.mFrozen).toList();
+        return running.get(mRandom.nextInt(running.size()));
+    }
+
+    /** The same with the body given, which is otherwise different for each request. */
+    public Sent send(String parts, String body) {
+        return send(drawRunning(), parts, body);
+    }
+
+    public Sent send(Router router, String parts) {
+        return send(router, parts, "body " + mSent.size());
+    }
+
+    private Sent send(Router router, String parts, String body) {
+        RecordingResponse response = new RecordingResponse();
+        HeaderFields headers =
+                HeaderFields.of("id", "q-" + mSent.size())
+                        .with("host", Catalogs.HOST)
+                        .with("key", Catalogs.API_KEY)
+                        .with("part", parts)
+                        .with("patience", "12000");
+        Sent sent = new Sent(mTimers.nowMillis(), router.mName, parts, response);
+        mSent.add(sent);
+        ByteBuffer bytes = StandardCharsets.UTF_8.encode(body);
+        router.mRouter.serve(new CallerRequest("POST", PATH, headers, bytes), response);
+        return sent;
+    }
+
+    public void advance(long millis) {
+        mTimers.advance(Duration.ofMillis(millis));
+    }
+
+    /** A router with the VM that it runs on. */
+    public final class Router {
+        public final String mName;
+        private final String mDataCentre;
+        private FreezableTimers mTimers = new FreezableTimers(RouterFleet.this.mTimers);
+        private FleetRouter mRouter;
+        public RecordingEvents mEvents = new RecordingEvents();
+        private boolean mRuns;
+        private boolean mFrozen;
+
+        Router(String name, String dataCentre) {
+            mName = name;
+            mDataCentre = dataCentre;
+            mRouter = create();
+        }
+
+        private FleetRouter create() {
+            mTimers = new FreezableTimers(RouterFleet.this.mTimers);
+            mEvents = new RecordingEvents();
+            InetSocketAddress address = InetSocketAddress.createUnresolved(mName, 1);
+            FleetBounds bounds =
+                    new FleetBounds(
+                            true,
+                            Duration.ofSeconds(5),
+                            new LocalRetryBudget.Bound(0.2, Duration.ofSeconds(10), 50),
+                            0.1,
+                            Duration.ofSeconds(8));
+            mPeers.remove(mName);
+            return new FleetRouter(
+                    new FleetNodeSettings(
+                            mName, mDataCentre, address, address, address, "store", 1, bounds),
+                    new FleetPorts(
+                            mTimers,
+                            mRandom.split(),
+                            mEvents,
+                            new PrometheusRegistry(),
+                            mServers.clientOf(mName),
+                            new FakeRequestDialect(),
+                            transport(mPeers.endpoint(mName)),
+                            store()));
+        }
+
+        /** Delivers to a frozen VM once it thaws. */
+        private PeerTransport transport(PeerTransport endpoint) {
+            FreezableTimers timers = mTimers;
+            return new PeerTransport() {
+                @Override
+                public void send(Peer to, PeerMessage message) {
+                    endpoint.send(to, message);
+                }
+
+                @Override
+                public <M extends PeerMessage> void subscribe(
+                        Class<M> type, BiConsumer<String, M> handler) {
+                    endpoint.subscribe(
+                            type,
+                            (sender, message) -> timers.run(() -> handler.accept(sender, message)));
+                }
+            };
+        }
+
+        private FleetPorts.Store store() {
+            return new FleetPorts.Store(
+                    mStore.kind(mName, CATALOGS, (name, text) -> Either.right(mCatalog)),
+                    "main",
+                    mStore.kind(mName, SERVERS, RouterFleet::decodeServer),
+                    mStore.kind(mName, "evacuations", (name, text) -> Either.right(name)),
+                    mStore.kind(mName, ROUTERS, (name, text) -> decodePresence(text)),
+                    (router, presence) -> {
+                        mStore.put(
+                                ROUTERS, router, presence.dataCentre() + ' ' + presence.address());
+                        return CompletableFuture.completedStage(true);
+                    });
+        }
+
+        private static Either<String, RouterPresence> decodePresence(String text) {
+            String[] fields = text.split(" ");
+            return Either.right(new RouterPresence(fields[0], fields[1], 1));
+        }
+
+        private void start() {
+            mRuns = true;
+            mRouter.start();
+        }
+
+        public void kill() {
+            mRuns = false;
+            mTimers.stop();
+            mPeers.remove(mName);
+        }
+
+        public void restart() {
+            kill();
+            mRouter = create();
+            start();
+        }
+
+        public void freeze() {
+            mFrozen = true;
+            mTimers.freeze();
+        }
+
+        public void thaw() {
+            mFrozen = false;
+            mTimers.thaw();
+        }
+
+        public boolean relays() {
+            return mRouter.relayFollowers() > 0;
+        }
+    }
+}
--- /dev/null
+++ b/rhubarbward-core/src/test/java/io/rhubarbward/testing/SimulatedServers.java
@@ -0,0 +1,182 @@
+package io.rhubarbward.testing;
+
+import io.rhubarbward.request.BackendCall;
+import io.rhubarbward.request.BackendClient;
+import io.rhubarbward.request.BackendFailure;
+import io.rhubarbward.request.BackendListener;
+import io.rhubarbward.request.BackendRequest;
+import io.rhubarbward.request.HeaderFields;
+import io.rhubarbward.timer.VirtualTimerService;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.BiConsumer;
+import java.util.function.Consumer;
+import java.util.function.Function;
+import java.util.function.Predicate;
+
+/**
+ * Backend servers in virtual time that all routers of a test share. They answer in two steps, crash
+ * during certain requests, and are up again under a new incarnation after a while.
+ */
+public final class SimulatedServers {
+    private static final Duration ANSWER_BEGINS = Duration.ofMillis(40);
+    private static final Duration DOWN_TIME = Duration.ofSeconds(3);
+
+    private final VirtualTimerService mTimers;
+    private final Map<String, Server> mServers = new HashMap<>();
+    private final List<Arrival> mArrivals = new ArrayList<>();
+    private final List<Crash> mCrashes = new ArrayList<>();
+    private final BiConsumer<String, Long> mOnRestart;
+    private Predicate<BackendRequest> mDeadly = request -> false;
+    private Function<String, Duration> mAnswerTime = server -> Duration.ofMillis(400);
+    private Function<String, HeaderFields> mAnswerFields = server -> HeaderFields.NONE;
+
+    /**
+     * Creates servers.
+     *
+     * @param onRestart called with a server's name and its new start time when it is up again
+     */
+    public SimulatedServers(VirtualTimerService timers, BiConsumer<String, Long> onRestart) {
+        mTimers = timers;
+        mOnRestart = onRestart;
+    }
+
+    /** A request that reached a server. */
+    public record Arrival(long atMillis, String router, String server, HeaderFields headers) {}
+
+    /** The end of a server. */
+    public record Crash(long atMillis, String server) {}
+
+    private static final class Server {
+        private final List<Call> mOpen = new ArrayList<>();
+        private boolean mUp = true;
+    }
+
+    /** Crashes the server of each request that fulfils the condition, when its answer begins. */
+    public void crashDuring(Predicate<BackendRequest> deadly) {
+        mDeadly = deadly;
+    }
+
+    /** Sets how long each server takes for an answer. */
+    public void answerTime(Function<String, Duration> answerTime) {
+        mAnswerTime = answerTime;
+    }
+
+    /** Sets the header fields that each server adds to its answers. */
+    public void answerFields(Function<String, HeaderFields> fields) {
+        mAnswerFields = fields;
+    }
+
+    public List<Arrival> arrivals() {
+        return mArrivals;
+    }
+
+    public List<Crash> crashes() {
+        return mCrashes;
+    }
+
+    /** Returns the client by which the router reaches the servers. */
+    public BackendClient clientOf(String router) {
+        return (request, listener) -> {
+            Call call = new Call(request, listener);
+            mTimers.after(Duration.ofMillis(1), () -> arrive(router, call));
+            return call;
+        };
+    }
+
+    private Server server(String name) {
+        return mServers.computeIfAbsent(name, key -> new Server());
+    }
+
+    private void arrive(String router, Call call) {
+        String name = call.mRequest.server().name();
+        Server server = server(name);
+        if (!server.mUp) {
+            call.fail(BackendFailure.NOT_CONNECTED);
+            return;
+        }
+        mArrivals.add(new Arrival(mTimers.nowMillis(), router, name, call.mRequest.headers()));
+        server.mOpen.add(call);
+        mTimers.after(ANSWER_BEGINS, () -> beginAnswer(name, call));
+    }
+
+    private void beginAnswer(String name, Call call) {
+        if (!server(name).mOpen.contains(call)) {
+            return;
+        }
+        String id = call.mRequest.headers().first("id").orElse("");
+        HeaderFields fields = HeaderFields.of("id", id);
+        for (var field : mAnswerFields.apply(name).fields()) {
+            fields = fields.with(field.name(), field.value());
+        }
+        HeaderFields head = fields;
+        call.tell(listener -> listener.onHead(200, head));
+        if (mDeadly.test(call.mRequest)) {
+            crash(name);
+            return;
+        }
+        call.tell(listener -> listener.onPart(StandardCharsets.UTF_8.encode("data: 1\n\n")));
+        mTimers.after(
+                mAnswerTime.apply(name),
+                () -> {
+                    if (server(name).mOpen.remove(call)) {
+                        call.tell(BackendListener::onComplete);
+                    }
+                });
+    }
+
+    /** Ends the server; it is up again after three seconds. */
+    public void crash(String name) {
+        Server server = server(name);
+        if (!server.mUp) {
+            return;
+        }
+        server.mUp = false;
+        mCrashes.add(new Crash(mTimers.nowMillis(), name));
+        List.copyOf(server.mOpen).forEach(call -> call.fail(BackendFailure.CONNECTION_LOST));
+        server.mOpen.clear();
+        mTimers.after(
+                DOWN_TIME,
+                () -> {
+                    server.mUp = true;
+                    mOnRestart.accept(name, mTimers.epochMillis());
+                });
+    }
+
+    private final class Call implements BackendCall {
+        private final BackendRequest mRequest;
+        private final BackendListener mListener;
+        private boolean mCancelled;
+
+        Call(BackendRequest request, BackendListener listener) {
+            mRequest = request;
+            mListener = listener;
+        }
+
+        private void tell(Consumer<BackendListener> event) {
+            if (!mCancelled) {
+                event.accept(mListener);
+            }
+        }
+
+        private void fail(BackendFailure failure) {
+            tell(listener -> listener.onFailure(failure));
+        }
+
+        @Override
+        public void pause() {}
+
+        @Override
+        public void resume() {}
+
+        @Override
+        public void cancel() {
+            mCancelled = true;
+            server(mRequest.server().name()).mOpen.remove(this);
+        }
+    }
+}
--- a/rhubarbward-net/src/main/java/io/rhubarbward/gen/fleet/DataCentreLoadStruct.java
+++ b/rhubarbward-net/src/main/java/io/rhubarbward/gen/fleet/DataCentreLoadStruct.java
@@ -14,6 +14,7 @@
   private static final org.apache.thrift.protocol.TField UNHEARD_MILLIS_FIELD_DESC = new org.apache.thrift.protocol.TField("unheardMillis", org.apache.thrift.protocol.TType.I64, (short)2);
   private static final org.apache.thrift.protocol.TField FORWARDED_FIELD_DESC = new org.apache.thrift.protocol.TField("forwarded", org.apache.thrift.protocol.TType.BOOL, (short)3);
   private static final org.apache.thrift.protocol.TField IN_FLIGHT_FIELD_DESC = new org.apache.thrift.protocol.TField("inFlight", org.apache.thrift.protocol.TType.MAP, (short)4);
+  private static final org.apache.thrift.protocol.TField SUSPECTS_DIGEST_FIELD_DESC = new org.apache.thrift.protocol.TField("suspectsDigest", org.apache.thrift.protocol.TType.I64, (short)5);
 
   private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY = new DataCentreLoadStructStandardSchemeFactory();
   private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY = new DataCentreLoadStructTupleSchemeFactory();
@@ -22,13 +23,15 @@
   private long unheardMillis; // required
   private boolean forwarded; // required
   private @org.apache.thrift.annotation.Nullable java.util.Map<java.lang.Integer,java.lang.Integer> inFlight; // required
+  private long suspectsDigest; // required
 
   /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
   public enum _Fields implements org.apache.thrift.TFieldIdEnum {
     AGGREGATOR((short)1, "aggregator"),
     UNHEARD_MILLIS((short)2, "unheardMillis"),
     FORWARDED((short)3, "forwarded"),
-    IN_FLIGHT((short)4, "inFlight");
+    IN_FLIGHT((short)4, "inFlight"),
+    SUSPECTS_DIGEST((short)5, "suspectsDigest");
 
     private static final java.util.Map<java.lang.String, _Fields> byName = new java.util.HashMap<java.lang.String, _Fields>();
 
@@ -52,6 +55,8 @@
           return FORWARDED;
         case 4: // IN_FLIGHT
           return IN_FLIGHT;
+        case 5: // SUSPECTS_DIGEST
+          return SUSPECTS_DIGEST;
         default:
           return null;
       }
@@ -97,6 +102,7 @@
   // isset id assignments
   private static final int __UNHEARDMILLIS_ISSET_ID = 0;
   private static final int __FORWARDED_ISSET_ID = 1;
+  private static final int __SUSPECTSDIGEST_ISSET_ID = 2;
   private byte __isset_bitfield = 0;
   public static final java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> metaDataMap;
   static {
@@ -111,6 +117,8 @@
         new org.apache.thrift.meta_data.MapMetaData(org.apache.thrift.protocol.TType.MAP, 
             new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I32), 
             new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I32))));
+    tmpMap.put(_Fields.SUSPECTS_DIGEST, new org.apache.thrift.meta_data.FieldMetaData("suspectsDigest", org.apache.thrift.TFieldRequirementType.REQUIRED, 
+        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
     metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
     org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(DataCentreLoadStruct.class, metaDataMap);
   }
@@ -122,7 +130,8 @@
     java.lang.String aggregator,
     long unheardMillis,
     boolean forwarded,
-    java.util.Map<java.lang.Integer,java.lang.Integer> inFlight)
+    java.util.Map<java.lang.Integer,java.lang.Integer> inFlight,
+    long suspectsDigest)
   {
     this();
     this.aggregator = aggregator;
@@ -131,6 +140,8 @@
     this.forwarded = forwarded;
     setForwardedIsSet(true);
     this.inFlight = inFlight;
+    this.suspectsDigest = suspectsDigest;
+    setSuspectsDigestIsSet(true);
   }
 
   /**
@@ -147,6 +158,7 @@
       java.util.Map<java.lang.Integer,java.lang.Integer> __this__inFlight = new java.util.HashMap<java.lang.Integer,java.lang.Integer>(other.inFlight);
       this.inFlight = __this__inFlight;
     }
+    this.suspectsDigest = other.suspectsDigest;
   }
 
   @Override
@@ -162,6 +174,8 @@
     setForwardedIsSet(false);
     this.forwarded = false;
     this.inFlight = null;
+    setSuspectsDigestIsSet(false);
+    this.suspectsDigest = 0;
   }
 
   @org.apache.thrift.annotation.Nullable
@@ -271,6 +285,29 @@
     }
   }
 
+  public long getSuspectsDigest() {
+    return this.suspectsDigest;
+  }
+
+  public DataCentreLoadStruct setSuspectsDigest(long suspectsDigest) {
+    this.suspectsDigest = suspectsDigest;
+    setSuspectsDigestIsSet(true);
+    return this;
+  }
+
+  public void unsetSuspectsDigest() {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __SUSPECTSDIGEST_ISSET_ID);
+  }
+
+  /** Returns true if field suspectsDigest is set (has been assigned a value) and false otherwise */
+  public boolean isSetSuspectsDigest() {
+    return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __SUSPECTSDIGEST_ISSET_ID);
+  }
+
+  public void setSuspectsDigestIsSet(boolean value) {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __SUSPECTSDIGEST_ISSET_ID, value);
+  }
+
   @Override
   public void setFieldValue(_Fields field, @org.apache.thrift.annotation.Nullable java.lang.Object value) {
     switch (field) {
@@ -306,6 +343,14 @@
       }
       break;
 
+    case SUSPECTS_DIGEST:
+      if (value == null) {
+        unsetSuspectsDigest();
+      } else {
+        setSuspectsDigest((java.lang.Long)value);
+      }
+      break;
+
     }
   }
 
@@ -325,6 +370,9 @@
     case IN_FLIGHT:
       return getInFlight();
 
+    case SUSPECTS_DIGEST:
+      return getSuspectsDigest();
+
     }
     throw new java.lang.IllegalStateException();
   }
@@ -345,6 +393,8 @@
       return isSetForwarded();
     case IN_FLIGHT:
       return isSetInFlight();
+    case SUSPECTS_DIGEST:
+      return isSetSuspectsDigest();
     }
     throw new java.lang.IllegalStateException();
   }
@@ -398,6 +448,15 @@
         return false;
     }
 
+    boolean this_present_suspectsDigest = true;
+    boolean that_present_suspectsDigest = true;
+    if (this_present_suspectsDigest || that_present_suspectsDigest) {
+      if (!(this_present_suspectsDigest && that_present_suspectsDigest))
+        return false;
+      if (this.suspectsDigest != that.suspectsDigest)
+        return false;
+    }
+
     return true;
   }
 
@@ -417,6 +476,8 @@
     if (isSetInFlight())
       hashCode = hashCode * 8191 + inFlight.hashCode();
 
+    hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(suspectsDigest);
+
     return hashCode;
   }
 
@@ -468,6 +529,16 @@
         return lastComparison;
       }
     }
+    lastComparison = java.lang.Boolean.compare(isSetSuspectsDigest(), other.isSetSuspectsDigest());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetSuspectsDigest()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.suspectsDigest, other.suspectsDigest);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
     return 0;
   }
 
@@ -515,6 +586,10 @@
       sb.append(this.inFlight);
     }
     first = false;
+    if (!first) sb.append(", ");
+    sb.append("suspectsDigest:");
+    sb.append(this.suspectsDigest);
+    first = false;
     sb.append(")");
     return sb.toString();
   }
@@ -529,6 +604,7 @@
     if (inFlight == null) {
       throw new org.apache.thrift.protocol.TProtocolException("Required field 'inFlight' was not present! Struct: " + toString());
     }
+    // alas, we cannot check 'suspectsDigest' because it's a primitive and you chose the non-beans generator.
     // check for sub-struct validity
   }
 
@@ -614,6 +690,14 @@
               org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
             break;
+          case 5: // SUSPECTS_DIGEST
+            if (schemeField.type == org.apache.thrift.protocol.TType.I64) {
+              struct.suspectsDigest = iprot.readI64();
+              struct.setSuspectsDigestIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
+            }
+            break;
           default:
             org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
         }
@@ -628,6 +712,9 @@
       if (!struct.isSetForwarded()) {
         throw new org.apache.thrift.protocol.TProtocolException("Required field 'forwarded' was not found in serialized data! Struct: " + toString());
       }
+      if (!struct.isSetSuspectsDigest()) {
+        throw new org.apache.thrift.protocol.TProtocolException("Required field 'suspectsDigest' was not found in serialized data! Struct: " + toString());
+      }
       struct.validate();
     }
 
@@ -660,6 +747,9 @@
         }
         oprot.writeFieldEnd();
       }
+      oprot.writeFieldBegin(SUSPECTS_DIGEST_FIELD_DESC);
+      oprot.writeI64(struct.suspectsDigest);
+      oprot.writeFieldEnd();
       oprot.writeFieldStop();
       oprot.writeStructEnd();
     }
@@ -689,6 +779,7 @@
           oprot.writeI32(_iter51.getValue());
         }
       }
+      oprot.writeI64(struct.suspectsDigest);
     }
 
     @Override
@@ -713,6 +804,8 @@
         }
       }
       struct.setInFlightIsSet(true);
+      struct.suspectsDigest = iprot.readI64();
+      struct.setSuspectsDigestIsSet(true);
     }
   }
 
--- a/rhubarbward-net/src/main/java/io/rhubarbward/gen/fleet/LoadTotalsStruct.java
+++ b/rhubarbward-net/src/main/java/io/rhubarbward/gen/fleet/LoadTotalsStruct.java
@@ -12,17 +12,20 @@
 
   private static final org.apache.thrift.protocol.TField ECHO_SEQUENCE_FIELD_DESC = new org.apache.thrift.protocol.TField("echoSequence", org.apache.thrift.protocol.TType.I64, (short)1);
   private static final org.apache.thrift.protocol.TField IN_FLIGHT_FIELD_DESC = new org.apache.thrift.protocol.TField("inFlight", org.apache.thrift.protocol.TType.MAP, (short)2);
+  private static final org.apache.thrift.protocol.TField SUSPECTS_DIGEST_FIELD_DESC = new org.apache.thrift.protocol.TField("suspectsDigest", org.apache.thrift.protocol.TType.I64, (short)3);
 
   private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY = new LoadTotalsStructStandardSchemeFactory();
   private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY = new LoadTotalsStructTupleSchemeFactory();
 
   private long echoSequence; // required
   private @org.apache.thrift.annotation.Nullable java.util.Map<java.lang.Integer,java.lang.Integer> inFlight; // required
+  private long suspectsDigest; // required
 
   /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
   public enum _Fields implements org.apache.thrift.TFieldIdEnum {
     ECHO_SEQUENCE((short)1, "echoSequence"),
-    IN_FLIGHT((short)2, "inFlight");
+    IN_FLIGHT((short)2, "inFlight"),
+    SUSPECTS_DIGEST((short)3, "suspectsDigest");
 
     private static final java.util.Map<java.lang.String, _Fields> byName = new java.util.HashMap<java.lang.String, _Fields>();
 
@@ -42,6 +45,8 @@
           return ECHO_SEQUENCE;
         case 2: // IN_FLIGHT
           return IN_FLIGHT;
+        case 3: // SUSPECTS_DIGEST
+          return SUSPECTS_DIGEST;
         default:
           return null;
       }
@@ -86,6 +91,7 @@
 
   // isset id assignments
   private static final int __ECHOSEQUENCE_ISSET_ID = 0;
+  private static final int __SUSPECTSDIGEST_ISSET_ID = 1;
   private byte __isset_bitfield = 0;
   public static final java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> metaDataMap;
   static {
@@ -96,6 +102,8 @@
         new org.apache.thrift.meta_data.MapMetaData(org.apache.thrift.protocol.TType.MAP, 
             new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I32), 
             new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I32))));
+    tmpMap.put(_Fields.SUSPECTS_DIGEST, new org.apache.thrift.meta_data.FieldMetaData("suspectsDigest", org.apache.thrift.TFieldRequirementType.REQUIRED, 
+        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
     metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
     org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(LoadTotalsStruct.class, metaDataMap);
   }
@@ -105,12 +113,15 @@
 
   public LoadTotalsStruct(
     long echoSequence,
-    java.util.Map<java.lang.Integer,java.lang.Integer> inFlight)
+    java.util.Map<java.lang.Integer,java.lang.Integer> inFlight,
+    long suspectsDigest)
   {
     this();
     this.echoSequence = echoSequence;
     setEchoSequenceIsSet(true);
     this.inFlight = inFlight;
+    this.suspectsDigest = suspectsDigest;
+    setSuspectsDigestIsSet(true);
   }
 
   /**
@@ -123,6 +134,7 @@
       java.util.Map<java.lang.Integer,java.lang.Integer> __this__inFlight = new java.util.HashMap<java.lang.Integer,java.lang.Integer>(other.inFlight);
       this.inFlight = __this__inFlight;
     }
+    this.suspectsDigest = other.suspectsDigest;
   }
 
   @Override
@@ -135,6 +147,8 @@
     setEchoSequenceIsSet(false);
     this.echoSequence = 0;
     this.inFlight = null;
+    setSuspectsDigestIsSet(false);
+    this.suspectsDigest = 0;
   }
 
   public long getEchoSequence() {
@@ -196,6 +210,29 @@
     }
   }
 
+  public long getSuspectsDigest() {
+    return this.suspectsDigest;
+  }
+
+  public LoadTotalsStruct setSuspectsDigest(long suspectsDigest) {
+    this.suspectsDigest = suspectsDigest;
+    setSuspectsDigestIsSet(true);
+    return this;
+  }
+
+  public void unsetSuspectsDigest() {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __SUSPECTSDIGEST_ISSET_ID);
+  }
+
+  /** Returns true if field suspectsDigest is set (has been assigned a value) and false otherwise */
+  public boolean isSetSuspectsDigest() {
+    return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __SUSPECTSDIGEST_ISSET_ID);
+  }
+
+  public void setSuspectsDigestIsSet(boolean value) {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __SUSPECTSDIGEST_ISSET_ID, value);
+  }
+
   @Override
   public void setFieldValue(_Fields field, @org.apache.thrift.annotation.Nullable java.lang.Object value) {
     switch (field) {
@@ -215,6 +252,14 @@
       }
       break;
 
+    case SUSPECTS_DIGEST:
+      if (value == null) {
+        unsetSuspectsDigest();
+      } else {
+        setSuspectsDigest((java.lang.Long)value);
+      }
+      break;
+
     }
   }
 
@@ -228,6 +273,9 @@
     case IN_FLIGHT:
       return getInFlight();
 
+    case SUSPECTS_DIGEST:
+      return getSuspectsDigest();
+
     }
     throw new java.lang.IllegalStateException();
   }
@@ -244,6 +292,8 @@
       return isSetEchoSequence();
     case IN_FLIGHT:
       return isSetInFlight();
+    case SUSPECTS_DIGEST:
+      return isSetSuspectsDigest();
     }
     throw new java.lang.IllegalStateException();
   }
@@ -279,6 +329,15 @@
         return false;
     }
 
+    boolean this_present_suspectsDigest = true;
+    boolean that_present_suspectsDigest = true;
+    if (this_present_suspectsDigest || that_present_suspectsDigest) {
+      if (!(this_present_suspectsDigest && that_present_suspectsDigest))
+        return false;
+      if (this.suspectsDigest != that.suspectsDigest)
+        return false;
+    }
+
     return true;
   }
 
@@ -292,6 +351,8 @@
     if (isSetInFlight())
       hashCode = hashCode * 8191 + inFlight.hashCode();
 
+    hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(suspectsDigest);
+
     return hashCode;
   }
 
@@ -323,6 +384,16 @@
         return lastComparison;
       }
     }
+    lastComparison = java.lang.Boolean.compare(isSetSuspectsDigest(), other.isSetSuspectsDigest());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetSuspectsDigest()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.suspectsDigest, other.suspectsDigest);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
     return 0;
   }
 
@@ -358,6 +429,10 @@
       sb.append(this.inFlight);
     }
     first = false;
+    if (!first) sb.append(", ");
+    sb.append("suspectsDigest:");
+    sb.append(this.suspectsDigest);
+    first = false;
     sb.append(")");
     return sb.toString();
   }
@@ -368,6 +443,7 @@
     if (inFlight == null) {
       throw new org.apache.thrift.protocol.TProtocolException("Required field 'inFlight' was not present! Struct: " + toString());
     }
+    // alas, we cannot check 'suspectsDigest' because it's a primitive and you chose the non-beans generator.
     // check for sub-struct validity
   }
 
@@ -437,6 +513,14 @@
               org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
             break;
+          case 3: // SUSPECTS_DIGEST
+            if (schemeField.type == org.apache.thrift.protocol.TType.I64) {
+              struct.suspectsDigest = iprot.readI64();
+              struct.setSuspectsDigestIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
+            }
+            break;
           default:
             org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
         }
@@ -448,6 +532,9 @@
       if (!struct.isSetEchoSequence()) {
         throw new org.apache.thrift.protocol.TProtocolException("Required field 'echoSequence' was not found in serialized data! Struct: " + toString());
       }
+      if (!struct.isSetSuspectsDigest()) {
+        throw new org.apache.thrift.protocol.TProtocolException("Required field 'suspectsDigest' was not found in serialized data! Struct: " + toString());
+      }
       struct.validate();
     }
 
@@ -472,6 +559,9 @@
         }
         oprot.writeFieldEnd();
       }
+      oprot.writeFieldBegin(SUSPECTS_DIGEST_FIELD_DESC);
+      oprot.writeI64(struct.suspectsDigest);
+      oprot.writeFieldEnd();
       oprot.writeFieldStop();
       oprot.writeStructEnd();
     }
@@ -499,6 +589,7 @@
           oprot.writeI32(_iter41.getValue());
         }
       }
+      oprot.writeI64(struct.suspectsDigest);
     }
 
     @Override
@@ -519,6 +610,8 @@
         }
       }
       struct.setInFlightIsSet(true);
+      struct.suspectsDigest = iprot.readI64();
+      struct.setSuspectsDigestIsSet(true);
     }
   }
 
--- a/rhubarbward-net/src/main/java/io/rhubarbward/net/peer/RelayCodecs.java
+++ b/rhubarbward-net/src/main/java/io/rhubarbward/net/peer/RelayCodecs.java
@@ -1,5 +1,7 @@
 package io.rhubarbward.net.peer;
 
+import io.rhubarbward.crash.CrashSuspect;
+import io.rhubarbward.gen.fleet.CrashSuspectStruct;
 import io.rhubarbward.gen.fleet.DataCentreLoadStruct;
 import io.rhubarbward.gen.fleet.FollowAnswerStruct;
 import io.rhubarbward.gen.fleet.FollowRequestStruct;
@@ -7,12 +9,14 @@
 import io.rhubarbward.gen.fleet.LoadReportStruct;
 import io.rhubarbward.gen.fleet.LoadTotalsStruct;
 import io.rhubarbward.gen.fleet.ObjectStateStruct;
+import io.rhubarbward.gen.fleet.SuspectNewsStruct;
 import io.rhubarbward.relay.DataCentreLoad;
 import io.rhubarbward.relay.FollowAnswer;
 import io.rhubarbward.relay.FollowAnswer.KindNews;
 import io.rhubarbward.relay.FollowRequest;
 import io.rhubarbward.relay.LoadReport;
 import io.rhubarbward.relay.LoadTotals;
+import io.rhubarbward.relay.SuspectNews;
 import io.rhubarbward.store.KindUpdate;
 import io.rhubarbward.store.KindUpdate.ObjectState;
 import java.util.List;
@@ -60,16 +64,30 @@
                     73,
                     LoadReport.class,
                     LoadReportStruct::new,
-                    report -> new LoadReportStruct(report.sequence(), report.inFlight()),
-                    struct -> new LoadReport(struct.getSequence(), struct.getInFlight()));
+                    report ->
+                            new LoadReportStruct(
+                                    report.sequence(), report.inFlight(), report.suspectsDigest()),
+                    struct ->
+                            new LoadReport(
+                                    struct.getSequence(),
+                                    struct.getSuspectsDigest(),
+                                    struct.getInFlight()));
 
     private static final PeerCodec<LoadTotals, LoadTotalsStruct> LOAD_TOTALS =
             new PeerCodec<>(
                     74,
                     LoadTotals.class,
                     LoadTotalsStruct::new,
-                    totals -> new LoadTotalsStruct(totals.echoSequence(), totals.inFlight()),
-                    struct -> new LoadTotals(struct.getEchoSequence(), struct.getInFlight()));
+                    totals ->
+                            new LoadTotalsStruct(
+                                    totals.echoSequence(),
+                                    totals.inFlight(),
+                                    totals.suspectsDigest()),
+                    struct ->
+                            new LoadTotals(
+                                    struct.getEchoSequence(),
+                                    struct.getSuspectsDigest(),
+                                    struct.getInFlight()));
 
     private static final PeerCodec<DataCentreLoad, DataCentreLoadStruct> DATA_CENTRE_LOAD =
             new PeerCodec<>(
@@ -81,18 +99,40 @@
                                     load.aggregator(),
                                     load.unheardMillis(),
                                     load.forwarded(),
-                                    load.inFlight()),
+                                    load.inFlight(),
+                                    load.suspectsDigest()),
                     struct ->
                             new DataCentreLoad(
                                     struct.getAggregator(),
                                     struct.getUnheardMillis(),
                                     struct.isForwarded(),
+                                    struct.getSuspectsDigest(),
                                     struct.getInFlight()));
 
+    private static final PeerCodec<SuspectNews, SuspectNewsStruct> SUSPECT_NEWS =
+            new PeerCodec<>(
+                    76,
+                    SuspectNews.class,
+                    SuspectNewsStruct::new,
+                    news ->
+                            new SuspectNewsStruct(
+                                    news.suspects().stream().map(RelayCodecs::toStruct).toList()),
+                    struct ->
+                            new SuspectNews(
+                                    struct.getSuspects().stream()
+                                            .map(RelayCodecs::fromStruct)
+                                            .toList()));
+
     private RelayCodecs() {}
 
     static List<PeerCodec<?, ?>> all() {
-        return List.of(FOLLOW_REQUEST, FOLLOW_ANSWER, LOAD_REPORT, LOAD_TOTALS, DATA_CENTRE_LOAD);
+        return List.of(
+                FOLLOW_REQUEST,
+                FOLLOW_ANSWER,
+                LOAD_REPORT,
+                LOAD_TOTALS,
+                DATA_CENTRE_LOAD,
+                SUSPECT_NEWS);
     }
 
     private static KindNewsStruct toStruct(KindNews news) {
@@ -105,6 +145,14 @@
                 news.stalenessMillis());
     }
 
+    private static CrashSuspectStruct toStruct(CrashSuspect suspect) {
+        return new CrashSuspectStruct(suspect.trait(), suspect.crashes(), suspect.answers());
+    }
+
+    private static CrashSuspect fromStruct(CrashSuspectStruct struct) {
+        return new CrashSuspect(struct.getTrait(), struct.getCrashes(), struct.getAnswers());
+    }
+
     private static ObjectStateStruct toStruct(ObjectState object) {
         ObjectStateStruct struct = new ObjectStateStruct(object.name(), object.revision());
         if (!object.deleted()) {
--- a/rhubarbward-net/src/main/thrift/fleet.thrift
+++ b/rhubarbward-net/src/main/thrift/fleet.thrift
@@ -34,14 +34,18 @@
 // In the structs below, requests in flight are keyed by the 32 low bits of the hash of the server's
 // id; servers without any are left out.
 
+// Digests are of what the sender knows of requests that crash servers.
+
 struct LoadReportStruct {
   1: required i64 sequence;
   2: required map<i32, i32> inFlight;
+  3: required i64 suspectsDigest;
 }
 
 struct LoadTotalsStruct {
   1: required i64 echoSequence;
   2: required map<i32, i32> inFlight;
+  3: required i64 suspectsDigest;
 }
 
 struct DataCentreLoadStruct {
@@ -49,4 +53,17 @@
   2: required i64 unheardMillis;
   3: required bool forwarded;
   4: required map<i32, i32> inFlight;
+  5: required i64 suspectsDigest;
+}
+
+struct CrashSuspectStruct {
+  1: required i64 trait;
+  // Unix milliseconds by the hash of the server's incarnation.
+  2: required map<i64, i64> crashes;
+  // One bit for each request that was answered in full.
+  3: required i64 answers;
+}
+
+struct SuspectNewsStruct {
+  1: required list<CrashSuspectStruct> suspects;
 }
--- a/rhubarbward-net/src/test/java/io/rhubarbward/net/peer/PeerFrameCodecTest.java
+++ b/rhubarbward-net/src/test/java/io/rhubarbward/net/peer/PeerFrameCodecTest.java
@@ -2,6 +2,7 @@
 
 import static com.google.common.truth.Truth.assertThat;
 
+import io.rhubarbward.crash.CrashSuspect;
 import io.rhubarbward.membership.AliveAnswer;
 import io.rhubarbward.membership.AliveQuery;
 import io.rhubarbward.membership.Heartbeat;
@@ -16,6 +17,7 @@
 import io.rhubarbward.relay.FollowRequest;
 import io.rhubarbward.relay.LoadReport;
 import io.rhubarbward.relay.LoadTotals;
+import io.rhubarbward.relay.SuspectNews;
 import io.rhubarbward.store.KindUpdate;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
@@ -42,9 +44,10 @@
                 new HoldingsQuery(9, List.of("backend/e", "backend/f")),
                 new FollowRequest(7, 900, Map.of("config", 12L)),
                 new FollowAnswer(7, false, 0, List.of()),
-                new LoadReport(3, Map.of(-5, 2)),
-                new LoadTotals(3, Map.of(-5, 2, 9, 1)),
-                new DataCentreLoad("entry-2", 80, true, Map.of(9, 1)));
+                new LoadReport(3, -9, Map.of(-5, 2)),
+                new LoadTotals(3, -9, Map.of(-5, 2, 9, 1)),
+                new DataCentreLoad("entry-2", 80, true, -9, Map.of(9, 1)),
+                new SuspectNews(List.of(new CrashSuspect(-4, Map.of(-8L, 5L), 3))));
     }
 
     @ParameterizedTest
