Cut event streams that end inside an event

What callers saw: an answer without length and chunks ends with its connection. A stream that broke off inside an event looked complete to its caller, as the router ended its own answer properly.

Cause: the end of a body was taken for the end of the answer. The client library reports the end of the connection as such when it is orderly; a reset was recognised already (ResponseGuardTest).

Change: the router reads the framing of events. A stream that ends inside an event, or before the first one without stating a length, has failed: the caller's connection is cut, and the loss counts among the crashes. BrokenStreamTest failed before in all cases but the complete ones (the response was finished).

--- a/rhubarbward-core/src/main/java/io/rhubarbward/forward/ServerCall.java
+++ b/rhubarbward-core/src/main/java/io/rhubarbward/forward/ServerCall.java
@@ -33,6 +33,7 @@
     private int mStatus;
     private long mFirstByteMillis = NO_FIRST_BYTE;
     private long mAnswerBegunMillis = NOT_BEGUN;
+    private EventStreamFraming mFraming = new EventStreamFraming(HeaderFields.NONE);
     private boolean mEnded;
 
     ServerCall(
@@ -121,6 +122,7 @@
         }
         mStatus = status;
         mAnswerBegunMillis = mContext.timers().nowMillis();
+        mFraming = new EventStreamFraming(headers);
         ResponseMetadata metadata = mContext.dialect().readAnswer(status, headers);
         metadata.load().ifPresent(load -> mServer.recordLoad(load, mContext.timers().nowMillis()));
         boolean answersThisAttempt =
@@ -155,12 +157,17 @@
             if (mFirstByteMillis == NO_FIRST_BYTE) {
                 mFirstByteMillis = mContext.timers().nowMillis() - mSentMillis;
             }
+            mFraming.read(part);
             mListener.onPart(part);
         }
     }
 
     @Override
     public void onComplete() {
+        if (!mFraming.mayBeComplete()) {
+            onFailure(BackendFailure.INCOMPLETE);
+            return;
+        }
         SendResult result =
                 mStatus >= MIN_SERVER_ERROR_STATUS ? SendResult.SERVER_ERROR : SendResult.ANSWERED;
         if (end(result)) {
@@ -176,7 +183,7 @@
     public void onFailure(BackendFailure failure) {
         SendResult result = result(failure);
         if (end(result)) {
-            if (failure == BackendFailure.CONNECTION_LOST) {
+            if (!failure.provesNotRun() && failure != BackendFailure.SILENT) {
                 recordConnectionLost(result);
             }
             mListener.onFailed(mServer, result, !failure.provesNotRun());
