Log the request limit that a backend server names

No line said that a router had heard a server's limit, when, or what it was. The answer's field is decoded, believed as long as answers state it, and each change is logged. Nothing acts on it yet.

--- a/rhubarbward-core/src/main/java/io/rhubarbward/forward/ResponseMetadata.java
+++ b/rhubarbward-core/src/main/java/io/rhubarbward/forward/ResponseMetadata.java
@@ -2,6 +2,7 @@
 
 import io.rhubarbward.placement.ServerLoad;
 import java.util.Optional;
+import java.util.OptionalDouble;
 
 /**
  * The decoded head of a backend server's answer.
@@ -10,7 +11,13 @@
  * @param notRun whether the server states that it did not run the request
  * @param genuine whether the answer has the server's signature, where one is required, and is not
  *     re-encoded
+ * @param limitPerSecond how many requests a second the server takes from all routers together;
+ *     empty if it states no limit, NaN if it states one that makes no sense
  * @param load the load that the server reports
  */
 public record ResponseMetadata(
-        Optional<String> attemptId, boolean notRun, boolean genuine, Optional<ServerLoad> load) {}
+        Optional<String> attemptId,
+        boolean notRun,
+        boolean genuine,
+        OptionalDouble limitPerSecond,
+        Optional<ServerLoad> load) {}
--- a/rhubarbward-core/src/main/java/io/rhubarbward/forward/ServerCall.java
+++ b/rhubarbward-core/src/main/java/io/rhubarbward/forward/ServerCall.java
@@ -125,6 +125,9 @@
         mFraming = new EventStreamFraming(headers);
         ResponseMetadata metadata = mContext.dialect().readAnswer(status, headers);
         metadata.load().ifPresent(load -> mServer.recordLoad(load, mContext.timers().nowMillis()));
+        if (status != ForwardedExchange.MISDIRECTED_STATUS) {
+            mContext.table().recordLimit(mServer, metadata.limitPerSecond());
+        }
         boolean answersThisAttempt =
                 metadata.attemptId().filter(mRequest.metadata().attemptId()::equals).isPresent();
         if (metadata.notRun() && (answersThisAttempt || metadata.attemptId().isEmpty())) {
--- a/rhubarbward-core/src/main/java/io/rhubarbward/placement/ServerTable.java
+++ b/rhubarbward-core/src/main/java/io/rhubarbward/placement/ServerTable.java
@@ -12,6 +12,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalDouble;
 import java.util.function.Consumer;
 
 /** The backend servers in the directory, each with its tracked load and health. */
@@ -96,6 +97,29 @@
         mSendSubscribers.forEach(Runnable::run);
     }
 
+    /**
+     * Records the limit that an answer of the server states.
+     *
+     * @param stated requests a second from all routers together; empty if it states none, NaN if it
+     *     makes no sense
+     */
+    public void recordLimit(TrackedServer server, OptionalDouble stated) {
+        OptionalDouble before = server.limitPerSecond();
+        server.recordLimit(stated, mTimers.nowMillis());
+        OptionalDouble now = server.limitPerSecond();
+        if (!now.equals(before)) {
+            mEvents.log(
+                    LogEvent.BACKEND_LIMIT_CHANGED,
+                    EventField.of("server", server.server().name()),
+                    EventField.of("perSecond", text(now)),
+                    EventField.of("before", text(before)));
+        }
+    }
+
+    private static String text(OptionalDouble limit) {
+        return limit.isEmpty() ? "none" : String.valueOf(limit.getAsDouble());
+    }
+
     /**
      * Records the result of a request to the server.
      *
--- a/rhubarbward-core/src/main/java/io/rhubarbward/placement/TrackedServer.java
+++ b/rhubarbward-core/src/main/java/io/rhubarbward/placement/TrackedServer.java
@@ -4,6 +4,7 @@
 import io.rhubarbward.directory.ListedServer;
 import io.rhubarbward.hash.RendezvousHash;
 import java.time.Duration;
+import java.util.OptionalDouble;
 
 /**
  * The load, health and cold-start state that this router tracks for one incarnation of a backend
@@ -39,6 +40,7 @@
     private final ServerHealth mHealth = new ServerHealth();
     private final SlidingWindowCounter mRecentSends =
             new SlidingWindowCounter(COLD_LIMIT_WINDOW_MILLIS);
+    private final StatedLimit mLimit = new StatedLimit();
     private final int mHash;
     private ListedServer mEntry;
     private long mColdUntilMillis;
@@ -147,6 +149,15 @@
         mInFlightChangeSinceReport = 0;
     }
 
+    /** Returns the requests a second that the server takes from all routers; empty if unlimited. */
+    OptionalDouble limitPerSecond() {
+        return mLimit.perSecond();
+    }
+
+    void recordLimit(OptionalDouble stated, long nowMillis) {
+        mLimit.update(stated, nowMillis);
+    }
+
     /**
      * Estimates the number of requests at the server.
      *
