--- a/rhubarbward-core/src/main/java/io/rhubarbward/forward/ForwardedExchange.java
+++ b/rhubarbward-core/src/main/java/io/rhubarbward/forward/ForwardedExchange.java
@@ -53,6 +53,9 @@
     /** Retry-after of a request that did not run. */
     private static final long RETRY_AFTER_MILLIS = 400;
 
+    /** The same while servers state limits, which hold for seconds. */
+    private static final long LIMITED_RETRY_AFTER_MILLIS = 1000;
+
     private final ResolvedRequest mRequest;
     private final CallerResponse mResponse;
     private final ForwardContext mContext;
@@ -155,12 +158,16 @@
 
     private void refuseUnplaced(Placement.None none) {
         RefusalCode code =
-                none.cause() == Placement.Cause.FULL
-                        ? RefusalCode.OVERLOADED
-                        : RefusalCode.NO_BACKEND;
+                switch (none.cause()) {
+                    case FULL, LIMITED -> RefusalCode.OVERLOADED;
+                    case NONE_LISTED, NONE_USABLE, COLD -> RefusalCode.NO_BACKEND;
+                };
         refuse(
                 code,
-                none.cause() + " among " + none.candidates() + " of " + mRequest.service().name());
+                none.cause() + " among " + none.candidates() + " of " + mRequest.service().name(),
+                none.cause() == Placement.Cause.LIMITED
+                        ? LIMITED_RETRY_AFTER_MILLIS
+                        : RETRY_AFTER_MILLIS);
     }
 
     private void send(Placement.Chosen chosen, long remainingMillis) {
--- a/rhubarbward-core/src/main/java/io/rhubarbward/placement/Placement.java
+++ b/rhubarbward-core/src/main/java/io/rhubarbward/placement/Placement.java
@@ -42,6 +42,8 @@
         NONE_USABLE,
         /** Every eligible server has reached its maximum load. */
         FULL,
+        /** Every eligible server gets as many requests as it states that it takes. */
+        LIMITED,
         /** Every eligible server is cold and has had this router's share of requests. */
         COLD
     }
--- a/rhubarbward-core/src/main/java/io/rhubarbward/placement/PlacementPolicy.java
+++ b/rhubarbward-core/src/main/java/io/rhubarbward/placement/PlacementPolicy.java
@@ -7,6 +7,7 @@
 import java.util.Comparator;
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalDouble;
 import java.util.function.Predicate;
 
 /**
@@ -16,7 +17,8 @@
  * the key's rendezvous order whose load is below a bound (consistent hashing with bounded loads).
  * Data centres make no difference to this order, since reading a shared prompt part again costs far
  * more than the round trip to another data centre. All other requests go to the least loaded
- * server. A cold server gets at most this router's share of the request rate that it tolerates.
+ * server. A cold server gets at most this router's share of the request rate that it tolerates, and
+ * all routers together send a server no more than the limit that it states.
  */
 public final class PlacementPolicy {
     /**
@@ -40,6 +42,17 @@
     /** Requests allowed on top of that multiple. */
     private static final double SHORT_PROMPT_SLACK_REQUESTS = 2;
 
+    /**
+     * Part of a server's limit that is left from which only some requests go there, the fewer the
+     * less is left: routers learn of each other's requests a little later.
+     */
+    private static final double LIMIT_TAPER = 0.15;
+
+    /** Requests in a window by which routers notice that a server takes requests again. */
+    private static final double MIN_REQUESTS_PER_LIMIT_WINDOW = 1;
+
+    private static final double MILLIS_PER_SECOND = 1000;
+
     /** Load per slot from which a server gets no further requests. */
     private static final double MAX_LOAD_PER_SLOT = 1.5;
 
@@ -99,7 +112,14 @@
         if (withinColdLimit.isEmpty()) {
             return new Placement.None(Placement.Cause.COLD, listed.size());
         }
-        List<TrackedServer> eligible = preferNotAvoided(withinColdLimit, now);
+        List<TrackedServer> withinLimit =
+                withinColdLimit.stream()
+                        .filter(server -> withinStatedLimit(server, query.unitHash(), now))
+                        .toList();
+        if (withinLimit.isEmpty()) {
+            return new Placement.None(Placement.Cause.LIMITED, listed.size());
+        }
+        List<TrackedServer> eligible = preferNotAvoided(withinLimit, now);
         return profile.engine()
                 ? placeAtEngine(listed, eligible, query, now)
                 : placeAtPlainServer(eligible, now);
@@ -114,6 +134,32 @@
         return server.recentSends(now) < share;
     }
 
+    /**
+     * Returns whether the server may get the request without more than it states that it takes.
+     *
+     * <p>What is left of the limit goes to the router that needs it. Without news of the others,
+     * each router keeps to its share.
+     */
+    private boolean withinStatedLimit(TrackedServer server, double unitHash, long now) {
+        OptionalDouble limit = server.limitPerSecond(now);
+        if (limit.isEmpty()) {
+            return true;
+        }
+        double allowed =
+                Math.max(
+                        MIN_REQUESTS_PER_LIMIT_WINDOW,
+                        limit.getAsDouble()
+                                * TrackedServer.LIMIT_WINDOW_MILLIS
+                                / MILLIS_PER_SECOND);
+        int own = server.limitWindowSends(now);
+        if (!server.knowsOthers(now)) {
+            int whole = (int) Math.min(Integer.MAX_VALUE, allowed);
+            return own < mLimitSplitter.share(whole, server.server().name());
+        }
+        double left = 1 - (own + server.limitWindowSendsFromOthers()) / allowed;
+        return left > 0 && unitHash < left / LIMIT_TAPER;
+    }
+
     /** Returns the servers that are not avoided, or all of them if every one is. */
     private static List<TrackedServer> preferNotAvoided(List<TrackedServer> servers, long now) {
         List<TrackedServer> notAvoided =
--- a/rhubarbward-core/src/main/java/io/rhubarbward/placement/ServerTable.java
+++ b/rhubarbward-core/src/main/java/io/rhubarbward/placement/ServerTable.java
@@ -104,15 +104,45 @@
      *     makes no sense
      */
     public void recordLimit(TrackedServer server, OptionalDouble stated) {
-        OptionalDouble before = server.limitPerSecond();
-        server.recordLimit(stated, mTimers.nowMillis());
-        OptionalDouble now = server.limitPerSecond();
-        if (!now.equals(before)) {
+        long now = mTimers.nowMillis();
+        changeLimit(server, "answer", () -> server.recordLimit(stated, now));
+    }
+
+    /**
+     * Updates what all other routers together know of the servers' limits.
+     *
+     * @param observations by {@link TrackedServer#hash(String)}
+     */
+    public void updateLimitsFromOthers(Map<Integer, LimitObservation> observations) {
+        long now = mTimers.nowMillis();
+        LimitObservation none =
+                new LimitObservation(OptionalDouble.empty(), LimitObservation.NEVER_HEARD, 0);
+        mServersById
+                .values()
+                .forEach(
+                        server ->
+                                changeLimit(
+                                        server,
+                                        "routers",
+                                        () ->
+                                                server.updateLimitFromOthers(
+                                                        observations.getOrDefault(
+                                                                server.hash(), none),
+                                                        now)));
+    }
+
+    private void changeLimit(TrackedServer server, String source, Runnable change) {
+        long now = mTimers.nowMillis();
+        OptionalDouble before = server.limitPerSecond(now);
+        change.run();
+        OptionalDouble after = server.limitPerSecond(now);
+        if (!after.equals(before)) {
             mEvents.log(
                     LogEvent.BACKEND_LIMIT_CHANGED,
                     EventField.of("server", server.server().name()),
-                    EventField.of("perSecond", text(now)),
-                    EventField.of("before", text(before)));
+                    EventField.of("perSecond", text(after)),
+                    EventField.of("before", text(before)),
+                    EventField.of("from", source));
         }
     }
 
--- a/rhubarbward-core/src/main/java/io/rhubarbward/placement/TrackedServer.java
+++ b/rhubarbward-core/src/main/java/io/rhubarbward/placement/TrackedServer.java
@@ -4,6 +4,7 @@
 import io.rhubarbward.directory.ListedServer;
 import io.rhubarbward.hash.RendezvousHash;
 import java.time.Duration;
+import java.util.Optional;
 import java.util.OptionalDouble;
 
 /**
@@ -17,6 +18,12 @@
      */
     private static final long COLD_LIMIT_WINDOW_MILLIS = 1100;
 
+    /**
+     * Window in which requests are counted against the limit that a server states, over which a
+     * burst may even out.
+     */
+    static final long LIMIT_WINDOW_MILLIS = 4000;
+
     /** Age above which a server's load report is ignored. */
     private static final long REPORT_MAX_AGE_MILLIS = 2500;
 
@@ -40,6 +47,8 @@
     private final ServerHealth mHealth = new ServerHealth();
     private final SlidingWindowCounter mRecentSends =
             new SlidingWindowCounter(COLD_LIMIT_WINDOW_MILLIS);
+    private final SlidingWindowCounter mLimitWindowSends =
+            new SlidingWindowCounter(LIMIT_WINDOW_MILLIS);
     private final StatedLimit mLimit = new StatedLimit();
     private final int mHash;
     private ListedServer mEntry;
@@ -49,6 +58,7 @@
     private long mReportedMillis = NEVER_MILLIS;
     private int mInFlightChangeSinceReport;
     private int mInFlightFromOthers;
+    private int mLimitWindowSendsFromOthers;
     private long mOthersUpdatedMillis = NEVER_MILLIS;
 
     TrackedServer(ListedServer entry, long nowMillis) {
@@ -133,6 +143,7 @@
         mInFlight++;
         mInFlightChangeSinceReport++;
         mRecentSends.add(nowMillis);
+        mLimitWindowSends.add(nowMillis);
     }
 
     /** Records the result of a request to the server, which is no longer in flight. */
@@ -150,12 +161,39 @@
     }
 
     /** Returns the requests a second that the server takes from all routers; empty if unlimited. */
-    OptionalDouble limitPerSecond() {
-        return mLimit.perSecond();
+    OptionalDouble limitPerSecond(long nowMillis) {
+        return mLimit.perSecond(nowMillis);
     }
 
     void recordLimit(OptionalDouble stated, long nowMillis) {
-        mLimit.update(stated, nowMillis);
+        mLimit.hear(stated, nowMillis);
+    }
+
+    /** Returns what other routers must know of the server's limit; empty if it has none. */
+    public Optional<LimitObservation> limitObservation(long nowMillis) {
+        return mLimit.reported(nowMillis)
+                ? Optional.of(mLimit.observation(mLimitWindowSends.count(nowMillis), nowMillis))
+                : Optional.empty();
+    }
+
+    void updateLimitFromOthers(LimitObservation others, long nowMillis) {
+        mLimit.tell(others, nowMillis);
+        mLimitWindowSendsFromOthers = others.sends();
+    }
+
+    /** Returns whether the other routers tell what they send to the server. */
+    boolean knowsOthers(long nowMillis) {
+        return nowMillis - mOthersUpdatedMillis < OTHERS_MAX_AGE_MILLIS;
+    }
+
+    /** Returns the requests that this router sent in the window of the limit. */
+    int limitWindowSends(long nowMillis) {
+        return mLimitWindowSends.count(nowMillis);
+    }
+
+    /** Returns the requests that the other routers sent in the window of the limit. */
+    int limitWindowSendsFromOthers() {
+        return mLimitWindowSendsFromOthers;
     }
 
     /**
@@ -167,7 +205,7 @@
      * is a multiple of this router's own in-flight requests.
      */
     double estimatedLoad(long nowMillis, int routers) {
-        if (nowMillis - mOthersUpdatedMillis < OTHERS_MAX_AGE_MILLIS) {
+        if (knowsOthers(nowMillis)) {
             return Math.max((double) mInFlight + mInFlightFromOthers, recentReport(nowMillis));
         }
         if (nowMillis - mReportedMillis > REPORT_MAX_AGE_MILLIS) {
--- a/rhubarbward-core/src/main/java/io/rhubarbward/relay/DataCentreLoad.java
+++ b/rhubarbward-core/src/main/java/io/rhubarbward/relay/DataCentreLoad.java
@@ -1,6 +1,7 @@
 package io.rhubarbward.relay;
 
 import io.rhubarbward.membership.PeerMessage;
+import io.rhubarbward.placement.LimitObservation;
 import java.util.Map;
 
 /**
@@ -12,19 +13,23 @@
  * @param suspectsDigest digest of what the aggregator knows of requests that crash servers
  * @param inFlight the sum over the routers that report to the aggregator, keyed as in {@link
  *     LoadReport}
+ * @param limits what these routers know of servers that state a limit, keyed likewise
  */
 public record DataCentreLoad(
         String aggregator,
         long unheardMillis,
         boolean forwarded,
         long suspectsDigest,
-        Map<Integer, Integer> inFlight)
+        Map<Integer, Integer> inFlight,
+        Map<Integer, LimitObservation> limits)
         implements PeerMessage {
     public DataCentreLoad {
         inFlight = Map.copyOf(inFlight);
+        limits = Map.copyOf(limits);
     }
 
     DataCentreLoad asForwarded() {
-        return new DataCentreLoad(aggregator, unheardMillis, true, suspectsDigest, inFlight);
+        return new DataCentreLoad(
+                aggregator, unheardMillis, true, suspectsDigest, inFlight, limits);
     }
 }
--- a/rhubarbward-core/src/main/java/io/rhubarbward/relay/LoadAggregator.java
+++ b/rhubarbward-core/src/main/java/io/rhubarbward/relay/LoadAggregator.java
@@ -3,6 +3,7 @@
 import io.rhubarbward.directory.RouterPresence;
 import io.rhubarbward.membership.Peer;
 import io.rhubarbward.membership.PeerTransport;
+import io.rhubarbward.placement.LimitObservation;
 import io.rhubarbward.timer.TimerService;
 import java.time.Duration;
 import java.util.HashMap;
@@ -208,9 +209,22 @@
                                         .forEach(
                                                 (server, count) ->
                                                         totals.merge(server, count, Integer::sum)));
+        Map<Integer, LimitObservation> limits = ownLimits(now);
+        mSumsByAggregator
+                .values()
+                .forEach(sum -> addLimits(limits, sum.message().limits(), now - sum.atMillis()));
         // Copied here once rather than in each message.
         Map<Integer, Integer> sharedTotals = Map.copyOf(totals);
-        mReports.forEach((vm, report) -> tell(vm, report.message().sequence(), sharedTotals));
+        Map<Integer, LimitObservation> sharedLimits = Map.copyOf(limits);
+        mReports.forEach(
+                (vm, report) ->
+                        tell(
+                                vm,
+                                new LoadTotals(
+                                        report.message().sequence(),
+                                        mSuspects.digest(),
+                                        sharedTotals,
+                                        sharedLimits)));
     }
 
     private void expire(long now) {
@@ -229,8 +243,32 @@
         mSumsByAggregator.values().removeIf(sum -> sum.expired(now));
     }
 
-    private void tell(String vm, long sequence, Map<Integer, Integer> totals) {
-        LoadTotals message = new LoadTotals(sequence, mSuspects.digest(), totals);
+    /** Returns what the routers that report to this one know of servers with a limit. */
+    private Map<Integer, LimitObservation> ownLimits(long now) {
+        Map<Integer, LimitObservation> limits = new HashMap<>();
+        mReports.values()
+                .forEach(
+                        report ->
+                                addLimits(
+                                        limits,
+                                        report.message().limits(),
+                                        now - report.atMillis()));
+        return limits;
+    }
+
+    private static void addLimits(
+            Map<Integer, LimitObservation> sum,
+            Map<Integer, LimitObservation> added,
+            long ageMillis) {
+        added.forEach(
+                (server, observed) ->
+                        sum.merge(
+                                server,
+                                observed.olderBy(ageMillis),
+                                LimitObservation::combinedWith));
+    }
+
+    private void tell(String vm, LoadTotals message) {
         if (vm.equals(mSelf)) {
             mOwnTotals.accept(message);
             return;
@@ -249,6 +287,7 @@
         }
         mExchangedMillis = now;
         mPublishedOwnSum = Map.copyOf(mOwnSum);
+        Map<Integer, LimitObservation> limits = ownLimits(now);
         otherDataCentres()
                 .forEach(
                         dataCentre -> {
@@ -263,7 +302,8 @@
                                                                     now - remote.mHeardMillis,
                                                                     false,
                                                                     mSuspects.digest(),
-                                                                    mPublishedOwnSum)));
+                                                                    mPublishedOwnSum,
+                                                                    limits)));
                         });
     }
 
--- a/rhubarbward-core/src/main/java/io/rhubarbward/relay/LoadExchange.java
+++ b/rhubarbward-core/src/main/java/io/rhubarbward/relay/LoadExchange.java
@@ -4,6 +4,7 @@
 import io.rhubarbward.directory.RouterPresence;
 import io.rhubarbward.membership.Peer;
 import io.rhubarbward.membership.PeerTransport;
+import io.rhubarbward.placement.LimitObservation;
 import io.rhubarbward.placement.ServerTable;
 import io.rhubarbward.placement.TrackedServer;
 import io.rhubarbward.timer.TimerService;
@@ -141,7 +142,7 @@
     private void report() {
         mEarlyReportPending = false;
         mReportedMillis = mTimers.nowMillis();
-        LoadReport report = new LoadReport(++mSequence, mSuspects.digest(), inFlight());
+        LoadReport report = new LoadReport(++mSequence, mSuspects.digest(), inFlight(), limits());
         mSentReports.addLast(report);
         if (mSentReports.size() > MAX_KEPT_REPORTS) {
             mSentReports.removeFirst();
@@ -161,18 +162,39 @@
                                 TrackedServer::hash, TrackedServer::inFlight, Integer::sum));
     }
 
+    private Map<Integer, LimitObservation> limits() {
+        long now = mTimers.nowMillis();
+        Map<Integer, LimitObservation> limits = new HashMap<>();
+        mTable.servers()
+                .forEach(
+                        server ->
+                                server.limitObservation(now)
+                                        .ifPresent(seen -> limits.put(server.hash(), seen)));
+        return limits;
+    }
+
     private void onTotals(LoadTotals totals) {
         Map<Integer, Integer> others = new HashMap<>(totals.inFlight());
+        Map<Integer, LimitObservation> limits = new HashMap<>(totals.limits());
         mSentReports.stream()
                 .filter(report -> report.sequence() == totals.echoSequence())
                 .findFirst()
                 .ifPresent(
-                        own ->
-                                own.inFlight()
-                                        .forEach(
-                                                (server, count) ->
-                                                        others.merge(
-                                                                server, -count, Integer::sum)));
+                        own -> {
+                            own.inFlight()
+                                    .forEach(
+                                            (server, count) ->
+                                                    others.merge(server, -count, Integer::sum));
+                            own.limits()
+                                    .forEach(
+                                            (server, observed) ->
+                                                    limits.computeIfPresent(
+                                                            server,
+                                                            (key, all) ->
+                                                                    all.withoutSends(
+                                                                            observed.sends())));
+                        });
         mTable.updateInFlightFromOthers(others);
+        mTable.updateLimitsFromOthers(limits);
     }
 }
--- a/rhubarbward-core/src/main/java/io/rhubarbward/relay/LoadReport.java
+++ b/rhubarbward-core/src/main/java/io/rhubarbward/relay/LoadReport.java
@@ -1,6 +1,7 @@
 package io.rhubarbward.relay;
 
 import io.rhubarbward.membership.PeerMessage;
+import io.rhubarbward.placement.LimitObservation;
 import java.util.Map;
 
 /**
@@ -10,10 +11,16 @@
  * @param suspectsDigest digest of what the sender knows of requests that crash servers
  * @param inFlight requests in flight by {@link
  *     io.rhubarbward.placement.TrackedServer#hash(String)}; servers without any are left out
+ * @param limits what is known of servers that state a limit on their requests, keyed likewise
  */
-public record LoadReport(long sequence, long suspectsDigest, Map<Integer, Integer> inFlight)
+public record LoadReport(
+        long sequence,
+        long suspectsDigest,
+        Map<Integer, Integer> inFlight,
+        Map<Integer, LimitObservation> limits)
         implements PeerMessage {
     public LoadReport {
         inFlight = Map.copyOf(inFlight);
+        limits = Map.copyOf(limits);
     }
 }
--- a/rhubarbward-core/src/main/java/io/rhubarbward/relay/LoadTotals.java
+++ b/rhubarbward-core/src/main/java/io/rhubarbward/relay/LoadTotals.java
@@ -1,6 +1,7 @@
 package io.rhubarbward.relay;
 
 import io.rhubarbward.membership.PeerMessage;
+import io.rhubarbward.placement.LimitObservation;
 import java.util.Map;
 
 /**
@@ -9,10 +10,16 @@
  * @param echoSequence the receiver's {@link LoadReport} that is counted in; 0 if none is
  * @param suspectsDigest digest of what the sender knows of requests that crash servers
  * @param inFlight requests in flight of all routers, keyed as in {@link LoadReport}
+ * @param limits what is known of servers that state a limit on their requests, keyed likewise
  */
-public record LoadTotals(long echoSequence, long suspectsDigest, Map<Integer, Integer> inFlight)
+public record LoadTotals(
+        long echoSequence,
+        long suspectsDigest,
+        Map<Integer, Integer> inFlight,
+        Map<Integer, LimitObservation> limits)
         implements PeerMessage {
     public LoadTotals {
         inFlight = Map.copyOf(inFlight);
+        limits = Map.copyOf(limits);
     }
 }
--- a/rhubarbward-net/src/main/java/io/rhubarbward/gen/fleet/CrashSuspectStruct.java
+++ b/rhubarbward-net/src/main/java/io/rhubarbward/gen/fleet/CrashSuspectStruct.java
@@ -496,15 +496,15 @@
           case 2: // CRASHES
             if (schemeField.type == org.apache.thrift.protocol.TType.MAP) {
               {
-                org.apache.thrift.protocol.TMap _map56 = iprot.readMapBegin();
-                struct.crashes = new java.util.HashMap<java.lang.Long,java.lang.Long>(2*_map56.size);
-                long _key57;
-                long _val58;
-                for (int _i59 = 0; _i59 < _map56.size; ++_i59)
+                org.apache.thrift.protocol.TMap _map86 = iprot.readMapBegin();
+                struct.crashes = new java.util.HashMap<java.lang.Long,java.lang.Long>(2*_map86.size);
+                long _key87;
+                long _val88;
+                for (int _i89 = 0; _i89 < _map86.size; ++_i89)
                 {
-                  _key57 = iprot.readI64();
-                  _val58 = iprot.readI64();
-                  struct.crashes.put(_key57, _val58);
+                  _key87 = iprot.readI64();
+                  _val88 = iprot.readI64();
+                  struct.crashes.put(_key87, _val88);
                 }
                 iprot.readMapEnd();
               }
@@ -550,10 +550,10 @@
         oprot.writeFieldBegin(CRASHES_FIELD_DESC);
         {
           oprot.writeMapBegin(new org.apache.thrift.protocol.TMap(org.apache.thrift.protocol.TType.I64, org.apache.thrift.protocol.TType.I64, struct.crashes.size()));
-          for (java.util.Map.Entry<java.lang.Long, java.lang.Long> _iter60 : struct.crashes.entrySet())
+          for (java.util.Map.Entry<java.lang.Long, java.lang.Long> _iter90 : struct.crashes.entrySet())
           {
-            oprot.writeI64(_iter60.getKey());
-            oprot.writeI64(_iter60.getValue());
+            oprot.writeI64(_iter90.getKey());
+            oprot.writeI64(_iter90.getValue());
           }
           oprot.writeMapEnd();
         }
@@ -583,10 +583,10 @@
       oprot.writeI64(struct.trait);
       {
         oprot.writeI32(struct.crashes.size());
-        for (java.util.Map.Entry<java.lang.Long, java.lang.Long> _iter61 : struct.crashes.entrySet())
+        for (java.util.Map.Entry<java.lang.Long, java.lang.Long> _iter91 : struct.crashes.entrySet())
         {
-          oprot.writeI64(_iter61.getKey());
-          oprot.writeI64(_iter61.getValue());
+          oprot.writeI64(_iter91.getKey());
+          oprot.writeI64(_iter91.getValue());
         }
       }
       oprot.writeI64(struct.answers);
@@ -598,15 +598,15 @@
       struct.trait = iprot.readI64();
       struct.setTraitIsSet(true);
       {
-        org.apache.thrift.protocol.TMap _map62 = iprot.readMapBegin(org.apache.thrift.protocol.TType.I64, org.apache.thrift.protocol.TType.I64); 
-        struct.crashes = new java.util.HashMap<java.lang.Long,java.lang.Long>(2*_map62.size);
-        long _key63;
-        long _val64;
-        for (int _i65 = 0; _i65 < _map62.size; ++_i65)
+        org.apache.thrift.protocol.TMap _map92 = iprot.readMapBegin(org.apache.thrift.protocol.TType.I64, org.apache.thrift.protocol.TType.I64); 
+        struct.crashes = new java.util.HashMap<java.lang.Long,java.lang.Long>(2*_map92.size);
+        long _key93;
+        long _val94;
+        for (int _i95 = 0; _i95 < _map92.size; ++_i95)
         {
-          _key63 = iprot.readI64();
-          _val64 = iprot.readI64();
-          struct.crashes.put(_key63, _val64);
+          _key93 = iprot.readI64();
+          _val94 = iprot.readI64();
+          struct.crashes.put(_key93, _val94);
         }
       }
       struct.setCrashesIsSet(true);
--- a/rhubarbward-net/src/main/java/io/rhubarbward/gen/fleet/DataCentreLoadStruct.java
+++ b/rhubarbward-net/src/main/java/io/rhubarbward/gen/fleet/DataCentreLoadStruct.java
@@ -15,6 +15,7 @@
   private static final org.apache.thrift.protocol.TField FORWARDED_FIELD_DESC = new org.apache.thrift.protocol.TField("forwarded", org.apache.thrift.protocol.TType.BOOL, (short)3);
   private static final org.apache.thrift.protocol.TField IN_FLIGHT_FIELD_DESC = new org.apache.thrift.protocol.TField("inFlight", org.apache.thrift.protocol.TType.MAP, (short)4);
   private static final org.apache.thrift.protocol.TField SUSPECTS_DIGEST_FIELD_DESC = new org.apache.thrift.protocol.TField("suspectsDigest", org.apache.thrift.protocol.TType.I64, (short)5);
+  private static final org.apache.thrift.protocol.TField LIMITS_FIELD_DESC = new org.apache.thrift.protocol.TField("limits", org.apache.thrift.protocol.TType.MAP, (short)6);
 
   private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY = new DataCentreLoadStructStandardSchemeFactory();
   private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY = new DataCentreLoadStructTupleSchemeFactory();
@@ -24,6 +25,7 @@
   private boolean forwarded; // required
   private @org.apache.thrift.annotation.Nullable java.util.Map<java.lang.Integer,java.lang.Integer> inFlight; // required
   private long suspectsDigest; // required
+  private @org.apache.thrift.annotation.Nullable java.util.Map<java.lang.Integer,LimitObservationStruct> limits; // required
 
   /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
   public enum _Fields implements org.apache.thrift.TFieldIdEnum {
@@ -31,7 +33,8 @@
     UNHEARD_MILLIS((short)2, "unheardMillis"),
     FORWARDED((short)3, "forwarded"),
     IN_FLIGHT((short)4, "inFlight"),
-    SUSPECTS_DIGEST((short)5, "suspectsDigest");
+    SUSPECTS_DIGEST((short)5, "suspectsDigest"),
+    LIMITS((short)6, "limits");
 
     private static final java.util.Map<java.lang.String, _Fields> byName = new java.util.HashMap<java.lang.String, _Fields>();
 
@@ -57,6 +60,8 @@
           return IN_FLIGHT;
         case 5: // SUSPECTS_DIGEST
           return SUSPECTS_DIGEST;
+        case 6: // LIMITS
+          return LIMITS;
         default:
           return null;
       }
@@ -119,6 +124,10 @@
             new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I32))));
     tmpMap.put(_Fields.SUSPECTS_DIGEST, new org.apache.thrift.meta_data.FieldMetaData("suspectsDigest", org.apache.thrift.TFieldRequirementType.REQUIRED, 
         new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
+    tmpMap.put(_Fields.LIMITS, new org.apache.thrift.meta_data.FieldMetaData("limits", org.apache.thrift.TFieldRequirementType.REQUIRED, 
+        new org.apache.thrift.meta_data.MapMetaData(org.apache.thrift.protocol.TType.MAP, 
+            new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I32), 
+            new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, LimitObservationStruct.class))));
     metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
     org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(DataCentreLoadStruct.class, metaDataMap);
   }
@@ -131,7 +140,8 @@
     long unheardMillis,
     boolean forwarded,
     java.util.Map<java.lang.Integer,java.lang.Integer> inFlight,
-    long suspectsDigest)
+    long suspectsDigest,
+    java.util.Map<java.lang.Integer,LimitObservationStruct> limits)
   {
     this();
     this.aggregator = aggregator;
@@ -142,6 +152,7 @@
     this.inFlight = inFlight;
     this.suspectsDigest = suspectsDigest;
     setSuspectsDigestIsSet(true);
+    this.limits = limits;
   }
 
   /**
@@ -159,6 +170,21 @@
       this.inFlight = __this__inFlight;
     }
     this.suspectsDigest = other.suspectsDigest;
+    if (other.isSetLimits()) {
+      java.util.Map<java.lang.Integer,LimitObservationStruct> __this__limits = new java.util.HashMap<java.lang.Integer,LimitObservationStruct>(other.limits.size());
+      for (java.util.Map.Entry<java.lang.Integer, LimitObservationStruct> other_element : other.limits.entrySet()) {
+
+        java.lang.Integer other_element_key = other_element.getKey();
+        LimitObservationStruct other_element_value = other_element.getValue();
+
+        java.lang.Integer __this__limits_copy_key = other_element_key;
+
+        LimitObservationStruct __this__limits_copy_value = new LimitObservationStruct(other_element_value);
+
+        __this__limits.put(__this__limits_copy_key, __this__limits_copy_value);
+      }
+      this.limits = __this__limits;
+    }
   }
 
   @Override
@@ -176,6 +202,7 @@
     this.inFlight = null;
     setSuspectsDigestIsSet(false);
     this.suspectsDigest = 0;
+    this.limits = null;
   }
 
   @org.apache.thrift.annotation.Nullable
@@ -308,6 +335,42 @@
     __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __SUSPECTSDIGEST_ISSET_ID, value);
   }
 
+  public int getLimitsSize() {
+    return (this.limits == null) ? 0 : this.limits.size();
+  }
+
+  public void putToLimits(int key, LimitObservationStruct val) {
+    if (this.limits == null) {
+      this.limits = new java.util.HashMap<java.lang.Integer,LimitObservationStruct>();
+    }
+    this.limits.put(key, val);
+  }
+
+  @org.apache.thrift.annotation.Nullable
+  public java.util.Map<java.lang.Integer,LimitObservationStruct> getLimits() {
+    return this.limits;
+  }
+
+  public DataCentreLoadStruct setLimits(@org.apache.thrift.annotation.Nullable java.util.Map<java.lang.Integer,LimitObservationStruct> limits) {
+    this.limits = limits;
+    return this;
+  }
+
+  public void unsetLimits() {
+    this.limits = null;
+  }
+
+  /** Returns true if field limits is set (has been assigned a value) and false otherwise */
+  public boolean isSetLimits() {
+    return this.limits != null;
+  }
+
+  public void setLimitsIsSet(boolean value) {
+    if (!value) {
+      this.limits = null;
+    }
+  }
+
   @Override
   public void setFieldValue(_Fields field, @org.apache.thrift.annotation.Nullable java.lang.Object value) {
     switch (field) {
@@ -351,6 +414,14 @@
       }
       break;
 
+    case LIMITS:
+      if (value == null) {
+        unsetLimits();
+      } else {
+        setLimits((java.util.Map<java.lang.Integer,LimitObservationStruct>)value);
+      }
+      break;
+
     }
   }
 
@@ -373,6 +444,9 @@
     case SUSPECTS_DIGEST:
       return getSuspectsDigest();
 
+    case LIMITS:
+      return getLimits();
+
     }
     throw new java.lang.IllegalStateException();
   }
@@ -395,6 +469,8 @@
       return isSetInFlight();
     case SUSPECTS_DIGEST:
       return isSetSuspectsDigest();
+    case LIMITS:
+      return isSetLimits();
     }
     throw new java.lang.IllegalStateException();
   }
@@ -457,6 +533,15 @@
         return false;
     }
 
+    boolean this_present_limits = true && this.isSetLimits();
+    boolean that_present_limits = true && that.isSetLimits();
+    if (this_present_limits || that_present_limits) {
+      if (!(this_present_limits && that_present_limits))
+        return false;
+      if (!this.limits.equals(that.limits))
+        return false;
+    }
+
     return true;
   }
 
@@ -478,6 +563,10 @@
 
     hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(suspectsDigest);
 
+    hashCode = hashCode * 8191 + ((isSetLimits()) ? 131071 : 524287);
+    if (isSetLimits())
+      hashCode = hashCode * 8191 + limits.hashCode();
+
     return hashCode;
   }
 
@@ -539,6 +628,16 @@
         return lastComparison;
       }
     }
+    lastComparison = java.lang.Boolean.compare(isSetLimits(), other.isSetLimits());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetLimits()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.limits, other.limits);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
     return 0;
   }
 
@@ -590,6 +689,14 @@
     sb.append("suspectsDigest:");
     sb.append(this.suspectsDigest);
     first = false;
+    if (!first) sb.append(", ");
+    sb.append("limits:");
+    if (this.limits == null) {
+      sb.append("null");
+    } else {
+      sb.append(this.limits);
+    }
+    first = false;
     sb.append(")");
     return sb.toString();
   }
@@ -605,6 +712,9 @@
       throw new org.apache.thrift.protocol.TProtocolException("Required field 'inFlight' was not present! Struct: " + toString());
     }
     // alas, we cannot check 'suspectsDigest' because it's a primitive and you chose the non-beans generator.
+    if (limits == null) {
+      throw new org.apache.thrift.protocol.TProtocolException("Required field 'limits' was not present! Struct: " + toString());
+    }
     // check for sub-struct validity
   }
 
@@ -673,15 +783,15 @@
           case 4: // IN_FLIGHT
             if (schemeField.type == org.apache.thrift.protocol.TType.MAP) {
               {
-                org.apache.thrift.protocol.TMap _map46 = iprot.readMapBegin();
-                struct.inFlight = new java.util.HashMap<java.lang.Integer,java.lang.Integer>(2*_map46.size);
-                int _key47;
-                int _val48;
-                for (int _i49 = 0; _i49 < _map46.size; ++_i49)
+                org.apache.thrift.protocol.TMap _map66 = iprot.readMapBegin();
+                struct.inFlight = new java.util.HashMap<java.lang.Integer,java.lang.Integer>(2*_map66.size);
+                int _key67;
+                int _val68;
+                for (int _i69 = 0; _i69 < _map66.size; ++_i69)
                 {
-                  _key47 = iprot.readI32();
-                  _val48 = iprot.readI32();
-                  struct.inFlight.put(_key47, _val48);
+                  _key67 = iprot.readI32();
+                  _val68 = iprot.readI32();
+                  struct.inFlight.put(_key67, _val68);
                 }
                 iprot.readMapEnd();
               }
@@ -698,6 +808,27 @@
               org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
             break;
+          case 6: // LIMITS
+            if (schemeField.type == org.apache.thrift.protocol.TType.MAP) {
+              {
+                org.apache.thrift.protocol.TMap _map70 = iprot.readMapBegin();
+                struct.limits = new java.util.HashMap<java.lang.Integer,LimitObservationStruct>(2*_map70.size);
+                int _key71;
+                @org.apache.thrift.annotation.Nullable LimitObservationStruct _val72;
+                for (int _i73 = 0; _i73 < _map70.size; ++_i73)
+                {
+                  _key71 = iprot.readI32();
+                  _val72 = new LimitObservationStruct();
+                  _val72.read(iprot);
+                  struct.limits.put(_key71, _val72);
+                }
+                iprot.readMapEnd();
+              }
+              struct.setLimitsIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
+            }
+            break;
           default:
             org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
         }
@@ -738,10 +869,10 @@
         oprot.writeFieldBegin(IN_FLIGHT_FIELD_DESC);
         {
           oprot.writeMapBegin(new org.apache.thrift.protocol.TMap(org.apache.thrift.protocol.TType.I32, org.apache.thrift.protocol.TType.I32, struct.inFlight.size()));
-          for (java.util.Map.Entry<java.lang.Integer, java.lang.Integer> _iter50 : struct.inFlight.entrySet())
+          for (java.util.Map.Entry<java.lang.Integer, java.lang.Integer> _iter74 : struct.inFlight.entrySet())
           {
-            oprot.writeI32(_iter50.getKey());
-            oprot.writeI32(_iter50.getValue());
+            oprot.writeI32(_iter74.getKey());
+            oprot.writeI32(_iter74.getValue());
           }
           oprot.writeMapEnd();
         }
@@ -750,6 +881,19 @@
       oprot.writeFieldBegin(SUSPECTS_DIGEST_FIELD_DESC);
       oprot.writeI64(struct.suspectsDigest);
       oprot.writeFieldEnd();
+      if (struct.limits != null) {
+        oprot.writeFieldBegin(LIMITS_FIELD_DESC);
+        {
+          oprot.writeMapBegin(new org.apache.thrift.protocol.TMap(org.apache.thrift.protocol.TType.I32, org.apache.thrift.protocol.TType.STRUCT, struct.limits.size()));
+          for (java.util.Map.Entry<java.lang.Integer, LimitObservationStruct> _iter75 : struct.limits.entrySet())
+          {
+            oprot.writeI32(_iter75.getKey());
+            _iter75.getValue().write(oprot);
+          }
+          oprot.writeMapEnd();
+        }
+        oprot.writeFieldEnd();
+      }
       oprot.writeFieldStop();
       oprot.writeStructEnd();
     }
@@ -773,13 +917,21 @@
       oprot.writeBool(struct.forwarded);
       {
         oprot.writeI32(struct.inFlight.size());
-        for (java.util.Map.Entry<java.lang.Integer, java.lang.Integer> _iter51 : struct.inFlight.entrySet())
+        for (java.util.Map.Entry<java.lang.Integer, java.lang.Integer> _iter76 : struct.inFlight.entrySet())
         {
-          oprot.writeI32(_iter51.getKey());
-          oprot.writeI32(_iter51.getValue());
+          oprot.writeI32(_iter76.getKey());
+          oprot.writeI32(_iter76.getValue());
         }
       }
       oprot.writeI64(struct.suspectsDigest);
+      {
+        oprot.writeI32(struct.limits.size());
+        for (java.util.Map.Entry<java.lang.Integer, LimitObservationStruct> _iter77 : struct.limits.entrySet())
+        {
+          oprot.writeI32(_iter77.getKey());
+          _iter77.getValue().write(oprot);
+        }
+      }
     }
 
     @Override
@@ -792,20 +944,34 @@
       struct.forwarded = iprot.readBool();
       struct.setForwardedIsSet(true);
       {
-        org.apache.thrift.protocol.TMap _map52 = iprot.readMapBegin(org.apache.thrift.protocol.TType.I32, org.apache.thrift.protocol.TType.I32); 
-        struct.inFlight = new java.util.HashMap<java.lang.Integer,java.lang.Integer>(2*_map52.size);
-        int _key53;
-        int _val54;
-        for (int _i55 = 0; _i55 < _map52.size; ++_i55)
+        org.apache.thrift.protocol.TMap _map78 = iprot.readMapBegin(org.apache.thrift.protocol.TType.I32, org.apache.thrift.protocol.TType.I32); 
+        struct.inFlight = new java.util.HashMap<java.lang.Integer,java.lang.Integer>(2*_map78.size);
+        int _key79;
+        int _val80;
+        for (int _i81 = 0; _i81 < _map78.size; ++_i81)
         {
-          _key53 = iprot.readI32();
-          _val54 = iprot.readI32();
-          struct.inFlight.put(_key53, _val54);
+          _key79 = iprot.readI32();
+          _val80 = iprot.readI32();
+          struct.inFlight.put(_key79, _val80);
         }
       }
       struct.setInFlightIsSet(true);
       struct.suspectsDigest = iprot.readI64();
       struct.setSuspectsDigestIsSet(true);
+      {
+        org.apache.thrift.protocol.TMap _map82 = iprot.readMapBegin(org.apache.thrift.protocol.TType.I32, org.apache.thrift.protocol.TType.STRUCT); 
+        struct.limits = new java.util.HashMap<java.lang.Integer,LimitObservationStruct>(2*_map82.size);
+        int _key83;
+        @org.apache.thrift.annotation.Nullable LimitObservationStruct _val84;
+        for (int _i85 = 0; _i85 < _map82.size; ++_i85)
+        {
+          _key83 = iprot.readI32();
+          _val84 = new LimitObservationStruct();
+          _val84.read(iprot);
+          struct.limits.put(_key83, _val84);
+        }
+      }
+      struct.setLimitsIsSet(true);
     }
   }
 
--- a/rhubarbward-net/src/main/java/io/rhubarbward/gen/fleet/LoadReportStruct.java
+++ b/rhubarbward-net/src/main/java/io/rhubarbward/gen/fleet/LoadReportStruct.java
@@ -13,6 +13,7 @@
   private static final org.apache.thrift.protocol.TField SEQUENCE_FIELD_DESC = new org.apache.thrift.protocol.TField("sequence", org.apache.thrift.protocol.TType.I64, (short)1);
   private static final org.apache.thrift.protocol.TField IN_FLIGHT_FIELD_DESC = new org.apache.thrift.protocol.TField("inFlight", org.apache.thrift.protocol.TType.MAP, (short)2);
   private static final org.apache.thrift.protocol.TField SUSPECTS_DIGEST_FIELD_DESC = new org.apache.thrift.protocol.TField("suspectsDigest", org.apache.thrift.protocol.TType.I64, (short)3);
+  private static final org.apache.thrift.protocol.TField LIMITS_FIELD_DESC = new org.apache.thrift.protocol.TField("limits", org.apache.thrift.protocol.TType.MAP, (short)4);
 
   private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY = new LoadReportStructStandardSchemeFactory();
   private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY = new LoadReportStructTupleSchemeFactory();
@@ -20,12 +21,14 @@
   private long sequence; // required
   private @org.apache.thrift.annotation.Nullable java.util.Map<java.lang.Integer,java.lang.Integer> inFlight; // required
   private long suspectsDigest; // required
+  private @org.apache.thrift.annotation.Nullable java.util.Map<java.lang.Integer,LimitObservationStruct> limits; // required
 
   /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
   public enum _Fields implements org.apache.thrift.TFieldIdEnum {
     SEQUENCE((short)1, "sequence"),
     IN_FLIGHT((short)2, "inFlight"),
-    SUSPECTS_DIGEST((short)3, "suspectsDigest");
+    SUSPECTS_DIGEST((short)3, "suspectsDigest"),
+    LIMITS((short)4, "limits");
 
     private static final java.util.Map<java.lang.String, _Fields> byName = new java.util.HashMap<java.lang.String, _Fields>();
 
@@ -47,6 +50,8 @@
           return IN_FLIGHT;
         case 3: // SUSPECTS_DIGEST
           return SUSPECTS_DIGEST;
+        case 4: // LIMITS
+          return LIMITS;
         default:
           return null;
       }
@@ -104,6 +109,10 @@
             new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I32))));
     tmpMap.put(_Fields.SUSPECTS_DIGEST, new org.apache.thrift.meta_data.FieldMetaData("suspectsDigest", org.apache.thrift.TFieldRequirementType.REQUIRED, 
         new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
+    tmpMap.put(_Fields.LIMITS, new org.apache.thrift.meta_data.FieldMetaData("limits", org.apache.thrift.TFieldRequirementType.REQUIRED, 
+        new org.apache.thrift.meta_data.MapMetaData(org.apache.thrift.protocol.TType.MAP, 
+            new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I32), 
+            new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, LimitObservationStruct.class))));
     metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
     org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(LoadReportStruct.class, metaDataMap);
   }
@@ -114,7 +123,8 @@
   public LoadReportStruct(
     long sequence,
     java.util.Map<java.lang.Integer,java.lang.Integer> inFlight,
-    long suspectsDigest)
+    long suspectsDigest,
+    java.util.Map<java.lang.Integer,LimitObservationStruct> limits)
   {
     this();
     this.sequence = sequence;
@@ -122,6 +132,7 @@
     this.inFlight = inFlight;
     this.suspectsDigest = suspectsDigest;
     setSuspectsDigestIsSet(true);
+    this.limits = limits;
   }
 
   /**
@@ -135,6 +146,21 @@
       this.inFlight = __this__inFlight;
     }
     this.suspectsDigest = other.suspectsDigest;
+    if (other.isSetLimits()) {
+      java.util.Map<java.lang.Integer,LimitObservationStruct> __this__limits = new java.util.HashMap<java.lang.Integer,LimitObservationStruct>(other.limits.size());
+      for (java.util.Map.Entry<java.lang.Integer, LimitObservationStruct> other_element : other.limits.entrySet()) {
+
+        java.lang.Integer other_element_key = other_element.getKey();
+        LimitObservationStruct other_element_value = other_element.getValue();
+
+        java.lang.Integer __this__limits_copy_key = other_element_key;
+
+        LimitObservationStruct __this__limits_copy_value = new LimitObservationStruct(other_element_value);
+
+        __this__limits.put(__this__limits_copy_key, __this__limits_copy_value);
+      }
+      this.limits = __this__limits;
+    }
   }
 
   @Override
@@ -149,6 +175,7 @@
     this.inFlight = null;
     setSuspectsDigestIsSet(false);
     this.suspectsDigest = 0;
+    this.limits = null;
   }
 
   public long getSequence() {
@@ -233,6 +260,42 @@
     __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __SUSPECTSDIGEST_ISSET_ID, value);
   }
 
+  public int getLimitsSize() {
+    return (this.limits == null) ? 0 : this.limits.size();
+  }
+
+  public void putToLimits(int key, LimitObservationStruct val) {
+    if (this.limits == null) {
+      this.limits = new java.util.HashMap<java.lang.Integer,LimitObservationStruct>();
+    }
+    this.limits.put(key, val);
+  }
+
+  @org.apache.thrift.annotation.Nullable
+  public java.util.Map<java.lang.Integer,LimitObservationStruct> getLimits() {
+    return this.limits;
+  }
+
+  public LoadReportStruct setLimits(@org.apache.thrift.annotation.Nullable java.util.Map<java.lang.Integer,LimitObservationStruct> limits) {
+    this.limits = limits;
+    return this;
+  }
+
+  public void unsetLimits() {
+    this.limits = null;
+  }
+
+  /** Returns true if field limits is set (has been assigned a value) and false otherwise */
+  public boolean isSetLimits() {
+    return this.limits != null;
+  }
+
+  public void setLimitsIsSet(boolean value) {
+    if (!value) {
+      this.limits = null;
+    }
+  }
+
   @Override
   public void setFieldValue(_Fields field, @org.apache.thrift.annotation.Nullable java.lang.Object value) {
     switch (field) {
@@ -260,6 +323,14 @@
       }
       break;
 
+    case LIMITS:
+      if (value == null) {
+        unsetLimits();
+      } else {
+        setLimits((java.util.Map<java.lang.Integer,LimitObservationStruct>)value);
+      }
+      break;
+
     }
   }
 
@@ -276,6 +347,9 @@
     case SUSPECTS_DIGEST:
       return getSuspectsDigest();
 
+    case LIMITS:
+      return getLimits();
+
     }
     throw new java.lang.IllegalStateException();
   }
@@ -294,6 +368,8 @@
       return isSetInFlight();
     case SUSPECTS_DIGEST:
       return isSetSuspectsDigest();
+    case LIMITS:
+      return isSetLimits();
     }
     throw new java.lang.IllegalStateException();
   }
@@ -338,6 +414,15 @@
         return false;
     }
 
+    boolean this_present_limits = true && this.isSetLimits();
+    boolean that_present_limits = true && that.isSetLimits();
+    if (this_present_limits || that_present_limits) {
+      if (!(this_present_limits && that_present_limits))
+        return false;
+      if (!this.limits.equals(that.limits))
+        return false;
+    }
+
     return true;
   }
 
@@ -353,6 +438,10 @@
 
     hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(suspectsDigest);
 
+    hashCode = hashCode * 8191 + ((isSetLimits()) ? 131071 : 524287);
+    if (isSetLimits())
+      hashCode = hashCode * 8191 + limits.hashCode();
+
     return hashCode;
   }
 
@@ -394,6 +483,16 @@
         return lastComparison;
       }
     }
+    lastComparison = java.lang.Boolean.compare(isSetLimits(), other.isSetLimits());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetLimits()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.limits, other.limits);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
     return 0;
   }
 
@@ -433,6 +532,14 @@
     sb.append("suspectsDigest:");
     sb.append(this.suspectsDigest);
     first = false;
+    if (!first) sb.append(", ");
+    sb.append("limits:");
+    if (this.limits == null) {
+      sb.append("null");
+    } else {
+      sb.append(this.limits);
+    }
+    first = false;
     sb.append(")");
     return sb.toString();
   }
@@ -444,6 +551,9 @@
       throw new org.apache.thrift.protocol.TProtocolException("Required field 'inFlight' was not present! Struct: " + toString());
     }
     // alas, we cannot check 'suspectsDigest' because it's a primitive and you chose the non-beans generator.
+    if (limits == null) {
+      throw new org.apache.thrift.protocol.TProtocolException("Required field 'limits' was not present! Struct: " + toString());
+    }
     // check for sub-struct validity
   }
 
@@ -521,6 +631,27 @@
               org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
             break;
+          case 4: // LIMITS
+            if (schemeField.type == org.apache.thrift.protocol.TType.MAP) {
+              {
+                org.apache.thrift.protocol.TMap _map30 = iprot.readMapBegin();
+                struct.limits = new java.util.HashMap<java.lang.Integer,LimitObservationStruct>(2*_map30.size);
+                int _key31;
+                @org.apache.thrift.annotation.Nullable LimitObservationStruct _val32;
+                for (int _i33 = 0; _i33 < _map30.size; ++_i33)
+                {
+                  _key31 = iprot.readI32();
+                  _val32 = new LimitObservationStruct();
+                  _val32.read(iprot);
+                  struct.limits.put(_key31, _val32);
+                }
+                iprot.readMapEnd();
+              }
+              struct.setLimitsIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
+            }
+            break;
           default:
             org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
         }
@@ -550,10 +681,10 @@
         oprot.writeFieldBegin(IN_FLIGHT_FIELD_DESC);
         {
           oprot.writeMapBegin(new org.apache.thrift.protocol.TMap(org.apache.thrift.protocol.TType.I32, org.apache.thrift.protocol.TType.I32, struct.inFlight.size()));
-          for (java.util.Map.Entry<java.lang.Integer, java.lang.Integer> _iter30 : struct.inFlight.entrySet())
+          for (java.util.Map.Entry<java.lang.Integer, java.lang.Integer> _iter34 : struct.inFlight.entrySet())
           {
-            oprot.writeI32(_iter30.getKey());
-            oprot.writeI32(_iter30.getValue());
+            oprot.writeI32(_iter34.getKey());
+            oprot.writeI32(_iter34.getValue());
           }
           oprot.writeMapEnd();
         }
@@ -562,6 +693,19 @@
       oprot.writeFieldBegin(SUSPECTS_DIGEST_FIELD_DESC);
       oprot.writeI64(struct.suspectsDigest);
       oprot.writeFieldEnd();
+      if (struct.limits != null) {
+        oprot.writeFieldBegin(LIMITS_FIELD_DESC);
+        {
+          oprot.writeMapBegin(new org.apache.thrift.protocol.TMap(org.apache.thrift.protocol.TType.I32, org.apache.thrift.protocol.TType.STRUCT, struct.limits.size()));
+          for (java.util.Map.Entry<java.lang.Integer, LimitObservationStruct> _iter35 : struct.limits.entrySet())
+          {
+            oprot.writeI32(_iter35.getKey());
+            _iter35.getValue().write(oprot);
+          }
+          oprot.writeMapEnd();
+        }
+        oprot.writeFieldEnd();
+      }
       oprot.writeFieldStop();
       oprot.writeStructEnd();
     }
@@ -583,13 +727,21 @@
       oprot.writeI64(struct.sequence);
       {
         oprot.writeI32(struct.inFlight.size());
-        for (java.util.Map.Entry<java.lang.Integer, java.lang.Integer> _iter31 : struct.inFlight.entrySet())
+        for (java.util.Map.Entry<java.lang.Integer, java.lang.Integer> _iter36 : struct.inFlight.entrySet())
         {
-          oprot.writeI32(_iter31.getKey());
-          oprot.writeI32(_iter31.getValue());
+          oprot.writeI32(_iter36.getKey());
+          oprot.writeI32(_iter36.getValue());
         }
       }
       oprot.writeI64(struct.suspectsDigest);
+      {
+        oprot.writeI32(struct.limits.size());
+        for (java.util.Map.Entry<java.lang.Integer, LimitObservationStruct> _iter37 : struct.limits.entrySet())
+        {
+          oprot.writeI32(_iter37.getKey());
+          _iter37.getValue().write(oprot);
+        }
+      }
     }
 
     @Override
@@ -598,20 +750,34 @@
       struct.sequence = iprot.readI64();
       struct.setSequenceIsSet(true);
       {
-        org.apache.thrift.protocol.TMap _map32 = iprot.readMapBegin(org.apache.thrift.protocol.TType.I32, org.apache.thrift.protocol.TType.I32); 
-        struct.inFlight = new java.util.HashMap<java.lang.Integer,java.lang.Integer>(2*_map32.size);
-        int _key33;
-        int _val34;
-        for (int _i35 = 0; _i35 < _map32.size; ++_i35)
+        org.apache.thrift.protocol.TMap _map38 = iprot.readMapBegin(org.apache.thrift.protocol.TType.I32, org.apache.thrift.protocol.TType.I32); 
+        struct.inFlight = new java.util.HashMap<java.lang.Integer,java.lang.Integer>(2*_map38.size);
+        int _key39;
+        int _val40;
+        for (int _i41 = 0; _i41 < _map38.size; ++_i41)
         {
-          _key33 = iprot.readI32();
-          _val34 = iprot.readI32();
-          struct.inFlight.put(_key33, _val34);
+          _key39 = iprot.readI32();
+          _val40 = iprot.readI32();
+          struct.inFlight.put(_key39, _val40);
         }
       }
       struct.setInFlightIsSet(true);
       struct.suspectsDigest = iprot.readI64();
       struct.setSuspectsDigestIsSet(true);
+      {
+        org.apache.thrift.protocol.TMap _map42 = iprot.readMapBegin(org.apache.thrift.protocol.TType.I32, org.apache.thrift.protocol.TType.STRUCT); 
+        struct.limits = new java.util.HashMap<java.lang.Integer,LimitObservationStruct>(2*_map42.size);
+        int _key43;
+        @org.apache.thrift.annotation.Nullable LimitObservationStruct _val44;
+        for (int _i45 = 0; _i45 < _map42.size; ++_i45)
+        {
+          _key43 = iprot.readI32();
+          _val44 = new LimitObservationStruct();
+          _val44.read(iprot);
+          struct.limits.put(_key43, _val44);
+        }
+      }
+      struct.setLimitsIsSet(true);
     }
   }
 
--- a/rhubarbward-net/src/main/java/io/rhubarbward/gen/fleet/LoadTotalsStruct.java
+++ b/rhubarbward-net/src/main/java/io/rhubarbward/gen/fleet/LoadTotalsStruct.java
@@ -13,6 +13,7 @@
   private static final org.apache.thrift.protocol.TField ECHO_SEQUENCE_FIELD_DESC = new org.apache.thrift.protocol.TField("echoSequence", org.apache.thrift.protocol.TType.I64, (short)1);
   private static final org.apache.thrift.protocol.TField IN_FLIGHT_FIELD_DESC = new org.apache.thrift.protocol.TField("inFlight", org.apache.thrift.protocol.TType.MAP, (short)2);
   private static final org.apache.thrift.protocol.TField SUSPECTS_DIGEST_FIELD_DESC = new org.apache.thrift.protocol.TField("suspectsDigest", org.apache.thrift.protocol.TType.I64, (short)3);
+  private static final org.apache.thrift.protocol.TField LIMITS_FIELD_DESC = new org.apache.thrift.protocol.TField("limits", org.apache.thrift.protocol.TType.MAP, (short)4);
 
   private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY = new LoadTotalsStructStandardSchemeFactory();
   private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY = new LoadTotalsStructTupleSchemeFactory();
@@ -20,12 +21,14 @@
   private long echoSequence; // required
   private @org.apache.thrift.annotation.Nullable java.util.Map<java.lang.Integer,java.lang.Integer> inFlight; // required
   private long suspectsDigest; // required
+  private @org.apache.thrift.annotation.Nullable java.util.Map<java.lang.Integer,LimitObservationStruct> limits; // required
 
   /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
   public enum _Fields implements org.apache.thrift.TFieldIdEnum {
     ECHO_SEQUENCE((short)1, "echoSequence"),
     IN_FLIGHT((short)2, "inFlight"),
-    SUSPECTS_DIGEST((short)3, "suspectsDigest");
+    SUSPECTS_DIGEST((short)3, "suspectsDigest"),
+    LIMITS((short)4, "limits");
 
     private static final java.util.Map<java.lang.String, _Fields> byName = new java.util.HashMap<java.lang.String, _Fields>();
 
@@ -47,6 +50,8 @@
           return IN_FLIGHT;
         case 3: // SUSPECTS_DIGEST
           return SUSPECTS_DIGEST;
+        case 4: // LIMITS
+          return LIMITS;
         default:
           return null;
       }
@@ -104,6 +109,10 @@
             new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I32))));
     tmpMap.put(_Fields.SUSPECTS_DIGEST, new org.apache.thrift.meta_data.FieldMetaData("suspectsDigest", org.apache.thrift.TFieldRequirementType.REQUIRED, 
         new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
+    tmpMap.put(_Fields.LIMITS, new org.apache.thrift.meta_data.FieldMetaData("limits", org.apache.thrift.TFieldRequirementType.REQUIRED, 
+        new org.apache.thrift.meta_data.MapMetaData(org.apache.thrift.protocol.TType.MAP, 
+            new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I32), 
+            new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, LimitObservationStruct.class))));
     metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
     org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(LoadTotalsStruct.class, metaDataMap);
   }
@@ -114,7 +123,8 @@
   public LoadTotalsStruct(
     long echoSequence,
     java.util.Map<java.lang.Integer,java.lang.Integer> inFlight,
-    long suspectsDigest)
+    long suspectsDigest,
+    java.util.Map<java.lang.Integer,LimitObservationStruct> limits)
   {
     this();
     this.echoSequence = echoSequence;
@@ -122,6 +132,7 @@
     this.inFlight = inFlight;
     this.suspectsDigest = suspectsDigest;
     setSuspectsDigestIsSet(true);
+    this.limits = limits;
   }
 
   /**
@@ -135,6 +146,21 @@
       this.inFlight = __this__inFlight;
     }
     this.suspectsDigest = other.suspectsDigest;
+    if (other.isSetLimits()) {
+      java.util.Map<java.lang.Integer,LimitObservationStruct> __this__limits = new java.util.HashMap<java.lang.Integer,LimitObservationStruct>(other.limits.size());
+      for (java.util.Map.Entry<java.lang.Integer, LimitObservationStruct> other_element : other.limits.entrySet()) {
+
+        java.lang.Integer other_element_key = other_element.getKey();
+        LimitObservationStruct other_element_value = other_element.getValue();
+
+        java.lang.Integer __this__limits_copy_key = other_element_key;
+
+        LimitObservationStruct __this__limits_copy_value = new LimitObservationStruct(other_element_value);
+
+        __this__limits.put(__this__limits_copy_key, __this__limits_copy_value);
+      }
+      this.limits = __this__limits;
+    }
   }
 
   @Override
@@ -149,6 +175,7 @@
     this.inFlight = null;
     setSuspectsDigestIsSet(false);
     this.suspectsDigest = 0;
+    this.limits = null;
   }
 
   public long getEchoSequence() {
@@ -233,6 +260,42 @@
     __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __SUSPECTSDIGEST_ISSET_ID, value);
   }
 
+  public int getLimitsSize() {
+    return (this.limits == null) ? 0 : this.limits.size();
+  }
+
+  public void putToLimits(int key, LimitObservationStruct val) {
+    if (this.limits == null) {
+      this.limits = new java.util.HashMap<java.lang.Integer,LimitObservationStruct>();
+    }
+    this.limits.put(key, val);
+  }
+
+  @org.apache.thrift.annotation.Nullable
+  public java.util.Map<java.lang.Integer,LimitObservationStruct> getLimits() {
+    return this.limits;
+  }
+
+  public LoadTotalsStruct setLimits(@org.apache.thrift.annotation.Nullable java.util.Map<java.lang.Integer,LimitObservationStruct> limits) {
+    this.limits = limits;
+    return this;
+  }
+
+  public void unsetLimits() {
+    this.limits = null;
+  }
+
+  /** Returns true if field limits is set (has been assigned a value) and false otherwise */
+  public boolean isSetLimits() {
+    return this.limits != null;
+  }
+
+  public void setLimitsIsSet(boolean value) {
+    if (!value) {
+      this.limits = null;
+    }
+  }
+
   @Override
   public void setFieldValue(_Fields field, @org.apache.thrift.annotation.Nullable java.lang.Object value) {
     switch (field) {
@@ -260,6 +323,14 @@
       }
       break;
 
+    case LIMITS:
+      if (value == null) {
+        unsetLimits();
+      } else {
+        setLimits((java.util.Map<java.lang.Integer,LimitObservationStruct>)value);
+      }
+      break;
+
     }
   }
 
@@ -276,6 +347,9 @@
     case SUSPECTS_DIGEST:
       return getSuspectsDigest();
 
+    case LIMITS:
+      return getLimits();
+
     }
     throw new java.lang.IllegalStateException();
   }
@@ -294,6 +368,8 @@
       return isSetInFlight();
     case SUSPECTS_DIGEST:
       return isSetSuspectsDigest();
+    case LIMITS:
+      return isSetLimits();
     }
     throw new java.lang.IllegalStateException();
   }
@@ -338,6 +414,15 @@
         return false;
     }
 
+    boolean this_present_limits = true && this.isSetLimits();
+    boolean that_present_limits = true && that.isSetLimits();
+    if (this_present_limits || that_present_limits) {
+      if (!(this_present_limits && that_present_limits))
+        return false;
+      if (!this.limits.equals(that.limits))
+        return false;
+    }
+
     return true;
   }
 
@@ -353,6 +438,10 @@
 
     hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(suspectsDigest);
 
+    hashCode = hashCode * 8191 + ((isSetLimits()) ? 131071 : 524287);
+    if (isSetLimits())
+      hashCode = hashCode * 8191 + limits.hashCode();
+
     return hashCode;
   }
 
@@ -394,6 +483,16 @@
         return lastComparison;
       }
     }
+    lastComparison = java.lang.Boolean.compare(isSetLimits(), other.isSetLimits());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetLimits()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.limits, other.limits);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
     return 0;
   }
 
@@ -433,6 +532,14 @@
     sb.append("suspectsDigest:");
     sb.append(this.suspectsDigest);
     first = false;
+    if (!first) sb.append(", ");
+    sb.append("limits:");
+    if (this.limits == null) {
+      sb.append("null");
+    } else {
+      sb.append(this.limits);
+    }
+    first = false;
     sb.append(")");
     return sb.toString();
   }
@@ -444,6 +551,9 @@
       throw new org.apache.thrift.protocol.TProtocolException("Required field 'inFlight' was not present! Struct: " + toString());
     }
     // alas, we cannot check 'suspectsDigest' because it's a primitive and you chose the non-beans generator.
+    if (limits == null) {
+      throw new org.apache.thrift.protocol.TProtocolException("Required field 'limits' was not present! Struct: " + toString());
+    }
     // check for sub-struct validity
   }
 
@@ -496,15 +606,15 @@
           case 2: // IN_FLIGHT
             if (schemeField.type == org.apache.thrift.protocol.TType.MAP) {
               {
-                org.apache.thrift.protocol.TMap _map36 = iprot.readMapBegin();
-                struct.inFlight = new java.util.HashMap<java.lang.Integer,java.lang.Integer>(2*_map36.size);
-                int _key37;
-                int _val38;
-                for (int _i39 = 0; _i39 < _map36.size; ++_i39)
+                org.apache.thrift.protocol.TMap _map46 = iprot.readMapBegin();
+                struct.inFlight = new java.util.HashMap<java.lang.Integer,java.lang.Integer>(2*_map46.size);
+                int _key47;
+                int _val48;
+                for (int _i49 = 0; _i49 < _map46.size; ++_i49)
                 {
-                  _key37 = iprot.readI32();
-                  _val38 = iprot.readI32();
-                  struct.inFlight.put(_key37, _val38);
+                  _key47 = iprot.readI32();
+                  _val48 = iprot.readI32();
+                  struct.inFlight.put(_key47, _val48);
                 }
                 iprot.readMapEnd();
               }
@@ -521,6 +631,27 @@
               org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
             break;
+          case 4: // LIMITS
+            if (schemeField.type == org.apache.thrift.protocol.TType.MAP) {
+              {
+                org.apache.thrift.protocol.TMap _map50 = iprot.readMapBegin();
+                struct.limits = new java.util.HashMap<java.lang.Integer,LimitObservationStruct>(2*_map50.size);
+                int _key51;
+                @org.apache.thrift.annotation.Nullable LimitObservationStruct _val52;
+                for (int _i53 = 0; _i53 < _map50.size; ++_i53)
+                {
+                  _key51 = iprot.readI32();
+                  _val52 = new LimitObservationStruct();
+                  _val52.read(iprot);
+                  struct.limits.put(_key51, _val52);
+                }
+                iprot.readMapEnd();
+              }
+              struct.setLimitsIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
+            }
+            break;
           default:
             org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
         }
@@ -550,10 +681,10 @@
         oprot.writeFieldBegin(IN_FLIGHT_FIELD_DESC);
         {
           oprot.writeMapBegin(new org.apache.thrift.protocol.TMap(org.apache.thrift.protocol.TType.I32, org.apache.thrift.protocol.TType.I32, struct.inFlight.size()));
-          for (java.util.Map.Entry<java.lang.Integer, java.lang.Integer> _iter40 : struct.inFlight.entrySet())
+          for (java.util.Map.Entry<java.lang.Integer, java.lang.Integer> _iter54 : struct.inFlight.entrySet())
           {
-            oprot.writeI32(_iter40.getKey());
-            oprot.writeI32(_iter40.getValue());
+            oprot.writeI32(_iter54.getKey());
+            oprot.writeI32(_iter54.getValue());
           }
           oprot.writeMapEnd();
         }
@@ -562,6 +693,19 @@
       oprot.writeFieldBegin(SUSPECTS_DIGEST_FIELD_DESC);
       oprot.writeI64(struct.suspectsDigest);
       oprot.writeFieldEnd();
+      if (struct.limits != null) {
+        oprot.writeFieldBegin(LIMITS_FIELD_DESC);
+        {
+          oprot.writeMapBegin(new org.apache.thrift.protocol.TMap(org.apache.thrift.protocol.TType.I32, org.apache.thrift.protocol.TType.STRUCT, struct.limits.size()));
+          for (java.util.Map.Entry<java.lang.Integer, LimitObservationStruct> _iter55 : struct.limits.entrySet())
+          {
+            oprot.writeI32(_iter55.getKey());
+            _iter55.getValue().write(oprot);
+          }
+          oprot.writeMapEnd();
+        }
+        oprot.writeFieldEnd();
+      }
       oprot.writeFieldStop();
       oprot.writeStructEnd();
     }
@@ -583,13 +727,21 @@
       oprot.writeI64(struct.echoSequence);
       {
         oprot.writeI32(struct.inFlight.size());
-        for (java.util.Map.Entry<java.lang.Integer, java.lang.Integer> _iter41 : struct.inFlight.entrySet())
+        for (java.util.Map.Entry<java.lang.Integer, java.lang.Integer> _iter56 : struct.inFlight.entrySet())
         {
-          oprot.writeI32(_iter41.getKey());
-          oprot.writeI32(_iter41.getValue());
+          oprot.writeI32(_iter56.getKey());
+          oprot.writeI32(_iter56.getValue());
         }
       }
       oprot.writeI64(struct.suspectsDigest);
+      {
+        oprot.writeI32(struct.limits.size());
+        for (java.util.Map.Entry<java.lang.Integer, LimitObservationStruct> _iter57 : struct.limits.entrySet())
+        {
+          oprot.writeI32(_iter57.getKey());
+          _iter57.getValue().write(oprot);
+        }
+      }
     }
 
     @Override
@@ -598,20 +750,34 @@
       struct.echoSequence = iprot.readI64();
       struct.setEchoSequenceIsSet(true);
       {
-        org.apache.thrift.protocol.TMap _map42 = iprot.readMapBegin(org.apache.thrift.protocol.TType.I32, org.apache.thrift.protocol.TType.I32); 
-        struct.inFlight = new java.util.HashMap<java.lang.Integer,java.lang.Integer>(2*_map42.size);
-        int _key43;
-        int _val44;
-        for (int _i45 = 0; _i45 < _map42.size; ++_i45)
+        org.apache.thrift.protocol.TMap _map58 = iprot.readMapBegin(org.apache.thrift.protocol.TType.I32, org.apache.thrift.protocol.TType.I32); 
+        struct.inFlight = new java.util.HashMap<java.lang.Integer,java.lang.Integer>(2*_map58.size);
+        int _key59;
+        int _val60;
+        for (int _i61 = 0; _i61 < _map58.size; ++_i61)
         {
-          _key43 = iprot.readI32();
-          _val44 = iprot.readI32();
-          struct.inFlight.put(_key43, _val44);
+          _key59 = iprot.readI32();
+          _val60 = iprot.readI32();
+          struct.inFlight.put(_key59, _val60);
         }
       }
       struct.setInFlightIsSet(true);
       struct.suspectsDigest = iprot.readI64();
       struct.setSuspectsDigestIsSet(true);
+      {
+        org.apache.thrift.protocol.TMap _map62 = iprot.readMapBegin(org.apache.thrift.protocol.TType.I32, org.apache.thrift.protocol.TType.STRUCT); 
+        struct.limits = new java.util.HashMap<java.lang.Integer,LimitObservationStruct>(2*_map62.size);
+        int _key63;
+        @org.apache.thrift.annotation.Nullable LimitObservationStruct _val64;
+        for (int _i65 = 0; _i65 < _map62.size; ++_i65)
+        {
+          _key63 = iprot.readI32();
+          _val64 = new LimitObservationStruct();
+          _val64.read(iprot);
+          struct.limits.put(_key63, _val64);
+        }
+      }
+      struct.setLimitsIsSet(true);
     }
   }
 
--- a/rhubarbward-net/src/main/java/io/rhubarbward/gen/fleet/SuspectNewsStruct.java
+++ b/rhubarbward-net/src/main/java/io/rhubarbward/gen/fleet/SuspectNewsStruct.java
@@ -339,14 +339,14 @@
           case 1: // SUSPECTS
             if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
               {
-                org.apache.thrift.protocol.TList _list66 = iprot.readListBegin();
-                struct.suspects = new java.util.ArrayList<CrashSuspectStruct>(_list66.size);
-                @org.apache.thrift.annotation.Nullable CrashSuspectStruct _elem67;
-                for (int _i68 = 0; _i68 < _list66.size; ++_i68)
+                org.apache.thrift.protocol.TList _list96 = iprot.readListBegin();
+                struct.suspects = new java.util.ArrayList<CrashSuspectStruct>(_list96.size);
+                @org.apache.thrift.annotation.Nullable CrashSuspectStruct _elem97;
+                for (int _i98 = 0; _i98 < _list96.size; ++_i98)
                 {
-                  _elem67 = new CrashSuspectStruct();
-                  _elem67.read(iprot);
-                  struct.suspects.add(_elem67);
+                  _elem97 = new CrashSuspectStruct();
+                  _elem97.read(iprot);
+                  struct.suspects.add(_elem97);
                 }
                 iprot.readListEnd();
               }
@@ -375,9 +375,9 @@
         oprot.writeFieldBegin(SUSPECTS_FIELD_DESC);
         {
           oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.suspects.size()));
-          for (CrashSuspectStruct _iter69 : struct.suspects)
+          for (CrashSuspectStruct _iter99 : struct.suspects)
           {
-            _iter69.write(oprot);
+            _iter99.write(oprot);
           }
           oprot.writeListEnd();
         }
@@ -403,9 +403,9 @@
       org.apache.thrift.protocol.TTupleProtocol oprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
       {
         oprot.writeI32(struct.suspects.size());
-        for (CrashSuspectStruct _iter70 : struct.suspects)
+        for (CrashSuspectStruct _iter100 : struct.suspects)
         {
-          _iter70.write(oprot);
+          _iter100.write(oprot);
         }
       }
     }
@@ -414,14 +414,14 @@
     public void read(org.apache.thrift.protocol.TProtocol prot, SuspectNewsStruct struct) throws org.apache.thrift.TException {
       org.apache.thrift.protocol.TTupleProtocol iprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
       {
-        org.apache.thrift.protocol.TList _list71 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
-        struct.suspects = new java.util.ArrayList<CrashSuspectStruct>(_list71.size);
-        @org.apache.thrift.annotation.Nullable CrashSuspectStruct _elem72;
-        for (int _i73 = 0; _i73 < _list71.size; ++_i73)
+        org.apache.thrift.protocol.TList _list101 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+        struct.suspects = new java.util.ArrayList<CrashSuspectStruct>(_list101.size);
+        @org.apache.thrift.annotation.Nullable CrashSuspectStruct _elem102;
+        for (int _i103 = 0; _i103 < _list101.size; ++_i103)
         {
-          _elem72 = new CrashSuspectStruct();
-          _elem72.read(iprot);
-          struct.suspects.add(_elem72);
+          _elem102 = new CrashSuspectStruct();
+          _elem102.read(iprot);
+          struct.suspects.add(_elem102);
         }
       }
       struct.setSuspectsIsSet(true);
--- a/rhubarbward-net/src/main/java/io/rhubarbward/net/peer/RelayCodecs.java
+++ b/rhubarbward-net/src/main/java/io/rhubarbward/net/peer/RelayCodecs.java
@@ -6,10 +6,12 @@
 import io.rhubarbward.gen.fleet.FollowAnswerStruct;
 import io.rhubarbward.gen.fleet.FollowRequestStruct;
 import io.rhubarbward.gen.fleet.KindNewsStruct;
+import io.rhubarbward.gen.fleet.LimitObservationStruct;
 import io.rhubarbward.gen.fleet.LoadReportStruct;
 import io.rhubarbward.gen.fleet.LoadTotalsStruct;
 import io.rhubarbward.gen.fleet.ObjectStateStruct;
 import io.rhubarbward.gen.fleet.SuspectNewsStruct;
+import io.rhubarbward.placement.LimitObservation;
 import io.rhubarbward.relay.DataCentreLoad;
 import io.rhubarbward.relay.FollowAnswer;
 import io.rhubarbward.relay.FollowAnswer.KindNews;
@@ -20,6 +22,9 @@
 import io.rhubarbward.store.KindUpdate;
 import io.rhubarbward.store.KindUpdate.ObjectState;
 import java.util.List;
+import java.util.Map;
+import java.util.OptionalDouble;
+import java.util.stream.Collectors;
 
 /** The codecs of the messages between relays and their followers: kinds 71 to 79. */
 final class RelayCodecs {
@@ -66,12 +71,16 @@
                     LoadReportStruct::new,
                     report ->
                             new LoadReportStruct(
-                                    report.sequence(), report.inFlight(), report.suspectsDigest()),
+                                    report.sequence(),
+                                    report.inFlight(),
+                                    report.suspectsDigest(),
+                                    toStructs(report.limits())),
                     struct ->
                             new LoadReport(
                                     struct.getSequence(),
                                     struct.getSuspectsDigest(),
-                                    struct.getInFlight()));
+                                    struct.getInFlight(),
+                                    fromStructs(struct.getLimits())));
 
     private static final PeerCodec<LoadTotals, LoadTotalsStruct> LOAD_TOTALS =
             new PeerCodec<>(
@@ -82,12 +91,14 @@
                             new LoadTotalsStruct(
                                     totals.echoSequence(),
                                     totals.inFlight(),
-                                    totals.suspectsDigest()),
+                                    totals.suspectsDigest(),
+                                    toStructs(totals.limits())),
                     struct ->
                             new LoadTotals(
                                     struct.getEchoSequence(),
                                     struct.getSuspectsDigest(),
-                                    struct.getInFlight()));
+                                    struct.getInFlight(),
+                                    fromStructs(struct.getLimits())));
 
     private static final PeerCodec<DataCentreLoad, DataCentreLoadStruct> DATA_CENTRE_LOAD =
             new PeerCodec<>(
@@ -100,14 +111,16 @@
                                     load.unheardMillis(),
                                     load.forwarded(),
                                     load.inFlight(),
-                                    load.suspectsDigest()),
+                                    load.suspectsDigest(),
+                                    toStructs(load.limits())),
                     struct ->
                             new DataCentreLoad(
                                     struct.getAggregator(),
                                     struct.getUnheardMillis(),
                                     struct.isForwarded(),
                                     struct.getSuspectsDigest(),
-                                    struct.getInFlight()));
+                                    struct.getInFlight(),
+                                    fromStructs(struct.getLimits())));
 
     private static final PeerCodec<SuspectNews, SuspectNewsStruct> SUSPECT_NEWS =
             new PeerCodec<>(
@@ -145,6 +158,35 @@
                 news.stalenessMillis());
     }
 
+    private static Map<Integer, LimitObservationStruct> toStructs(
+            Map<Integer, LimitObservation> limits) {
+        return limits.entrySet().stream()
+                .collect(Collectors.toMap(Map.Entry::getKey, entry -> toStruct(entry.getValue())));
+    }
+
+    private static LimitObservationStruct toStruct(LimitObservation observed) {
+        LimitObservationStruct struct =
+                new LimitObservationStruct(observed.ageMillis(), observed.sends());
+        observed.perSecond().ifPresent(struct::setPerSecond);
+        return struct;
+    }
+
+    private static Map<Integer, LimitObservation> fromStructs(
+            Map<Integer, LimitObservationStruct> structs) {
+        return structs.entrySet().stream()
+                .collect(
+                        Collectors.toMap(Map.Entry::getKey, entry -> fromStruct(entry.getValue())));
+    }
+
+    private static LimitObservation fromStruct(LimitObservationStruct struct) {
+        return new LimitObservation(
+                struct.isSetPerSecond()
+                        ? OptionalDouble.of(struct.getPerSecond())
+                        : OptionalDouble.empty(),
+                struct.getAgeMillis(),
+                struct.getSends());
+    }
+
     private static CrashSuspectStruct toStruct(CrashSuspect suspect) {
         return new CrashSuspectStruct(suspect.trait(), suspect.crashes(), suspect.answers());
     }
--- a/rhubarbward-net/src/main/thrift/fleet.thrift
+++ b/rhubarbward-net/src/main/thrift/fleet.thrift
@@ -34,18 +34,27 @@
 // In the structs below, requests in flight are keyed by the 32 low bits of the hash of the server's
 // id; servers without any are left out.
 
+struct LimitObservationStruct {
+  // Left out if the newest answer states no limit any more.
+  1: optional double perSecond;
+  2: required i64 ageMillis;
+  3: required i32 sends;
+}
+
 // Digests are of what the sender knows of requests that crash servers.
 
 struct LoadReportStruct {
   1: required i64 sequence;
   2: required map<i32, i32> inFlight;
   3: required i64 suspectsDigest;
+  4: required map<i32, LimitObservationStruct> limits;
 }
 
 struct LoadTotalsStruct {
   1: required i64 echoSequence;
   2: required map<i32, i32> inFlight;
   3: required i64 suspectsDigest;
+  4: required map<i32, LimitObservationStruct> limits;
 }
 
 struct DataCentreLoadStruct {
@@ -54,6 +63,7 @@
   3: required bool forwarded;
   4: required map<i32, i32> inFlight;
   5: required i64 suspectsDigest;
+  6: required map<i32, LimitObservationStruct> limits;
 }
 
 struct CrashSuspectStruct {
--- a/rhubarbward-net/src/test/java/io/rhubarbward/net/peer/PeerFrameCodecTest.java
+++ b/rhubarbward-net/src/test/java/io/rhubarbward/net/peer/PeerFrameCodecTest.java
@@ -8,6 +8,7 @@
 import io.rhubarbward.membership.Heartbeat;
 import io.rhubarbward.membership.Introduction;
 import io.rhubarbward.membership.PeerMessage;
+import io.rhubarbward.placement.LimitObservation;
 import io.rhubarbward.quota.HoldingsQuery;
 import io.rhubarbward.quota.QuotaAnswer;
 import io.rhubarbward.quota.QuotaAsk;
@@ -23,12 +24,18 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalDouble;
 import java.util.stream.Stream;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.MethodSource;
 
 final class PeerFrameCodecTest {
+    private static final Map<Integer, LimitObservation> LIMITS =
+            Map.of(
+                    -5, new LimitObservation(OptionalDouble.of(3.7), 40, 2),
+                    9, new LimitObservation(OptionalDouble.empty(), 0, 0));
+
     private final PeerFrameCodec mCodec = new PeerFrameCodec();
 
     static Stream<PeerMessage> messages() {
@@ -44,9 +51,9 @@
                 new HoldingsQuery(9, List.of("backend/e", "backend/f")),
                 new FollowRequest(7, 900, Map.of("config", 12L)),
                 new FollowAnswer(7, false, 0, List.of()),
-                new LoadReport(3, -9, Map.of(-5, 2)),
-                new LoadTotals(3, -9, Map.of(-5, 2, 9, 1)),
-                new DataCentreLoad("entry-2", 80, true, -9, Map.of(9, 1)),
+                new LoadReport(3, -9, Map.of(-5, 2), LIMITS),
+                new LoadTotals(3, -9, Map.of(-5, 2, 9, 1), LIMITS),
+                new DataCentreLoad("entry-2", 80, true, -9, Map.of(9, 1), LIMITS),
                 new SuspectNews(List.of(new CrashSuspect(-4, Map.of(-8L, 5L), 3))));
     }
 
