--- a/rhubarbward-core/src/main/java/io/rhubarbward/forward/ServerCall.java
+++ b/rhubarbward-core/src/main/java/io/rhubarbward/forward/ServerCall.java
@@ -22,6 +22,13 @@
 final class ServerCall implements BackendListener {
     private static final int MIN_SERVER_ERROR_STATUS = 500;
     private static final long NO_FIRST_BYTE = -1;
+
+    /** Time after the first byte at which an answer that goes on is timed. */
+    private static final long TIMED_AFTER_MILLIS = 1000;
+
+    /** Bytes after the first part from which the pace of an answer can be told. */
+    private static final long MIN_PACE_BYTES = 100;
+
     private static final long NOT_BEGUN = -1;
 
     private final ResolvedRequest mRequest;
@@ -32,6 +39,8 @@
     private @Nullable BackendCall mCall;
     private int mStatus;
     private long mFirstByteMillis = NO_FIRST_BYTE;
+    private long mBytesAfterFirstPart;
+    private boolean mTimed;
     private long mAnswerBegunMillis = NOT_BEGUN;
     private EventStreamFraming mFraming = new EventStreamFraming(HeaderFields.NONE);
     private boolean mEnded;
@@ -157,8 +166,14 @@
     @Override
     public void onPart(ByteBuffer part) {
         if (!mEnded) {
+            long sinceSentMillis = mContext.timers().nowMillis() - mSentMillis;
             if (mFirstByteMillis == NO_FIRST_BYTE) {
-                mFirstByteMillis = mContext.timers().nowMillis() - mSentMillis;
+                mFirstByteMillis = sinceSentMillis;
+            } else {
+                mBytesAfterFirstPart += part.remaining();
+                if (sinceSentMillis - mFirstByteMillis >= TIMED_AFTER_MILLIS) {
+                    time(sinceSentMillis);
+                }
             }
             mFraming.read(part);
             mListener.onPart(part);
@@ -233,7 +248,23 @@
         mEnded = true;
         mContext.metrics().countSend(mRequest.service().name(), result.name());
         mContext.table().recordResult(mServer, result, mRequest.service().coldStart());
-        mContext.sendObserver().onEnded(mServer, mRequest.route(), result, mFirstByteMillis);
+        if (mFirstByteMillis != NO_FIRST_BYTE && result == SendResult.ANSWERED) {
+            time(mContext.timers().nowMillis() - mSentMillis);
+        }
+        mContext.sendObserver().onEnded(mServer, mRequest.route(), result, mTimed);
         return true;
     }
+
+    /** Tells the observer the times of the answer, once. */
+    private void time(long sinceSentMillis) {
+        if (mTimed) {
+            return;
+        }
+        mTimed = true;
+        double millisPerByte =
+                mBytesAfterFirstPart < MIN_PACE_BYTES
+                        ? Double.NaN
+                        : (double) (sinceSentMillis - mFirstByteMillis) / mBytesAfterFirstPart;
+        mContext.sendObserver().onTimed(mServer, mRequest.route(), mFirstByteMillis, millisPerByte);
+    }
 }
--- a/rhubarbward-core/src/main/java/io/rhubarbward/move/PairedFigures.java
+++ b/rhubarbward-core/src/main/java/io/rhubarbward/move/PairedFigures.java
@@ -17,6 +17,11 @@
                 oldVersion.plus(other.oldVersion), newVersion.plus(other.newVersion));
     }
 
+    /** Returns the figures with 0 in place of negative ones. */
+    PairedFigures atLeastZero() {
+        return new PairedFigures(oldVersion.atLeastZero(), newVersion.atLeastZero());
+    }
+
     PairedFigures minus(PairedFigures other) {
         return new PairedFigures(
                 oldVersion.minus(other.oldVersion), newVersion.minus(other.newVersion));
--- a/rhubarbward-core/src/main/java/io/rhubarbward/move/VersionFigures.java
+++ b/rhubarbward-core/src/main/java/io/rhubarbward/move/VersionFigures.java
@@ -23,6 +23,15 @@
                 slowBetween + other.slowBetween);
     }
 
+    VersionFigures atLeastZero() {
+        return new VersionFigures(
+                Math.max(0, calls),
+                Math.max(0, failures),
+                Math.max(0, timed),
+                Math.max(0, slowFirst),
+                Math.max(0, slowBetween));
+    }
+
     VersionFigures minus(VersionFigures other) {
         return new VersionFigures(
                 calls - other.calls,
--- a/rhubarbward-core/src/main/java/io/rhubarbward/node/FleetPorts.java
+++ b/rhubarbward-core/src/main/java/io/rhubarbward/node/FleetPorts.java
@@ -7,6 +7,8 @@
 import io.rhubarbward.event.EventLog;
 import io.rhubarbward.forward.RequestDialect;
 import io.rhubarbward.membership.PeerTransport;
+import io.rhubarbward.move.RolloutOrder;
+import io.rhubarbward.move.RolloutStatusWriter;
 import io.rhubarbward.request.BackendClient;
 import io.rhubarbward.store.ObjectKind;
 import io.rhubarbward.timer.TimerService;
@@ -42,6 +44,8 @@
      * @param servers the backend servers' own entries
      * @param evacuations names of the data centres that are being evacuated
      * @param routers the routers' own entries
+     * @param rollouts orders to move services to other versions
+     * @param rolloutWriter writes the state of such an order
      * @param presenceWriter writes this router's own entry
      */
     public record Store(
@@ -50,6 +54,8 @@
             ObjectKind<ListedServer> servers,
             ObjectKind<String> evacuations,
             ObjectKind<RouterPresence> routers,
+            ObjectKind<RolloutOrder> rollouts,
+            RolloutStatusWriter rolloutWriter,
             PresenceWriter presenceWriter) {}
 
     /** Writes a router's entry into the store. */
--- a/rhubarbward-core/src/main/java/io/rhubarbward/node/FleetRouter.java
+++ b/rhubarbward-core/src/main/java/io/rhubarbward/node/FleetRouter.java
@@ -17,9 +17,10 @@
 import io.rhubarbward.forward.ForwardMetrics;
 import io.rhubarbward.forward.ForwardingService;
 import io.rhubarbward.forward.LocalRetryBudget;
+import io.rhubarbward.move.FleetRollouts;
+import io.rhubarbward.move.RolloutOrder;
 import io.rhubarbward.placement.PlacementPolicy;
 import io.rhubarbward.placement.ServerTable;
-import io.rhubarbward.placement.VersionChoice;
 import io.rhubarbward.relay.LoadExchange;
 import io.rhubarbward.relay.RelayMetrics;
 import io.rhubarbward.relay.StoreFollower;
@@ -75,6 +76,7 @@
     private final MarkerSet<String> mEvacuations;
     private final RouterDirectory mRouters;
     private final CrashSuspects mCrashSuspects;
+    private final FleetRollouts mRollouts;
     private final LoadExchange mLoadExchange;
     private final StoreFollower mStoreFollower;
     private final KindWatcher<Catalog> mCatalogWatcher;
@@ -107,8 +109,23 @@
         mEvacuationWatcher =
                 watcher(ports.store().evacuations(), mEvacuations, WATCH_WAIT, WATCH_REST);
         mRouterWatcher = watcher(ports.store().routers(), mRouters, WATCH_WAIT, WATCH_REST);
+        mRollouts =
+                new FleetRollouts(
+                        settings.bounds().exposureShare(),
+                        table,
+                        this::callsStore,
+                        ports.store().rolloutWriter(),
+                        ports.timers(),
+                        ports.events());
+        KindWatcher<RolloutOrder> rolloutWatcher =
+                watcher(ports.store().rollouts(), mRollouts, WATCH_WAIT, Duration.ZERO);
         List<KindWatcher<?>> watchers =
-                List.of(mCatalogWatcher, mServerWatcher, mEvacuationWatcher, mRouterWatcher);
+                List.of(
+                        mCatalogWatcher,
+                        mServerWatcher,
+                        mEvacuationWatcher,
+                        mRouterWatcher,
+                        rolloutWatcher);
         mStoreFollower =
                 new StoreFollower(
                         settings.vm(),
@@ -130,6 +147,7 @@
                         mStoreFollower::aggregator,
                         ports.peers(),
                         mCrashSuspects,
+                        mRollouts,
                         table,
                         ports.timers());
         mForwarding = new ForwardingService(forwardContext(table));
@@ -141,6 +159,10 @@
                 kind, listener, wait, rest, mPorts.timers(), mStoreAvailability, mPorts.random());
     }
 
+    private boolean callsStore() {
+        return mStoreFollower.callsStore();
+    }
+
     private ForwardContext forwardContext(ServerTable table) {
         FleetLimitSplitter limitSplitter = new FleetLimitSplitter(mSettings.vm(), mRouters::names);
         PlacementPolicy policy =
@@ -150,7 +172,7 @@
                         table,
                         limitSplitter,
                         mEvacuations::contains,
-                        VersionChoice.ANY);
+                        mRollouts);
         return new ForwardContext(
                 mPorts.dialect(),
                 mCatalog,
@@ -163,7 +185,7 @@
                 table,
                 new LocalRetryBudget(mSettings.bounds().retries(), mPorts.timers(), limitSplitter),
                 mCrashSuspects,
-                (server, route, result, firstByteMillis) -> {},
+                mRollouts,
                 mPorts.backends(),
                 mPorts.timers(),
                 mLoopLag::millis,
@@ -181,6 +203,7 @@
         mStoreFollower.start();
         announce();
         mLoadExchange.start();
+        mRollouts.start();
         mLoopLag.tick();
         mPorts.timers()
                 .every(
--- a/rhubarbward-core/src/main/java/io/rhubarbward/placement/TrackedServer.java
+++ b/rhubarbward-core/src/main/java/io/rhubarbward/placement/TrackedServer.java
@@ -126,7 +126,8 @@
         return mHealth.avoided(nowMillis);
     }
 
-    boolean cold(long nowMillis) {
+    /** Returns whether the server is slow since it has just started. */
+    public boolean cold(long nowMillis) {
         return nowMillis < mColdUntilMillis;
     }
 
--- a/rhubarbward-core/src/main/java/io/rhubarbward/relay/DataCentreLoad.java
+++ b/rhubarbward-core/src/main/java/io/rhubarbward/relay/DataCentreLoad.java
@@ -1,6 +1,7 @@
 package io.rhubarbward.relay;
 
 import io.rhubarbward.membership.PeerMessage;
+import io.rhubarbward.move.PairedFigures;
 import io.rhubarbward.placement.LimitObservation;
 import java.util.Map;
 
@@ -14,6 +15,7 @@
  * @param inFlight the sum over the routers that report to the aggregator, keyed as in {@link
  *     LoadReport}
  * @param limits what these routers know of servers that state a limit, keyed likewise
+ * @param versions figures of open rollouts, by service, target version and route
  */
 public record DataCentreLoad(
         String aggregator,
@@ -21,15 +23,17 @@
         boolean forwarded,
         long suspectsDigest,
         Map<Integer, Integer> inFlight,
-        Map<Integer, LimitObservation> limits)
+        Map<Integer, LimitObservation> limits,
+        Map<String, PairedFigures> versions)
         implements PeerMessage {
     public DataCentreLoad {
         inFlight = Map.copyOf(inFlight);
         limits = Map.copyOf(limits);
+        versions = Map.copyOf(versions);
     }
 
     DataCentreLoad asForwarded() {
         return new DataCentreLoad(
-                aggregator, unheardMillis, true, suspectsDigest, inFlight, limits);
+                aggregator, unheardMillis, true, suspectsDigest, inFlight, limits, versions);
     }
 }
--- a/rhubarbward-core/src/main/java/io/rhubarbward/relay/LoadAggregator.java
+++ b/rhubarbward-core/src/main/java/io/rhubarbward/relay/LoadAggregator.java
@@ -3,6 +3,7 @@
 import io.rhubarbward.directory.RouterPresence;
 import io.rhubarbward.membership.Peer;
 import io.rhubarbward.membership.PeerTransport;
+import io.rhubarbward.move.PairedFigures;
 import io.rhubarbward.placement.LimitObservation;
 import io.rhubarbward.timer.TimerService;
 import java.time.Duration;
@@ -213,9 +214,12 @@
         mSumsByAggregator
                 .values()
                 .forEach(sum -> addLimits(limits, sum.message().limits(), now - sum.atMillis()));
+        Map<String, PairedFigures> versions = ownVersions();
+        mSumsByAggregator.values().forEach(sum -> addVersions(versions, sum.message().versions()));
         // Copied here once rather than in each message.
         Map<Integer, Integer> sharedTotals = Map.copyOf(totals);
         Map<Integer, LimitObservation> sharedLimits = Map.copyOf(limits);
+        Map<String, PairedFigures> sharedVersions = Map.copyOf(versions);
         mReports.forEach(
                 (vm, report) ->
                         tell(
@@ -224,7 +228,8 @@
                                         report.message().sequence(),
                                         mSuspects.digest(),
                                         sharedTotals,
-                                        sharedLimits)));
+                                        sharedLimits,
+                                        sharedVersions)));
     }
 
     private void expire(long now) {
@@ -268,6 +273,18 @@
                                 LimitObservation::combinedWith));
     }
 
+    /** Returns the figures of rollouts of the routers that report to this one. */
+    private Map<String, PairedFigures> ownVersions() {
+        Map<String, PairedFigures> versions = new HashMap<>();
+        mReports.values().forEach(report -> addVersions(versions, report.message().versions()));
+        return versions;
+    }
+
+    private static void addVersions(
+            Map<String, PairedFigures> sum, Map<String, PairedFigures> added) {
+        added.forEach((key, figures) -> sum.merge(key, figures, PairedFigures::plus));
+    }
+
     private void tell(String vm, LoadTotals message) {
         if (vm.equals(mSelf)) {
             mOwnTotals.accept(message);
@@ -288,6 +305,7 @@
         mExchangedMillis = now;
         mPublishedOwnSum = Map.copyOf(mOwnSum);
         Map<Integer, LimitObservation> limits = ownLimits(now);
+        Map<String, PairedFigures> versions = ownVersions();
         otherDataCentres()
                 .forEach(
                         dataCentre -> {
@@ -303,7 +321,8 @@
                                                                     false,
                                                                     mSuspects.digest(),
                                                                     mPublishedOwnSum,
-                                                                    limits)));
+                                                                    limits,
+                                                                    versions)));
                         });
     }
 
--- a/rhubarbward-core/src/main/java/io/rhubarbward/relay/LoadExchange.java
+++ b/rhubarbward-core/src/main/java/io/rhubarbward/relay/LoadExchange.java
@@ -4,6 +4,7 @@
 import io.rhubarbward.directory.RouterPresence;
 import io.rhubarbward.membership.Peer;
 import io.rhubarbward.membership.PeerTransport;
+import io.rhubarbward.move.FleetRollouts;
 import io.rhubarbward.placement.LimitObservation;
 import io.rhubarbward.placement.ServerTable;
 import io.rhubarbward.placement.TrackedServer;
@@ -44,6 +45,7 @@
     private final Supplier<Map<String, RouterPresence>> mRouters;
     private final Supplier<Optional<Peer>> mAggregatorPeer;
     private final PeerTransport mTransport;
+    private final FleetRollouts mRollouts;
     private final ServerTable mTable;
     private final TimerService mTimers;
     private final SuspectExchange mSuspects;
@@ -61,6 +63,7 @@
      * @param routers returns the listed routers by VM name
      * @param aggregator returns the router to report to; empty if it is this one
      * @param suspects what this router knows of requests that crash servers
+     * @param rollouts counts and judges the answers of versions on trial
      * @param table counts this router's requests in flight and takes those of the others
      */
     public LoadExchange(
@@ -70,12 +73,14 @@
             Supplier<Optional<Peer>> aggregator,
             PeerTransport transport,
             CrashSuspects suspects,
+            FleetRollouts rollouts,
             ServerTable table,
             TimerService timers) {
         mSelf = self;
         mRouters = routers;
         mAggregatorPeer = aggregator;
         mTransport = transport;
+        mRollouts = rollouts;
         mTable = table;
         mTimers = timers;
         mSuspects =
@@ -142,7 +147,9 @@
     private void report() {
         mEarlyReportPending = false;
         mReportedMillis = mTimers.nowMillis();
-        LoadReport report = new LoadReport(++mSequence, mSuspects.digest(), inFlight(), limits());
+        LoadReport report =
+                new LoadReport(
+                        ++mSequence, mSuspects.digest(), inFlight(), limits(), mRollouts.figures());
         mSentReports.addLast(report);
         if (mSentReports.size() > MAX_KEPT_REPORTS) {
             mSentReports.removeFirst();
@@ -196,5 +203,6 @@
                         });
         mTable.updateInFlightFromOthers(others);
         mTable.updateLimitsFromOthers(limits);
+        mRollouts.onTotals(totals.versions());
     }
 }
--- a/rhubarbward-core/src/main/java/io/rhubarbward/relay/LoadReport.java
+++ b/rhubarbward-core/src/main/java/io/rhubarbward/relay/LoadReport.java
@@ -1,6 +1,7 @@
 package io.rhubarbward.relay;
 
 import io.rhubarbward.membership.PeerMessage;
+import io.rhubarbward.move.PairedFigures;
 import io.rhubarbward.placement.LimitObservation;
 import java.util.Map;
 
@@ -12,15 +13,18 @@
  * @param inFlight requests in flight by {@link
  *     io.rhubarbward.placement.TrackedServer#hash(String)}; servers without any are left out
  * @param limits what is known of servers that state a limit on their requests, keyed likewise
+ * @param versions figures of open rollouts, by service, target version and route
  */
 public record LoadReport(
         long sequence,
         long suspectsDigest,
         Map<Integer, Integer> inFlight,
-        Map<Integer, LimitObservation> limits)
+        Map<Integer, LimitObservation> limits,
+        Map<String, PairedFigures> versions)
         implements PeerMessage {
     public LoadReport {
         inFlight = Map.copyOf(inFlight);
         limits = Map.copyOf(limits);
+        versions = Map.copyOf(versions);
     }
 }
--- a/rhubarbward-core/src/main/java/io/rhubarbward/relay/LoadTotals.java
+++ b/rhubarbward-core/src/main/java/io/rhubarbward/relay/LoadTotals.java
@@ -1,6 +1,7 @@
 package io.rhubarbward.relay;
 
 import io.rhubarbward.membership.PeerMessage;
+import io.rhubarbward.move.PairedFigures;
 import io.rhubarbward.placement.LimitObservation;
 import java.util.Map;
 
@@ -11,15 +12,18 @@
  * @param suspectsDigest digest of what the sender knows of requests that crash servers
  * @param inFlight requests in flight of all routers, keyed as in {@link LoadReport}
  * @param limits what is known of servers that state a limit on their requests, keyed likewise
+ * @param versions figures of open rollouts, by service, target version and route
  */
 public record LoadTotals(
         long echoSequence,
         long suspectsDigest,
         Map<Integer, Integer> inFlight,
-        Map<Integer, LimitObservation> limits)
+        Map<Integer, LimitObservation> limits,
+        Map<String, PairedFigures> versions)
         implements PeerMessage {
     public LoadTotals {
         inFlight = Map.copyOf(inFlight);
         limits = Map.copyOf(limits);
+        versions = Map.copyOf(versions);
     }
 }
--- a/rhubarbward-core/src/test/java/io/rhubarbward/forward/ForwardFixture.java
+++ b/rhubarbward-core/src/test/java/io/rhubarbward/forward/ForwardFixture.java
@@ -67,7 +67,7 @@
                                 mTable,
                                 new LocalRetryBudget(RETRY_BOUND, mTimers, limitSplitter),
                                 mCrashSuspects,
-                                (server, route, result, firstByteMillis) -> {},
+                                SendObserver.NONE,
                                 mBackends,
                                 mTimers,
                                 () -> mLoopLagMillis,
--- a/rhubarbward-core/src/test/java/io/rhubarbward/relay/LoadExchangeTest.java
+++ b/rhubarbward-core/src/test/java/io/rhubarbward/relay/LoadExchangeTest.java
@@ -6,6 +6,7 @@
 import io.rhubarbward.directory.FleetLimitSplitter;
 import io.rhubarbward.directory.RouterPresence;
 import io.rhubarbward.membership.Peer;
+import io.rhubarbward.move.FleetRollouts;
 import io.rhubarbward.placement.Placement;
 import io.rhubarbward.placement.PlacementPolicy;
 import io.rhubarbward.placement.PlacementQuery;
@@ -28,6 +29,7 @@
 import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.TreeMap;
+import java.util.concurrent.CompletableFuture;
 import java.util.stream.IntStream;
 import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
@@ -62,6 +64,16 @@
         return router;
     }
 
+    private FleetRollouts rollouts(ServerTable table) {
+        return new FleetRollouts(
+                0.1,
+                table,
+                () -> false,
+                (name, target, state, revision) -> CompletableFuture.completedStage(false),
+                mTimers,
+                new RecordingEvents());
+    }
+
     private final class Router {
         private final String mName;
         private final ServerTable mTable = new ServerTable(mTimers, new RecordingEvents());
@@ -91,6 +103,7 @@
                             () -> aggregator(dataCentre),
                             mPeers.endpoint(name),
                             new CrashSuspects(mTimers, new RecordingEvents()),
+                            rollouts(mTable),
                             mTable,
                             mTimers);
         }
--- a/rhubarbward-core/src/test/java/io/rhubarbward/testing/FakeStore.java
+++ b/rhubarbward-core/src/test/java/io/rhubarbward/testing/FakeStore.java
@@ -100,6 +100,12 @@
         return texts;
     }
 
+    /** Returns the revision of an object; 0 if it does not exist. */
+    public long revision(String kind, String name) {
+        StoredText stored = mObjects.getOrDefault(kind, new TreeMap<>()).get(name);
+        return stored == null ? 0 : stored.revision();
+    }
+
     /** Returns the kind as the router reads it. */
     public <T> ObjectKind<T> kind(
             String router, String kind, Function<String, Either<String, T>> decoder) {
--- a/rhubarbward-core/src/test/java/io/rhubarbward/testing/RouterFleet.java
+++ b/rhubarbward-core/src/test/java/io/rhubarbward/testing/RouterFleet.java
@@ -11,6 +11,7 @@
 import io.rhubarbward.membership.Peer;
 import io.rhubarbward.membership.PeerMessage;
 import io.rhubarbward.membership.PeerTransport;
+import io.rhubarbward.move.RolloutOrder;
 import io.rhubarbward.node.FleetBounds;
 import io.rhubarbward.node.FleetNodeSettings;
 import io.rhubarbward.node.FleetPorts;
@@ -39,6 +40,7 @@
     private static final String CATALOGS = "catalogs";
     private static final String SERVERS = "servers";
     private static final String ROUTERS = "routers";
+    private static final String ROLLOUTS = "rollouts";
     private static final Duration START = Duration.ofSeconds(4);
 
     public final VirtualTimerService mTimers = new VirtualTimerService();
@@ -103,6 +105,42 @@
                         + mVersionByServer.get(server));
     }
 
+    /** Writes an operator's order to move the service to the version. */
+    public void orderRollout(String target, Duration duration) {
+        mStore.put(ROLLOUTS, "chat", target + ' ' + duration.toMillis() + " REQUESTED");
+    }
+
+    /** Returns the state of the order in the store. */
+    public RolloutOrder.State rolloutState() {
+        return decodeRollout("chat", mStore.objects(ROLLOUTS).getOrDefault("chat", ""))
+                .get()
+                .state();
+    }
+
+    private static Either<String, RolloutOrder> decodeRollout(String name, String text) {
+        String[] fields = text.split(" ");
+        return Either.right(
+                new RolloutOrder(
+                        name,
+                        fields[0],
+                        Duration.ofMillis(Long.parseLong(fields[1])),
+                        RolloutOrder.State.valueOf(fields[2])));
+    }
+
+    private boolean writeRollout(
+            String name, String target, RolloutOrder.State state, long revision) {
+        boolean unchanged = mStore.revision(ROLLOUTS, name) == revision;
+        if (unchanged) {
+            long durationMillis =
+                    decodeRollout(name, mStore.objects(ROLLOUTS).getOrDefault(name, ""))
+                            .get()
+                            .duration()
+                            .toMillis();
+            mStore.put(ROLLOUTS, name, target + ' ' + durationMillis + ' ' + state);
+        }
+        return unchanged;
+    }
+
     private static Either<String, ListedServer> decodeServer(String name, String text) {
         String[] fields = text.split(" ");
         return Either.right(
@@ -227,6 +265,10 @@
                     mStore.kind(mName, SERVERS, RouterFleet::decodeServer),
                     mStore.kind(mName, "evacuations", (name, text) -> Either.right(name)),
                     mStore.kind(mName, ROUTERS, (name, text) -> decodePresence(text)),
+                    mStore.kind(mName, ROLLOUTS, RouterFleet::decodeRollout),
+                    (name, target, state, revision) ->
+                            CompletableFuture.completedStage(
+                                    writeRollout(name, target, state, revision)),
                     (router, presence) -> {
                         mStore.put(
                                 ROUTERS, router, presence.dataCentre() + ' ' + presence.address());
--- a/rhubarbward-core/src/test/java/io/rhubarbward/testing/SimulatedServers.java
+++ b/rhubarbward-core/src/test/java/io/rhubarbward/testing/SimulatedServers.java
@@ -24,6 +24,8 @@
  */
 public final class SimulatedServers {
     private static final Duration ANSWER_BEGINS = Duration.ofMillis(40);
+    private static final int PARTS = 10;
+    private static final String PART = "data: " + "x".repeat(52) + "\n\n";
     private static final Duration DOWN_TIME = Duration.ofSeconds(3);
 
     private final VirtualTimerService mTimers;
@@ -33,6 +35,7 @@
     private final BiConsumer<String, Long> mOnRestart;
     private Predicate<BackendRequest> mDeadly = request -> false;
     private Function<String, Duration> mAnswerTime = server -> Duration.ofMillis(400);
+    private Function<String, Integer> mStatus = server -> 200;
     private Function<String, HeaderFields> mAnswerFields = server -> HeaderFields.NONE;
 
     /**
@@ -66,6 +69,11 @@
         mAnswerTime = answerTime;
     }
 
+    /** Sets the status that each server answers with. */
+    public void status(Function<String, Integer> status) {
+        mStatus = status;
+    }
+
     /** Sets the header fields that each server adds to its answers. */
     public void answerFields(Function<String, HeaderFields> fields) {
         mAnswerFields = fields;
@@ -114,19 +122,26 @@
             fields = fields.with(field.name(), field.value());
         }
         HeaderFields head = fields;
-        call.tell(listener -> listener.onHead(200, head));
+        call.tell(listener -> listener.onHead(mStatus.apply(name), head));
         if (mDeadly.test(call.mRequest)) {
             crash(name);
             return;
         }
-        call.tell(listener -> listener.onPart(StandardCharsets.UTF_8.encode("data: 1\n\n")));
-        mTimers.after(
-                mAnswerTime.apply(name),
-                () -> {
-                    if (server(name).mOpen.remove(call)) {
-                        call.tell(BackendListener::onComplete);
-                    }
-                });
+        Duration interval = mAnswerTime.apply(name).dividedBy(PARTS);
+        sendParts(name, call, PARTS, interval);
+    }
+
+    private void sendParts(String name, Call call, int parts, Duration interval) {
+        if (!server(name).mOpen.contains(call)) {
+            return;
+        }
+        if (parts == 0) {
+            server(name).mOpen.remove(call);
+            call.tell(BackendListener::onComplete);
+            return;
+        }
+        call.tell(listener -> listener.onPart(StandardCharsets.UTF_8.encode(PART)));
+        mTimers.after(interval, () -> sendParts(name, call, parts - 1, interval));
     }
 
     /** Ends the server; it is up again after three seconds. */
--- a/rhubarbward-net/src/main/java/io/rhubarbward/gen/fleet/CrashSuspectStruct.java
+++ b/rhubarbward-net/src/main/java/io/rhubarbward/gen/fleet/CrashSuspectStruct.java
@@ -496,15 +496,15 @@
           case 2: // CRASHES
             if (schemeField.type == org.apache.thrift.protocol.TType.MAP) {
               {
-                org.apache.thrift.protocol.TMap _map86 = iprot.readMapBegin();
-                struct.crashes = new java.util.HashMap<java.lang.Long,java.lang.Long>(2*_map86.size);
-                long _key87;
-                long _val88;
-                for (int _i89 = 0; _i89 < _map86.size; ++_i89)
+                org.apache.thrift.protocol.TMap _map132 = iprot.readMapBegin();
+                struct.crashes = new java.util.HashMap<java.lang.Long,java.lang.Long>(2*_map132.size);
+                long _key133;
+                long _val134;
+                for (int _i135 = 0; _i135 < _map132.size; ++_i135)
                 {
-                  _key87 = iprot.readI64();
-                  _val88 = iprot.readI64();
-                  struct.crashes.put(_key87, _val88);
+                  _key133 = iprot.readI64();
+                  _val134 = iprot.readI64();
+                  struct.crashes.put(_key133, _val134);
                 }
                 iprot.readMapEnd();
               }
@@ -550,10 +550,10 @@
         oprot.writeFieldBegin(CRASHES_FIELD_DESC);
         {
           oprot.writeMapBegin(new org.apache.thrift.protocol.TMap(org.apache.thrift.protocol.TType.I64, org.apache.thrift.protocol.TType.I64, struct.crashes.size()));
-          for (java.util.Map.Entry<java.lang.Long, java.lang.Long> _iter90 : struct.crashes.entrySet())
+          for (java.util.Map.Entry<java.lang.Long, java.lang.Long> _iter136 : struct.crashes.entrySet())
           {
-            oprot.writeI64(_iter90.getKey());
-            oprot.writeI64(_iter90.getValue());
+            oprot.writeI64(_iter136.getKey());
+            oprot.writeI64(_iter136.getValue());
           }
           oprot.writeMapEnd();
         }
@@ -583,10 +583,10 @@
       oprot.writeI64(struct.trait);
       {
         oprot.writeI32(struct.crashes.size());
-        for (java.util.Map.Entry<java.lang.Long, java.lang.Long> _iter91 : struct.crashes.entrySet())
+        for (java.util.Map.Entry<java.lang.Long, java.lang.Long> _iter137 : struct.crashes.entrySet())
         {
-          oprot.writeI64(_iter91.getKey());
-          oprot.writeI64(_iter91.getValue());
+          oprot.writeI64(_iter137.getKey());
+          oprot.writeI64(_iter137.getValue());
         }
       }
       oprot.writeI64(struct.answers);
@@ -598,15 +598,15 @@
       struct.trait = iprot.readI64();
       struct.setTraitIsSet(true);
       {
-        org.apache.thrift.protocol.TMap _map92 = iprot.readMapBegin(org.apache.thrift.protocol.TType.I64, org.apache.thrift.protocol.TType.I64); 
-        struct.crashes = new java.util.HashMap<java.lang.Long,java.lang.Long>(2*_map92.size);
-        long _key93;
-        long _val94;
-        for (int _i95 = 0; _i95 < _map92.size; ++_i95)
+        org.apache.thrift.protocol.TMap _map138 = iprot.readMapBegin(org.apache.thrift.protocol.TType.I64, org.apache.thrift.protocol.TType.I64); 
+        struct.crashes = new java.util.HashMap<java.lang.Long,java.lang.Long>(2*_map138.size);
+        long _key139;
+        long _val140;
+        for (int _i141 = 0; _i141 < _map138.size; ++_i141)
         {
-          _key93 = iprot.readI64();
-          _val94 = iprot.readI64();
-          struct.crashes.put(_key93, _val94);
+          _key139 = iprot.readI64();
+          _val140 = iprot.readI64();
+          struct.crashes.put(_key139, _val140);
         }
       }
       struct.setCrashesIsSet(true);
--- a/rhubarbward-net/src/main/java/io/rhubarbward/gen/fleet/DataCentreLoadStruct.java
+++ b/rhubarbward-net/src/main/java/io/rhubarbward/gen/fleet/DataCentreLoadStruct.java
@@ -16,6 +16,7 @@
   private static final org.apache.thrift.protocol.TField IN_FLIGHT_FIELD_DESC = new org.apache.thrift.protocol.TField("inFlight", org.apache.thrift.protocol.TType.MAP, (short)4);
   private static final org.apache.thrift.protocol.TField SUSPECTS_DIGEST_FIELD_DESC = new org.apache.thrift.protocol.TField("suspectsDigest", org.apache.thrift.protocol.TType.I64, (short)5);
   private static final org.apache.thrift.protocol.TField LIMITS_FIELD_DESC = new org.apache.thrift.protocol.TField("limits", org.apache.thrift.protocol.TType.MAP, (short)6);
+  private static final org.apache.thrift.protocol.TField VERSIONS_FIELD_DESC = new org.apache.thrift.protocol.TField("versions", org.apache.thrift.protocol.TType.MAP, (short)7);
 
   private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY = new DataCentreLoadStructStandardSchemeFactory();
   private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY = new DataCentreLoadStructTupleSchemeFactory();
@@ -26,6 +27,7 @@
   private @org.apache.thrift.annotation.Nullable java.util.Map<java.lang.Integer,java.lang.Integer> inFlight; // required
   private long suspectsDigest; // required
   private @org.apache.thrift.annotation.Nullable java.util.Map<java.lang.Integer,LimitObservationStruct> limits; // required
+  private @org.apache.thrift.annotation.Nullable java.util.Map<java.lang.String,PairedFiguresStruct> versions; // required
 
   /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
   public enum _Fields implements org.apache.thrift.TFieldIdEnum {
@@ -34,7 +36,8 @@
     FORWARDED((short)3, "forwarded"),
     IN_FLIGHT((short)4, "inFlight"),
     SUSPECTS_DIGEST((short)5, "suspectsDigest"),
-    LIMITS((short)6, "limits");
+    LIMITS((short)6, "limits"),
+    VERSIONS((short)7, "versions");
 
     private static final java.util.Map<java.lang.String, _Fields> byName = new java.util.HashMap<java.lang.String, _Fields>();
 
@@ -62,6 +65,8 @@
           return SUSPECTS_DIGEST;
         case 6: // LIMITS
           return LIMITS;
+        case 7: // VERSIONS
+          return VERSIONS;
         default:
           return null;
       }
@@ -128,6 +133,10 @@
         new org.apache.thrift.meta_data.MapMetaData(org.apache.thrift.protocol.TType.MAP, 
             new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I32), 
             new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, LimitObservationStruct.class))));
+    tmpMap.put(_Fields.VERSIONS, new org.apache.thrift.meta_data.FieldMetaData("versions", org.apache.thrift.TFieldRequirementType.REQUIRED, 
+        new org.apache.thrift.meta_data.MapMetaData(org.apache.thrift.protocol.TType.MAP, 
+            new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.STRING), 
+            new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, PairedFiguresStruct.class))));
     metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
     org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(DataCentreLoadStruct.class, metaDataMap);
   }
@@ -141,7 +150,8 @@
     boolean forwarded,
     java.util.Map<java.lang.Integer,java.lang.Integer> inFlight,
     long suspectsDigest,
-    java.util.Map<java.lang.Integer,LimitObservationStruct> limits)
+    java.util.Map<java.lang.Integer,LimitObservationStruct> limits,
+    java.util.Map<java.lang.String,PairedFiguresStruct> versions)
   {
     this();
     this.aggregator = aggregator;
@@ -153,6 +163,7 @@
     this.suspectsDigest = suspectsDigest;
     setSuspectsDigestIsSet(true);
     this.limits = limits;
+    this.versions = versions;
   }
 
   /**
@@ -185,6 +196,21 @@
       }
       this.limits = __this__limits;
     }
+    if (other.isSetVersions()) {
+      java.util.Map<java.lang.String,PairedFiguresStruct> __this__versions = new java.util.HashMap<java.lang.String,PairedFiguresStruct>(other.versions.size());
+      for (java.util.Map.Entry<java.lang.String, PairedFiguresStruct> other_element : other.versions.entrySet()) {
+
+        java.lang.String other_element_key = other_element.getKey();
+        PairedFiguresStruct other_element_value = other_element.getValue();
+
+        java.lang.String __this__versions_copy_key = other_element_key;
+
+        PairedFiguresStruct __this__versions_copy_value = new PairedFiguresStruct(other_element_value);
+
+        __this__versions.put(__this__versions_copy_key, __this__versions_copy_value);
+      }
+      this.versions = __this__versions;
+    }
   }
 
   @Override
@@ -203,6 +229,7 @@
     setSuspectsDigestIsSet(false);
     this.suspectsDigest = 0;
     this.limits = null;
+    this.versions = null;
   }
 
   @org.apache.thrift.annotation.Nullable
@@ -371,6 +398,42 @@
     }
   }
 
+  public int getVersionsSize() {
+    return (this.versions == null) ? 0 : this.versions.size();
+  }
+
+  public void putToVersions(java.lang.String key, PairedFiguresStruct val) {
+    if (this.versions == null) {
+      this.versions = new java.util.HashMap<java.lang.String,PairedFiguresStruct>();
+    }
+    this.versions.put(key, val);
+  }
+
+  @org.apache.thrift.annotation.Nullable
+  public java.util.Map<java.lang.String,PairedFiguresStruct> getVersions() {
+    return this.versions;
+  }
+
+  public DataCentreLoadStruct setVersions(@org.apache.thrift.annotation.Nullable java.util.Map<java.lang.String,PairedFiguresStruct> versions) {
+    this.versions = versions;
+    return this;
+  }
+
+  public void unsetVersions() {
+    this.versions = null;
+  }
+
+  /** Returns true if field versions is set (has been assigned a value) and false otherwise */
+  public boolean isSetVersions() {
+    return this.versions != null;
+  }
+
+  public void setVersionsIsSet(boolean value) {
+    if (!value) {
+      this.versions = null;
+    }
+  }
+
   @Override
   public void setFieldValue(_Fields field, @org.apache.thrift.annotation.Nullable java.lang.Object value) {
     switch (field) {
@@ -422,6 +485,14 @@
       }
       break;
 
+    case VERSIONS:
+      if (value == null) {
+        unsetVersions();
+      } else {
+        setVersions((java.util.Map<java.lang.String,PairedFiguresStruct>)value);
+      }
+      break;
+
     }
   }
 
@@ -447,6 +518,9 @@
     case LIMITS:
       return getLimits();
 
+    case VERSIONS:
+      return getVersions();
+
     }
     throw new java.lang.IllegalStateException();
   }
@@ -471,6 +545,8 @@
       return isSetSuspectsDigest();
     case LIMITS:
       return isSetLimits();
+    case VERSIONS:
+      return isSetVersions();
     }
     throw new java.lang.IllegalStateException();
   }
@@ -542,6 +618,15 @@
         return false;
     }
 
+    boolean this_present_versions = true && this.isSetVersions();
+    boolean that_present_versions = true && that.isSetVersions();
+    if (this_present_versions || that_present_versions) {
+      if (!(this_present_versions && that_present_versions))
+        return false;
+      if (!this.versions.equals(that.versions))
+        return false;
+    }
+
     return true;
   }
 
@@ -567,6 +652,10 @@
     if (isSetLimits())
       hashCode = hashCode * 8191 + limits.hashCode();
 
+    hashCode = hashCode * 8191 + ((isSetVersions()) ? 131071 : 524287);
+    if (isSetVersions())
+      hashCode = hashCode * 8191 + versions.hashCode();
+
     return hashCode;
   }
 
@@ -638,6 +727,16 @@
         return lastComparison;
       }
     }
+    lastComparison = java.lang.Boolean.compare(isSetVersions(), other.isSetVersions());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetVersions()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.versions, other.versions);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
     return 0;
   }
 
@@ -697,6 +796,14 @@
       sb.append(this.limits);
     }
     first = false;
+    if (!first) sb.append(", ");
+    sb.append("versions:");
+    if (this.versions == null) {
+      sb.append("null");
+    } else {
+      sb.append(this.versions);
+    }
+    first = false;
     sb.append(")");
     return sb.toString();
   }
@@ -715,6 +822,9 @@
     if (limits == null) {
       throw new org.apache.thrift.protocol.TProtocolException("Required field 'limits' was not present! Struct: " + toString());
     }
+    if (versions == null) {
+      throw new org.apache.thrift.protocol.TProtocolException("Required field 'versions' was not present! Struct: " + toString());
+    }
     // check for sub-struct validity
   }
 
@@ -783,15 +893,15 @@
           case 4: // IN_FLIGHT
             if (schemeField.type == org.apache.thrift.protocol.TType.MAP) {
               {
-                org.apache.thrift.protocol.TMap _map66 = iprot.readMapBegin();
-                struct.inFlight = new java.util.HashMap<java.lang.Integer,java.lang.Integer>(2*_map66.size);
-                int _key67;
-                int _val68;
-                for (int _i69 = 0; _i69 < _map66.size; ++_i69)
+                org.apache.thrift.protocol.TMap _map102 = iprot.readMapBegin();
+                struct.inFlight = new java.util.HashMap<java.lang.Integer,java.lang.Integer>(2*_map102.size);
+                int _key103;
+                int _val104;
+                for (int _i105 = 0; _i105 < _map102.size; ++_i105)
                 {
-                  _key67 = iprot.readI32();
-                  _val68 = iprot.readI32();
-                  struct.inFlight.put(_key67, _val68);
+                  _key103 = iprot.readI32();
+                  _val104 = iprot.readI32();
+                  struct.inFlight.put(_key103, _val104);
                 }
                 iprot.readMapEnd();
               }
@@ -811,16 +921,16 @@
           case 6: // LIMITS
             if (schemeField.type == org.apache.thrift.protocol.TType.MAP) {
               {
-                org.apache.thrift.protocol.TMap _map70 = iprot.readMapBegin();
-                struct.limits = new java.util.HashMap<java.lang.Integer,LimitObservationStruct>(2*_map70.size);
-                int _key71;
-                @org.apache.thrift.annotation.Nullable LimitObservationStruct _val72;
-                for (int _i73 = 0; _i73 < _map70.size; ++_i73)
+                org.apache.thrift.protocol.TMap _map106 = iprot.readMapBegin();
+                struct.limits = new java.util.HashMap<java.lang.Integer,LimitObservationStruct>(2*_map106.size);
+                int _key107;
+                @org.apache.thrift.annotation.Nullable LimitObservationStruct _val108;
+                for (int _i109 = 0; _i109 < _map106.size; ++_i109)
                 {
-                  _key71 = iprot.readI32();
-                  _val72 = new LimitObservationStruct();
-                  _val72.read(iprot);
-                  struct.limits.put(_key71, _val72);
+                  _key107 = iprot.readI32();
+                  _val108 = new LimitObservationStruct();
+                  _val108.read(iprot);
+                  struct.limits.put(_key107, _val108);
                 }
                 iprot.readMapEnd();
               }
@@ -829,6 +939,27 @@
               org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
             break;
+          case 7: // VERSIONS
+            if (schemeField.type == org.apache.thrift.protocol.TType.MAP) {
+              {
+                org.apache.thrift.protocol.TMap _map110 = iprot.readMapBegin();
+                struct.versions = new java.util.HashMap<java.lang.String,PairedFiguresStruct>(2*_map110.size);
+                @org.apache.thrift.annotation.Nullable java.lang.String _key111;
+                @org.apache.thrift.annotation.Nullable PairedFiguresStruct _val112;
+                for (int _i113 = 0; _i113 < _map110.size; ++_i113)
+                {
+                  _key111 = iprot.readString();
+                  _val112 = new PairedFiguresStruct();
+                  _val112.read(iprot);
+                  struct.versions.put(_key111, _val112);
+                }
+                iprot.readMapEnd();
+              }
+              struct.setVersionsIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
+            }
+            break;
           default:
             org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
         }
@@ -869,10 +1000,10 @@
         oprot.writeFieldBegin(IN_FLIGHT_FIELD_DESC);
         {
           oprot.writeMapBegin(new org.apache.thrift.protocol.TMap(org.apache.thrift.protocol.TType.I32, org.apache.thrift.protocol.TType.I32, struct.inFlight.size()));
-          for (java.util.Map.Entry<java.lang.Integer, java.lang.Integer> _iter74 : struct.inFlight.entrySet())
+          for (java.util.Map.Entry<java.lang.Integer, java.lang.Integer> _iter114 : struct.inFlight.entrySet())
           {
-            oprot.writeI32(_iter74.getKey());
-            oprot.writeI32(_iter74.getValue());
+            oprot.writeI32(_iter114.getKey());
+            oprot.writeI32(_iter114.getValue());
           }
           oprot.writeMapEnd();
         }
@@ -885,10 +1016,23 @@
         oprot.writeFieldBegin(LIMITS_FIELD_DESC);
         {
           oprot.writeMapBegin(new org.apache.thrift.protocol.TMap(org.apache.thrift.protocol.TType.I32, org.apache.thrift.protocol.TType.STRUCT, struct.limits.size()));
-          for (java.util.Map.Entry<java.lang.Integer, LimitObservationStruct> _iter75 : struct.limits.entrySet())
+          for (java.util.Map.Entry<java.lang.Integer, LimitObservationStruct> _iter115 : struct.limits.entrySet())
+          {
+            oprot.writeI32(_iter115.getKey());
+            _iter115.getValue().write(oprot);
+          }
+          oprot.writeMapEnd();
+        }
+        oprot.writeFieldEnd();
+      }
+      if (struct.versions != null) {
+        oprot.writeFieldBegin(VERSIONS_FIELD_DESC);
+        {
+          oprot.writeMapBegin(new org.apache.thrift.protocol.TMap(org.apache.thrift.protocol.TType.STRING, org.apache.thrift.protocol.TType.STRUCT, struct.versions.size()));
+          for (java.util.Map.Entry<java.lang.String, PairedFiguresStruct> _iter116 : struct.versions.entrySet())
           {
-            oprot.writeI32(_iter75.getKey());
-            _iter75.getValue().write(oprot);
+            oprot.writeString(_iter116.getKey());
+            _iter116.getValue().write(oprot);
           }
           oprot.writeMapEnd();
         }
@@ -917,19 +1061,27 @@
       oprot.writeBool(struct.forwarded);
       {
         oprot.writeI32(struct.inFlight.size());
-        for (java.util.Map.Entry<java.lang.Integer, java.lang.Integer> _iter76 : struct.inFlight.entrySet())
+        for (java.util.Map.Entry<java.lang.Integer, java.lang.Integer> _iter117 : struct.inFlight.entrySet())
         {
-          oprot.writeI32(_iter76.getKey());
-          oprot.writeI32(_iter76.getValue());
+          oprot.writeI32(_iter117.getKey());
+          oprot.writeI32(_iter117.getValue());
         }
       }
       oprot.writeI64(struct.suspectsDigest);
       {
         oprot.writeI32(struct.limits.size());
-        for (java.util.Map.Entry<java.lang.Integer, LimitObservationStruct> _iter77 : struct.limits.entrySet())
+        for (java.util.Map.Entry<java.lang.Integer, LimitObservationStruct> _iter118 : struct.limits.entrySet())
+        {
+          oprot.writeI32(_iter118.getKey());
+          _iter118.getValue().write(oprot);
+        }
+      }
+      {
+        oprot.writeI32(struct.versions.size());
+        for (java.util.Map.Entry<java.lang.String, PairedFiguresStruct> _iter119 : struct.versions.entrySet())
         {
-          oprot.writeI32(_iter77.getKey());
-          _iter77.getValue().write(oprot);
+          oprot.writeString(_iter119.getKey());
+          _iter119.getValue().write(oprot);
         }
       }
     }
@@ -944,34 +1096,48 @@
       struct.forwarded = iprot.readBool();
       struct.setForwardedIsSet(true);
       {
-        org.apache.thrift.protocol.TMap _map78 = iprot.readMapBegin(org.apache.thrift.protocol.TType.I32, org.apache.thrift.protocol.TType.I32); 
-        struct.inFlight = new java.util.HashMap<java.lang.Integer,java.lang.Integer>(2*_map78.size);
-        int _key79;
-        int _val80;
-        for (int _i81 = 0; _i81 < _map78.size; ++_i81)
+        org.apache.thrift.protocol.TMap _map120 = iprot.readMapBegin(org.apache.thrift.protocol.TType.I32, org.apache.thrift.protocol.TType.I32); 
+        struct.inFlight = new java.util.HashMap<java.lang.Integer,java.lang.Integer>(2*_map120.size);
+        int _key121;
+        int _val122;
+        for (int _i123 = 0; _i123 < _map120.size; ++_i123)
         {
-          _key79 = iprot.readI32();
-          _val80 = iprot.readI32();
-          struct.inFlight.put(_key79, _val80);
+          _key121 = iprot.readI32();
+          _val122 = iprot.readI32();
+          struct.inFlight.put(_key121, _val122);
         }
       }
       struct.setInFlightIsSet(true);
       struct.suspectsDigest = iprot.readI64();
       struct.setSuspectsDigestIsSet(true);
       {
-        org.apache.thrift.protocol.TMap _map82 = iprot.readMapBegin(org.apache.thrift.protocol.TType.I32, org.apache.thrift.protocol.TType.STRUCT); 
-        struct.limits = new java.util.HashMap<java.lang.Integer,LimitObservationStruct>(2*_map82.size);
-        int _key83;
-        @org.apache.thrift.annotation.Nullable LimitObservationStruct _val84;
-        for (int _i85 = 0; _i85 < _map82.size; ++_i85)
+        org.apache.thrift.protocol.TMap _map124 = iprot.readMapBegin(org.apache.thrift.protocol.TType.I32, org.apache.thrift.protocol.TType.STRUCT); 
+        struct.limits = new java.util.HashMap<java.lang.Integer,LimitObservationStruct>(2*_map124.size);
+        int _key125;
+        @org.apache.thrift.annotation.Nullable LimitObservationStruct _val126;
+        for (int _i127 = 0; _i127 < _map124.size; ++_i127)
         {
-          _key83 = iprot.readI32();
-          _val84 = new LimitObservationStruct();
-          _val84.read(iprot);
-          struct.limits.put(_key83, _val84);
+          _key125 = iprot.readI32();
+          _val126 = new LimitObservationStruct();
+          _val126.read(iprot);
+          struct.limits.put(_key125, _val126);
         }
       }
       struct.setLimitsIsSet(true);
+      {
+        org.apache.thrift.protocol.TMap _map128 = iprot.readMapBegin(org.apache.thrift.protocol.TType.STRING, org.apache.thrift.protocol.TType.STRUCT); 
+        struct.versions = new java.util.HashMap<java.lang.String,PairedFiguresStruct>(2*_map128.size);
+        @org.apache.thrift.annotation.Nullable java.lang.String _key129;
+        @org.apache.thrift.annotation.Nullable PairedFiguresStruct _val130;
+        for (int _i131 = 0; _i131 < _map128.size; ++_i131)
+        {
+          _key129 = iprot.readString();
+          _val130 = new PairedFiguresStruct();
+          _val130.read(iprot);
+          struct.versions.put(_key129, _val130);
+        }
+      }
+      struct.setVersionsIsSet(true);
     }
   }
 
--- a/rhubarbward-net/src/main/java/io/rhubarbward/gen/fleet/LoadReportStruct.java
+++ b/rhubarbward-net/src/main/java/io/rhubarbward/gen/fleet/LoadReportStruct.java
@@ -14,6 +14,7 @@
   private static final org.apache.thrift.protocol.TField IN_FLIGHT_FIELD_DESC = new org.apache.thrift.protocol.TField("inFlight", org.apache.thrift.protocol.TType.MAP, (short)2);
   private static final org.apache.thrift.protocol.TField SUSPECTS_DIGEST_FIELD_DESC = new org.apache.thrift.protocol.TField("suspectsDigest", org.apache.thrift.protocol.TType.I64, (short)3);
   private static final org.apache.thrift.protocol.TField LIMITS_FIELD_DESC = new org.apache.thrift.protocol.TField("limits", org.apache.thrift.protocol.TType.MAP, (short)4);
+  private static final org.apache.thrift.protocol.TField VERSIONS_FIELD_DESC = new org.apache.thrift.protocol.TField("versions", org.apache.thrift.protocol.TType.MAP, (short)5);
 
   private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY = new LoadReportStructStandardSchemeFactory();
   private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY = new LoadReportStructTupleSchemeFactory();
@@ -22,13 +23,15 @@
   private @org.apache.thrift.annotation.Nullable java.util.Map<java.lang.Integer,java.lang.Integer> inFlight; // required
   private long suspectsDigest; // required
   private @org.apache.thrift.annotation.Nullable java.util.Map<java.lang.Integer,LimitObservationStruct> limits; // required
+  private @org.apache.thrift.annotation.Nullable java.util.Map<java.lang.String,PairedFiguresStruct> versions; // required
 
   /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
   public enum _Fields implements org.apache.thrift.TFieldIdEnum {
     SEQUENCE((short)1, "sequence"),
     IN_FLIGHT((short)2, "inFlight"),
     SUSPECTS_DIGEST((short)3, "suspectsDigest"),
-    LIMITS((short)4, "limits");
+    LIMITS((short)4, "limits"),
+    VERSIONS((short)5, "versions");
 
     private static final java.util.Map<java.lang.String, _Fields> byName = new java.util.HashMap<java.lang.String, _Fields>();
 
@@ -52,6 +55,8 @@
           return SUSPECTS_DIGEST;
         case 4: // LIMITS
           return LIMITS;
+        case 5: // VERSIONS
+          return VERSIONS;
         default:
           return null;
       }
@@ -113,6 +118,10 @@
         new org.apache.thrift.meta_data.MapMetaData(org.apache.thrift.protocol.TType.MAP, 
             new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I32), 
             new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, LimitObservationStruct.class))));
+    tmpMap.put(_Fields.VERSIONS, new org.apache.thrift.meta_data.FieldMetaData("versions", org.apache.thrift.TFieldRequirementType.REQUIRED, 
+        new org.apache.thrift.meta_data.MapMetaData(org.apache.thrift.protocol.TType.MAP, 
+            new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.STRING), 
+            new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, PairedFiguresStruct.class))));
     metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
     org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(LoadReportStruct.class, metaDataMap);
   }
@@ -124,7 +133,8 @@
     long sequence,
     java.util.Map<java.lang.Integer,java.lang.Integer> inFlight,
     long suspectsDigest,
-    java.util.Map<java.lang.Integer,LimitObservationStruct> limits)
+    java.util.Map<java.lang.Integer,LimitObservationStruct> limits,
+    java.util.Map<java.lang.String,PairedFiguresStruct> versions)
   {
     this();
     this.sequence = sequence;
@@ -133,6 +143,7 @@
     this.suspectsDigest = suspectsDigest;
     setSuspectsDigestIsSet(true);
     this.limits = limits;
+    this.versions = versions;
   }
 
   /**
@@ -161,6 +172,21 @@
       }
       this.limits = __this__limits;
     }
+    if (other.isSetVersions()) {
+      java.util.Map<java.lang.String,PairedFiguresStruct> __this__versions = new java.util.HashMap<java.lang.String,PairedFiguresStruct>(other.versions.size());
+      for (java.util.Map.Entry<java.lang.String, PairedFiguresStruct> other_element : other.versions.entrySet()) {
+
+        java.lang.String other_element_key = other_element.getKey();
+        PairedFiguresStruct other_element_value = other_element.getValue();
+
+        java.lang.String __this__versions_copy_key = other_element_key;
+
+        PairedFiguresStruct __this__versions_copy_value = new PairedFiguresStruct(other_element_value);
+
+        __this__versions.put(__this__versions_copy_key, __this__versions_copy_value);
+      }
+      this.versions = __this__versions;
+    }
   }
 
   @Override
@@ -176,6 +202,7 @@
     setSuspectsDigestIsSet(false);
     this.suspectsDigest = 0;
     this.limits = null;
+    this.versions = null;
   }
 
   public long getSequence() {
@@ -296,6 +323,42 @@
     }
   }
 
+  public int getVersionsSize() {
+    return (this.versions == null) ? 0 : this.versions.size();
+  }
+
+  public void putToVersions(java.lang.String key, PairedFiguresStruct val) {
+    if (this.versions == null) {
+      this.versions = new java.util.HashMap<java.lang.String,PairedFiguresStruct>();
+    }
+    this.versions.put(key, val);
+  }
+
+  @org.apache.thrift.annotation.Nullable
+  public java.util.Map<java.lang.String,PairedFiguresStruct> getVersions() {
+    return this.versions;
+  }
+
+  public LoadReportStruct setVersions(@org.apache.thrift.annotation.Nullable java.util.Map<java.lang.String,PairedFiguresStruct> versions) {
+    this.versions = versions;
+    return this;
+  }
+
+  public void unsetVersions() {
+    this.versions = null;
+  }
+
+  /** Returns true if field versions is set (has been assigned a value) and false otherwise */
+  public boolean isSetVersions() {
+    return this.versions != null;
+  }
+
+  public void setVersionsIsSet(boolean value) {
+    if (!value) {
+      this.versions = null;
+    }
+  }
+
   @Override
   public void setFieldValue(_Fields field, @org.apache.thrift.annotation.Nullable java.lang.Object value) {
     switch (field) {
@@ -331,6 +394,14 @@
       }
       break;
 
+    case VERSIONS:
+      if (value == null) {
+        unsetVersions();
+      } else {
+        setVersions((java.util.Map<java.lang.String,PairedFiguresStruct>)value);
+      }
+      break;
+
     }
   }
 
@@ -350,6 +421,9 @@
     case LIMITS:
       return getLimits();
 
+    case VERSIONS:
+      return getVersions();
+
     }
     throw new java.lang.IllegalStateException();
   }
@@ -370,6 +444,8 @@
       return isSetSuspectsDigest();
     case LIMITS:
       return isSetLimits();
+    case VERSIONS:
+      return isSetVersions();
     }
     throw new java.lang.IllegalStateException();
   }
@@ -423,6 +499,15 @@
         return false;
     }
 
+    boolean this_present_versions = true && this.isSetVersions();
+    boolean that_present_versions = true && that.isSetVersions();
+    if (this_present_versions || that_present_versions) {
+      if (!(this_present_versions && that_present_versions))
+        return false;
+      if (!this.versions.equals(that.versions))
+        return false;
+    }
+
     return true;
   }
 
@@ -442,6 +527,10 @@
     if (isSetLimits())
       hashCode = hashCode * 8191 + limits.hashCode();
 
+    hashCode = hashCode * 8191 + ((isSetVersions()) ? 131071 : 524287);
+    if (isSetVersions())
+      hashCode = hashCode * 8191 + versions.hashCode();
+
     return hashCode;
   }
 
@@ -493,6 +582,16 @@
         return lastComparison;
       }
     }
+    lastComparison = java.lang.Boolean.compare(isSetVersions(), other.isSetVersions());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetVersions()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.versions, other.versions);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
     return 0;
   }
 
@@ -540,6 +639,14 @@
       sb.append(this.limits);
     }
     first = false;
+    if (!first) sb.append(", ");
+    sb.append("versions:");
+    if (this.versions == null) {
+      sb.append("null");
+    } else {
+      sb.append(this.versions);
+    }
+    first = false;
     sb.append(")");
     return sb.toString();
   }
@@ -554,6 +661,9 @@
     if (limits == null) {
       throw new org.apache.thrift.protocol.TProtocolException("Required field 'limits' was not present! Struct: " + toString());
     }
+    if (versions == null) {
+      throw new org.apache.thrift.protocol.TProtocolException("Required field 'versions' was not present! Struct: " + toString());
+    }
     // check for sub-struct validity
   }
 
@@ -606,15 +716,15 @@
           case 2: // IN_FLIGHT
             if (schemeField.type == org.apache.thrift.protocol.TType.MAP) {
               {
-                org.apache.thrift.protocol.TMap _map26 = iprot.readMapBegin();
-                struct.inFlight = new java.util.HashMap<java.lang.Integer,java.lang.Integer>(2*_map26.size);
-                int _key27;
-                int _val28;
-                for (int _i29 = 0; _i29 < _map26.size; ++_i29)
+                org.apache.thrift.protocol.TMap _map42 = iprot.readMapBegin();
+                struct.inFlight = new java.util.HashMap<java.lang.Integer,java.lang.Integer>(2*_map42.size);
+                int _key43;
+                int _val44;
+                for (int _i45 = 0; _i45 < _map42.size; ++_i45)
                 {
-                  _key27 = iprot.readI32();
-                  _val28 = iprot.readI32();
-                  struct.inFlight.put(_key27, _val28);
+                  _key43 = iprot.readI32();
+                  _val44 = iprot.readI32();
+                  struct.inFlight.put(_key43, _val44);
                 }
                 iprot.readMapEnd();
               }
@@ -634,16 +744,16 @@
           case 4: // LIMITS
             if (schemeField.type == org.apache.thrift.protocol.TType.MAP) {
               {
-                org.apache.thrift.protocol.TMap _map30 = iprot.readMapBegin();
-                struct.limits = new java.util.HashMap<java.lang.Integer,LimitObservationStruct>(2*_map30.size);
-                int _key31;
-                @org.apache.thrift.annotation.Nullable LimitObservationStruct _val32;
-                for (int _i33 = 0; _i33 < _map30.size; ++_i33)
+                org.apache.thrift.protocol.TMap _map46 = iprot.readMapBegin();
+                struct.limits = new java.util.HashMap<java.lang.Integer,LimitObservationStruct>(2*_map46.size);
+                int _key47;
+                @org.apache.thrift.annotation.Nullable LimitObservationStruct _val48;
+                for (int _i49 = 0; _i49 < _map46.size; ++_i49)
                 {
-                  _key31 = iprot.readI32();
-                  _val32 = new LimitObservationStruct();
-                  _val32.read(iprot);
-                  struct.limits.put(_key31, _val32);
+                  _key47 = iprot.readI32();
+                  _val48 = new LimitObservationStruct();
+                  _val48.read(iprot);
+                  struct.limits.put(_key47, _val48);
                 }
                 iprot.readMapEnd();
               }
@@ -652,6 +762,27 @@
               org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
             break;
+          case 5: // VERSIONS
+            if (schemeField.type == org.apache.thrift.protocol.TType.MAP) {
+              {
+                org.apache.thrift.protocol.TMap _map50 = iprot.readMapBegin();
+                struct.versions = new java.util.HashMap<java.lang.String,PairedFiguresStruct>(2*_map50.size);
+                @org.apache.thrift.annotation.Nullable java.lang.String _key51;
+                @org.apache.thrift.annotation.Nullable PairedFiguresStruct _val52;
+                for (int _i53 = 0; _i53 < _map50.size; ++_i53)
+                {
+                  _key51 = iprot.readString();
+                  _val52 = new PairedFiguresStruct();
+                  _val52.read(iprot);
+                  struct.versions.put(_key51, _val52);
+                }
+                iprot.readMapEnd();
+              }
+              struct.setVersionsIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
+            }
+            break;
           default:
             org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
         }
@@ -681,10 +812,10 @@
         oprot.writeFieldBegin(IN_FLIGHT_FIELD_DESC);
         {
           oprot.writeMapBegin(new org.apache.thrift.protocol.TMap(org.apache.thrift.protocol.TType.I32, org.apache.thrift.protocol.TType.I32, struct.inFlight.size()));
-          for (java.util.Map.Entry<java.lang.Integer, java.lang.Integer> _iter34 : struct.inFlight.entrySet())
+          for (java.util.Map.Entry<java.lang.Integer, java.lang.Integer> _iter54 : struct.inFlight.entrySet())
           {
-            oprot.writeI32(_iter34.getKey());
-            oprot.writeI32(_iter34.getValue());
+            oprot.writeI32(_iter54.getKey());
+            oprot.writeI32(_iter54.getValue());
           }
           oprot.writeMapEnd();
         }
@@ -697,10 +828,23 @@
         oprot.writeFieldBegin(LIMITS_FIELD_DESC);
         {
           oprot.writeMapBegin(new org.apache.thrift.protocol.TMap(org.apache.thrift.protocol.TType.I32, org.apache.thrift.protocol.TType.STRUCT, struct.limits.size()));
-          for (java.util.Map.Entry<java.lang.Integer, LimitObservationStruct> _iter35 : struct.limits.entrySet())
+          for (java.util.Map.Entry<java.lang.Integer, LimitObservationStruct> _iter55 : struct.limits.entrySet())
+          {
+            oprot.writeI32(_iter55.getKey());
+            _iter55.getValue().write(oprot);
+          }
+          oprot.writeMapEnd();
+        }
+        oprot.writeFieldEnd();
+      }
+      if (struct.versions != null) {
+        oprot.writeFieldBegin(VERSIONS_FIELD_DESC);
+        {
+          oprot.writeMapBegin(new org.apache.thrift.protocol.TMap(org.apache.thrift.protocol.TType.STRING, org.apache.thrift.protocol.TType.STRUCT, struct.versions.size()));
+          for (java.util.Map.Entry<java.lang.String, PairedFiguresStruct> _iter56 : struct.versions.entrySet())
           {
-            oprot.writeI32(_iter35.getKey());
-            _iter35.getValue().write(oprot);
+            oprot.writeString(_iter56.getKey());
+            _iter56.getValue().write(oprot);
           }
           oprot.writeMapEnd();
         }
@@ -727,19 +871,27 @@
       oprot.writeI64(struct.sequence);
       {
         oprot.writeI32(struct.inFlight.size());
-        for (java.util.Map.Entry<java.lang.Integer, java.lang.Integer> _iter36 : struct.inFlight.entrySet())
+        for (java.util.Map.Entry<java.lang.Integer, java.lang.Integer> _iter57 : struct.inFlight.entrySet())
         {
-          oprot.writeI32(_iter36.getKey());
-          oprot.writeI32(_iter36.getValue());
+          oprot.writeI32(_iter57.getKey());
+          oprot.writeI32(_iter57.getValue());
         }
       }
       oprot.writeI64(struct.suspectsDigest);
       {
         oprot.writeI32(struct.limits.size());
-        for (java.util.Map.Entry<java.lang.Integer, LimitObservationStruct> _iter37 : struct.limits.entrySet())
+        for (java.util.Map.Entry<java.lang.Integer, LimitObservationStruct> _iter58 : struct.limits.entrySet())
+        {
+          oprot.writeI32(_iter58.getKey());
+          _iter58.getValue().write(oprot);
+        }
+      }
+      {
+        oprot.writeI32(struct.versions.size());
+        for (java.util.Map.Entry<java.lang.String, PairedFiguresStruct> _iter59 : struct.versions.entrySet())
         {
-          oprot.writeI32(_iter37.getKey());
-          _iter37.getValue().write(oprot);
+          oprot.writeString(_iter59.getKey());
+          _iter59.getValue().write(oprot);
         }
       }
     }
@@ -750,34 +902,48 @@
       struct.sequence = iprot.readI64();
       struct.setSequenceIsSet(true);
       {
-        org.apache.thrift.protocol.TMap _map38 = iprot.readMapBegin(org.apache.thrift.protocol.TType.I32, org.apache.thrift.protocol.TType.I32); 
-        struct.inFlight = new java.util.HashMap<java.lang.Integer,java.lang.Integer>(2*_map38.size);
-        int _key39;
-        int _val40;
-        for (int _i41 = 0; _i41 < _map38.size; ++_i41)
+        org.apache.thrift.protocol.TMap _map60 = iprot.readMapBegin(org.apache.thrift.protocol.TType.I32, org.apache.thrift.protocol.TType.I32); 
+        struct.inFlight = new java.util.HashMap<java.lang.Integer,java.lang.Integer>(2*_map60.size);
+        int _key61;
+        int _val62;
+        for (int _i63 = 0; _i63 < _map60.size; ++_i63)
         {
-          _key39 = iprot.readI32();
-          _val40 = iprot.readI32();
-          struct.inFlight.put(_key39, _val40);
+          _key61 = iprot.readI32();
+          _val62 = iprot.readI32();
+          struct.inFlight.put(_key61, _val62);
         }
       }
       struct.setInFlightIsSet(true);
       struct.suspectsDigest = iprot.readI64();
       struct.setSuspectsDigestIsSet(true);
       {
-        org.apache.thrift.protocol.TMap _map42 = iprot.readMapBegin(org.apache.thrift.protocol.TType.I32, org.apache.thrift.protocol.TType.STRUCT); 
-        struct.limits = new java.util.HashMap<java.lang.Integer,LimitObservationStruct>(2*_map42.size);
-        int _key43;
-        @org.apache.thrift.annotation.Nullable LimitObservationStruct _val44;
-        for (int _i45 = 0; _i45 < _map42.size; ++_i45)
+        org.apache.thrift.protocol.TMap _map64 = iprot.readMapBegin(org.apache.thrift.protocol.TType.I32, org.apache.thrift.protocol.TType.STRUCT); 
+        struct.limits = new java.util.HashMap<java.lang.Integer,LimitObservationStruct>(2*_map64.size);
+        int _key65;
+        @org.apache.thrift.annotation.Nullable LimitObservationStruct _val66;
+        for (int _i67 = 0; _i67 < _map64.size; ++_i67)
         {
-          _key43 = iprot.readI32();
-          _val44 = new LimitObservationStruct();
-          _val44.read(iprot);
-          struct.limits.put(_key43, _val44);
+          _key65 = iprot.readI32();
+          _val66 = new LimitObservationStruct();
+          _val66.read(iprot);
+          struct.limits.put(_key65, _val66);
         }
       }
       struct.setLimitsIsSet(true);
+      {
+        org.apache.thrift.protocol.TMap _map68 = iprot.readMapBegin(org.apache.thrift.protocol.TType.STRING, org.apache.thrift.protocol.TType.STRUCT); 
+        struct.versions = new java.util.HashMap<java.lang.String,PairedFiguresStruct>(2*_map68.size);
+        @org.apache.thrift.annotation.Nullable java.lang.String _key69;
+        @org.apache.thrift.annotation.Nullable PairedFiguresStruct _val70;
+        for (int _i71 = 0; _i71 < _map68.size; ++_i71)
+        {
+          _key69 = iprot.readString();
+          _val70 = new PairedFiguresStruct();
+          _val70.read(iprot);
+          struct.versions.put(_key69, _val70);
+        }
+      }
+      struct.setVersionsIsSet(true);
     }
   }
 
--- a/rhubarbward-net/src/main/java/io/rhubarbward/gen/fleet/LoadTotalsStruct.java
+++ b/rhubarbward-net/src/main/java/io/rhubarbward/gen/fleet/LoadTotalsStruct.java
@@ -14,6 +14,7 @@
   private static final org.apache.thrift.protocol.TField IN_FLIGHT_FIELD_DESC = new org.apache.thrift.protocol.TField("inFlight", org.apache.thrift.protocol.TType.MAP, (short)2);
   private static final org.apache.thrift.protocol.TField SUSPECTS_DIGEST_FIELD_DESC = new org.apache.thrift.protocol.TField("suspectsDigest", org.apache.thrift.protocol.TType.I64, (short)3);
   private static final org.apache.thrift.protocol.TField LIMITS_FIELD_DESC = new org.apache.thrift.protocol.TField("limits", org.apache.thrift.protocol.TType.MAP, (short)4);
+  private static final org.apache.thrift.protocol.TField VERSIONS_FIELD_DESC = new org.apache.thrift.protocol.TField("versions", org.apache.thrift.protocol.TType.MAP, (short)5);
 
   private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY = new LoadTotalsStructStandardSchemeFactory();
   private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY = new LoadTotalsStructTupleSchemeFactory();
@@ -22,13 +23,15 @@
   private @org.apache.thrift.annotation.Nullable java.util.Map<java.lang.Integer,java.lang.Integer> inFlight; // required
   private long suspectsDigest; // required
   private @org.apache.thrift.annotation.Nullable java.util.Map<java.lang.Integer,LimitObservationStruct> limits; // required
+  private @org.apache.thrift.annotation.Nullable java.util.Map<java.lang.String,PairedFiguresStruct> versions; // required
 
   /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
   public enum _Fields implements org.apache.thrift.TFieldIdEnum {
     ECHO_SEQUENCE((short)1, "echoSequence"),
     IN_FLIGHT((short)2, "inFlight"),
     SUSPECTS_DIGEST((short)3, "suspectsDigest"),
-    LIMITS((short)4, "limits");
+    LIMITS((short)4, "limits"),
+    VERSIONS((short)5, "versions");
 
     private static final java.util.Map<java.lang.String, _Fields> byName = new java.util.HashMap<java.lang.String, _Fields>();
 
@@ -52,6 +55,8 @@
           return SUSPECTS_DIGEST;
         case 4: // LIMITS
           return LIMITS;
+        case 5: // VERSIONS
+          return VERSIONS;
         default:
           return null;
       }
@@ -113,6 +118,10 @@
         new org.apache.thrift.meta_data.MapMetaData(org.apache.thrift.protocol.TType.MAP, 
             new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I32), 
             new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, LimitObservationStruct.class))));
+    tmpMap.put(_Fields.VERSIONS, new org.apache.thrift.meta_data.FieldMetaData("versions", org.apache.thrift.TFieldRequirementType.REQUIRED, 
+        new org.apache.thrift.meta_data.MapMetaData(org.apache.thrift.protocol.TType.MAP, 
+            new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.STRING), 
+            new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, PairedFiguresStruct.class))));
     metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
     org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(LoadTotalsStruct.class, metaDataMap);
   }
@@ -124,7 +133,8 @@
     long echoSequence,
     java.util.Map<java.lang.Integer,java.lang.Integer> inFlight,
     long suspectsDigest,
-    java.util.Map<java.lang.Integer,LimitObservationStruct> limits)
+    java.util.Map<java.lang.Integer,LimitObservationStruct> limits,
+    java.util.Map<java.lang.String,PairedFiguresStruct> versions)
   {
     this();
     this.echoSequence = echoSequence;
@@ -133,6 +143,7 @@
     this.suspectsDigest = suspectsDigest;
     setSuspectsDigestIsSet(true);
     this.limits = limits;
+    this.versions = versions;
   }
 
   /**
@@ -161,6 +172,21 @@
       }
       this.limits = __this__limits;
     }
+    if (other.isSetVersions()) {
+      java.util.Map<java.lang.String,PairedFiguresStruct> __this__versions = new java.util.HashMap<java.lang.String,PairedFiguresStruct>(other.versions.size());
+      for (java.util.Map.Entry<java.lang.String, PairedFiguresStruct> other_element : other.versions.entrySet()) {
+
+        java.lang.String other_element_key = other_element.getKey();
+        PairedFiguresStruct other_element_value = other_element.getValue();
+
+        java.lang.String __this__versions_copy_key = other_element_key;
+
+        PairedFiguresStruct __this__versions_copy_value = new PairedFiguresStruct(other_element_value);
+
+        __this__versions.put(__this__versions_copy_key, __this__versions_copy_value);
+      }
+      this.versions = __this__versions;
+    }
   }
 
   @Override
@@ -176,6 +202,7 @@
     setSuspectsDigestIsSet(false);
     this.suspectsDigest = 0;
     this.limits = null;
+    this.versions = null;
   }
 
   public long getEchoSequence() {
@@ -296,6 +323,42 @@
     }
   }
 
+  public int getVersionsSize() {
+    return (this.versions == null) ? 0 : this.versions.size();
+  }
+
+  public void putToVersions(java.lang.String key, PairedFiguresStruct val) {
+    if (this.versions == null) {
+      this.versions = new java.util.HashMap<java.lang.String,PairedFiguresStruct>();
+    }
+    this.versions.put(key, val);
+  }
+
+  @org.apache.thrift.annotation.Nullable
+  public java.util.Map<java.lang.String,PairedFiguresStruct> getVersions() {
+    return this.versions;
+  }
+
+  public LoadTotalsStruct setVersions(@org.apache.thrift.annotation.Nullable java.util.Map<java.lang.String,PairedFiguresStruct> versions) {
+    this.versions = versions;
+    return this;
+  }
+
+  public void unsetVersions() {
+    this.versions = null;
+  }
+
+  /** Returns true if field versions is set (has been assigned a value) and false otherwise */
+  public boolean isSetVersions() {
+    return this.versions != null;
+  }
+
+  public void setVersionsIsSet(boolean value) {
+    if (!value) {
+      this.versions = null;
+    }
+  }
+
   @Override
   public void setFieldValue(_Fields field, @org.apache.thrift.annotation.Nullable java.lang.Object value) {
     switch (field) {
@@ -331,6 +394,14 @@
       }
       break;
 
+    case VERSIONS:
+      if (value == null) {
+        unsetVersions();
+      } else {
+        setVersions((java.util.Map<java.lang.String,PairedFiguresStruct>)value);
+      }
+      break;
+
     }
   }
 
@@ -350,6 +421,9 @@
     case LIMITS:
       return getLimits();
 
+    case VERSIONS:
+      return getVersions();
+
     }
     throw new java.lang.IllegalStateException();
   }
@@ -370,6 +444,8 @@
       return isSetSuspectsDigest();
     case LIMITS:
       return isSetLimits();
+    case VERSIONS:
+      return isSetVersions();
     }
     throw new java.lang.IllegalStateException();
   }
@@ -423,6 +499,15 @@
         return false;
     }
 
+    boolean this_present_versions = true && this.isSetVersions();
+    boolean that_present_versions = true && that.isSetVersions();
+    if (this_present_versions || that_present_versions) {
+      if (!(this_present_versions && that_present_versions))
+        return false;
+      if (!this.versions.equals(that.versions))
+        return false;
+    }
+
     return true;
   }
 
@@ -442,6 +527,10 @@
     if (isSetLimits())
       hashCode = hashCode * 8191 + limits.hashCode();
 
+    hashCode = hashCode * 8191 + ((isSetVersions()) ? 131071 : 524287);
+    if (isSetVersions())
+      hashCode = hashCode * 8191 + versions.hashCode();
+
     return hashCode;
   }
 
@@ -493,6 +582,16 @@
         return lastComparison;
       }
     }
+    lastComparison = java.lang.Boolean.compare(isSetVersions(), other.isSetVersions());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetVersions()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.versions, other.versions);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
     return 0;
   }
 
@@ -540,6 +639,14 @@
       sb.append(this.limits);
     }
     first = false;
+    if (!first) sb.append(", ");
+    sb.append("versions:");
+    if (this.versions == null) {
+      sb.append("null");
+    } else {
+      sb.append(this.versions);
+    }
+    first = false;
     sb.append(")");
     return sb.toString();
   }
@@ -554,6 +661,9 @@
     if (limits == null) {
       throw new org.apache.thrift.protocol.TProtocolException("Required field 'limits' was not present! Struct: " + toString());
     }
+    if (versions == null) {
+      throw new org.apache.thrift.protocol.TProtocolException("Required field 'versions' was not present! Struct: " + toString());
+    }
     // check for sub-struct validity
   }
 
@@ -606,15 +716,15 @@
           case 2: // IN_FLIGHT
             if (schemeField.type == org.apache.thrift.protocol.TType.MAP) {
               {
-                org.apache.thrift.protocol.TMap _map46 = iprot.readMapBegin();
-                struct.inFlight = new java.util.HashMap<java.lang.Integer,java.lang.Integer>(2*_map46.size);
-                int _key47;
-                int _val48;
-                for (int _i49 = 0; _i49 < _map46.size; ++_i49)
+                org.apache.thrift.protocol.TMap _map72 = iprot.readMapBegin();
+                struct.inFlight = new java.util.HashMap<java.lang.Integer,java.lang.Integer>(2*_map72.size);
+                int _key73;
+                int _val74;
+                for (int _i75 = 0; _i75 < _map72.size; ++_i75)
                 {
-                  _key47 = iprot.readI32();
-                  _val48 = iprot.readI32();
-                  struct.inFlight.put(_key47, _val48);
+                  _key73 = iprot.readI32();
+                  _val74 = iprot.readI32();
+                  struct.inFlight.put(_key73, _val74);
                 }
                 iprot.readMapEnd();
               }
@@ -634,16 +744,16 @@
           case 4: // LIMITS
             if (schemeField.type == org.apache.thrift.protocol.TType.MAP) {
               {
-                org.apache.thrift.protocol.TMap _map50 = iprot.readMapBegin();
-                struct.limits = new java.util.HashMap<java.lang.Integer,LimitObservationStruct>(2*_map50.size);
-                int _key51;
-                @org.apache.thrift.annotation.Nullable LimitObservationStruct _val52;
-                for (int _i53 = 0; _i53 < _map50.size; ++_i53)
+                org.apache.thrift.protocol.TMap _map76 = iprot.readMapBegin();
+                struct.limits = new java.util.HashMap<java.lang.Integer,LimitObservationStruct>(2*_map76.size);
+                int _key77;
+                @org.apache.thrift.annotation.Nullable LimitObservationStruct _val78;
+                for (int _i79 = 0; _i79 < _map76.size; ++_i79)
                 {
-                  _key51 = iprot.readI32();
-                  _val52 = new LimitObservationStruct();
-                  _val52.read(iprot);
-                  struct.limits.put(_key51, _val52);
+                  _key77 = iprot.readI32();
+                  _val78 = new LimitObservationStruct();
+                  _val78.read(iprot);
+                  struct.limits.put(_key77, _val78);
                 }
                 iprot.readMapEnd();
               }
@@ -652,6 +762,27 @@
               org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
             break;
+          case 5: // VERSIONS
+            if (schemeField.type == org.apache.thrift.protocol.TType.MAP) {
+              {
+                org.apache.thrift.protocol.TMap _map80 = iprot.readMapBegin();
+                struct.versions = new java.util.HashMap<java.lang.String,PairedFiguresStruct>(2*_map80.size);
+                @org.apache.thrift.annotation.Nullable java.lang.String _key81;
+                @org.apache.thrift.annotation.Nullable PairedFiguresStruct _val82;
+                for (int _i83 = 0; _i83 < _map80.size; ++_i83)
+                {
+                  _key81 = iprot.readString();
+                  _val82 = new PairedFiguresStruct();
+                  _val82.read(iprot);
+                  struct.versions.put(_key81, _val82);
+                }
+                iprot.readMapEnd();
+              }
+              struct.setVersionsIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
+            }
+            break;
           default:
             org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
         }
@@ -681,10 +812,10 @@
         oprot.writeFieldBegin(IN_FLIGHT_FIELD_DESC);
         {
           oprot.writeMapBegin(new org.apache.thrift.protocol.TMap(org.apache.thrift.protocol.TType.I32, org.apache.thrift.protocol.TType.I32, struct.inFlight.size()));
-          for (java.util.Map.Entry<java.lang.Integer, java.lang.Integer> _iter54 : struct.inFlight.entrySet())
+          for (java.util.Map.Entry<java.lang.Integer, java.lang.Integer> _iter84 : struct.inFlight.entrySet())
           {
-            oprot.writeI32(_iter54.getKey());
-            oprot.writeI32(_iter54.getValue());
+            oprot.writeI32(_iter84.getKey());
+            oprot.writeI32(_iter84.getValue());
           }
           oprot.writeMapEnd();
         }
@@ -697,10 +828,23 @@
         oprot.writeFieldBegin(LIMITS_FIELD_DESC);
         {
           oprot.writeMapBegin(new org.apache.thrift.protocol.TMap(org.apache.thrift.protocol.TType.I32, org.apache.thrift.protocol.TType.STRUCT, struct.limits.size()));
-          for (java.util.Map.Entry<java.lang.Integer, LimitObservationStruct> _iter55 : struct.limits.entrySet())
+          for (java.util.Map.Entry<java.lang.Integer, LimitObservationStruct> _iter85 : struct.limits.entrySet())
+          {
+            oprot.writeI32(_iter85.getKey());
+            _iter85.getValue().write(oprot);
+          }
+          oprot.writeMapEnd();
+        }
+        oprot.writeFieldEnd();
+      }
+      if (struct.versions != null) {
+        oprot.writeFieldBegin(VERSIONS_FIELD_DESC);
+        {
+          oprot.writeMapBegin(new org.apache.thrift.protocol.TMap(org.apache.thrift.protocol.TType.STRING, org.apache.thrift.protocol.TType.STRUCT, struct.versions.size()));
+          for (java.util.Map.Entry<java.lang.String, PairedFiguresStruct> _iter86 : struct.versions.entrySet())
           {
-            oprot.writeI32(_iter55.getKey());
-            _iter55.getValue().write(oprot);
+            oprot.writeString(_iter86.getKey());
+            _iter86.getValue().write(oprot);
           }
           oprot.writeMapEnd();
         }
@@ -727,19 +871,27 @@
       oprot.writeI64(struct.echoSequence);
       {
         oprot.writeI32(struct.inFlight.size());
-        for (java.util.Map.Entry<java.lang.Integer, java.lang.Integer> _iter56 : struct.inFlight.entrySet())
+        for (java.util.Map.Entry<java.lang.Integer, java.lang.Integer> _iter87 : struct.inFlight.entrySet())
         {
-          oprot.writeI32(_iter56.getKey());
-          oprot.writeI32(_iter56.getValue());
+          oprot.writeI32(_iter87.getKey());
+          oprot.writeI32(_iter87.getValue());
         }
       }
       oprot.writeI64(struct.suspectsDigest);
       {
         oprot.writeI32(struct.limits.size());
-        for (java.util.Map.Entry<java.lang.Integer, LimitObservationStruct> _iter57 : struct.limits.entrySet())
+        for (java.util.Map.Entry<java.lang.Integer, LimitObservationStruct> _iter88 : struct.limits.entrySet())
+        {
+          oprot.writeI32(_iter88.getKey());
+          _iter88.getValue().write(oprot);
+        }
+      }
+      {
+        oprot.writeI32(struct.versions.size());
+        for (java.util.Map.Entry<java.lang.String, PairedFiguresStruct> _iter89 : struct.versions.entrySet())
         {
-          oprot.writeI32(_iter57.getKey());
-          _iter57.getValue().write(oprot);
+          oprot.writeString(_iter89.getKey());
+          _iter89.getValue().write(oprot);
         }
       }
     }
@@ -750,34 +902,48 @@
       struct.echoSequence = iprot.readI64();
       struct.setEchoSequenceIsSet(true);
       {
-        org.apache.thrift.protocol.TMap _map58 = iprot.readMapBegin(org.apache.thrift.protocol.TType.I32, org.apache.thrift.protocol.TType.I32); 
-        struct.inFlight = new java.util.HashMap<java.lang.Integer,java.lang.Integer>(2*_map58.size);
-        int _key59;
-        int _val60;
-        for (int _i61 = 0; _i61 < _map58.size; ++_i61)
+        org.apache.thrift.protocol.TMap _map90 = iprot.readMapBegin(org.apache.thrift.protocol.TType.I32, org.apache.thrift.protocol.TType.I32); 
+        struct.inFlight = new java.util.HashMap<java.lang.Integer,java.lang.Integer>(2*_map90.size);
+        int _key91;
+        int _val92;
+        for (int _i93 = 0; _i93 < _map90.size; ++_i93)
         {
-          _key59 = iprot.readI32();
-          _val60 = iprot.readI32();
-          struct.inFlight.put(_key59, _val60);
+          _key91 = iprot.readI32();
+          _val92 = iprot.readI32();
+          struct.inFlight.put(_key91, _val92);
         }
       }
       struct.setInFlightIsSet(true);
       struct.suspectsDigest = iprot.readI64();
       struct.setSuspectsDigestIsSet(true);
       {
-        org.apache.thrift.protocol.TMap _map62 = iprot.readMapBegin(org.apache.thrift.protocol.TType.I32, org.apache.thrift.protocol.TType.STRUCT); 
-        struct.limits = new java.util.HashMap<java.lang.Integer,LimitObservationStruct>(2*_map62.size);
-        int _key63;
-        @org.apache.thrift.annotation.Nullable LimitObservationStruct _val64;
-        for (int _i65 = 0; _i65 < _map62.size; ++_i65)
+        org.apache.thrift.protocol.TMap _map94 = iprot.readMapBegin(org.apache.thrift.protocol.TType.I32, org.apache.thrift.protocol.TType.STRUCT); 
+        struct.limits = new java.util.HashMap<java.lang.Integer,LimitObservationStruct>(2*_map94.size);
+        int _key95;
+        @org.apache.thrift.annotation.Nullable LimitObservationStruct _val96;
+        for (int _i97 = 0; _i97 < _map94.size; ++_i97)
         {
-          _key63 = iprot.readI32();
-          _val64 = new LimitObservationStruct();
-          _val64.read(iprot);
-          struct.limits.put(_key63, _val64);
+          _key95 = iprot.readI32();
+          _val96 = new LimitObservationStruct();
+          _val96.read(iprot);
+          struct.limits.put(_key95, _val96);
         }
       }
       struct.setLimitsIsSet(true);
+      {
+        org.apache.thrift.protocol.TMap _map98 = iprot.readMapBegin(org.apache.thrift.protocol.TType.STRING, org.apache.thrift.protocol.TType.STRUCT); 
+        struct.versions = new java.util.HashMap<java.lang.String,PairedFiguresStruct>(2*_map98.size);
+        @org.apache.thrift.annotation.Nullable java.lang.String _key99;
+        @org.apache.thrift.annotation.Nullable PairedFiguresStruct _val100;
+        for (int _i101 = 0; _i101 < _map98.size; ++_i101)
+        {
+          _key99 = iprot.readString();
+          _val100 = new PairedFiguresStruct();
+          _val100.read(iprot);
+          struct.versions.put(_key99, _val100);
+        }
+      }
+      struct.setVersionsIsSet(true);
     }
   }
 
--- a/rhubarbward-net/src/main/java/io/rhubarbward/gen/fleet/SuspectNewsStruct.java
+++ b/rhubarbward-net/src/main/java/io/rhubarbward/gen/fleet/SuspectNewsStruct.java
@@ -339,14 +339,14 @@
           case 1: // SUSPECTS
             if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
               {
-                org.apache.thrift.protocol.TList _list96 = iprot.readListBegin();
-                struct.suspects = new java.util.ArrayList<CrashSuspectStruct>(_list96.size);
-                @org.apache.thrift.annotation.Nullable CrashSuspectStruct _elem97;
-                for (int _i98 = 0; _i98 < _list96.size; ++_i98)
+                org.apache.thrift.protocol.TList _list142 = iprot.readListBegin();
+                struct.suspects = new java.util.ArrayList<CrashSuspectStruct>(_list142.size);
+                @org.apache.thrift.annotation.Nullable CrashSuspectStruct _elem143;
+                for (int _i144 = 0; _i144 < _list142.size; ++_i144)
                 {
-                  _elem97 = new CrashSuspectStruct();
-                  _elem97.read(iprot);
-                  struct.suspects.add(_elem97);
+                  _elem143 = new CrashSuspectStruct();
+                  _elem143.read(iprot);
+                  struct.suspects.add(_elem143);
                 }
                 iprot.readListEnd();
               }
@@ -375,9 +375,9 @@
         oprot.writeFieldBegin(SUSPECTS_FIELD_DESC);
         {
           oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.suspects.size()));
-          for (CrashSuspectStruct _iter99 : struct.suspects)
+          for (CrashSuspectStruct _iter145 : struct.suspects)
           {
-            _iter99.write(oprot);
+            _iter145.write(oprot);
           }
           oprot.writeListEnd();
         }
@@ -403,9 +403,9 @@
       org.apache.thrift.protocol.TTupleProtocol oprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
       {
         oprot.writeI32(struct.suspects.size());
-        for (CrashSuspectStruct _iter100 : struct.suspects)
+        for (CrashSuspectStruct _iter146 : struct.suspects)
         {
-          _iter100.write(oprot);
+          _iter146.write(oprot);
         }
       }
     }
@@ -414,14 +414,14 @@
     public void read(org.apache.thrift.protocol.TProtocol prot, SuspectNewsStruct struct) throws org.apache.thrift.TException {
       org.apache.thrift.protocol.TTupleProtocol iprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
       {
-        org.apache.thrift.protocol.TList _list101 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
-        struct.suspects = new java.util.ArrayList<CrashSuspectStruct>(_list101.size);
-        @org.apache.thrift.annotation.Nullable CrashSuspectStruct _elem102;
-        for (int _i103 = 0; _i103 < _list101.size; ++_i103)
+        org.apache.thrift.protocol.TList _list147 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+        struct.suspects = new java.util.ArrayList<CrashSuspectStruct>(_list147.size);
+        @org.apache.thrift.annotation.Nullable CrashSuspectStruct _elem148;
+        for (int _i149 = 0; _i149 < _list147.size; ++_i149)
         {
-          _elem102 = new CrashSuspectStruct();
-          _elem102.read(iprot);
-          struct.suspects.add(_elem102);
+          _elem148 = new CrashSuspectStruct();
+          _elem148.read(iprot);
+          struct.suspects.add(_elem148);
         }
       }
       struct.setSuspectsIsSet(true);
--- a/rhubarbward-net/src/main/java/io/rhubarbward/net/peer/MoveCodecs.java
+++ b/rhubarbward-net/src/main/java/io/rhubarbward/net/peer/MoveCodecs.java
@@ -128,7 +128,7 @@
                         fromCounts(struct.getOldVersion()), fromCounts(struct.getNewVersion())));
     }
 
-    private static List<Integer> toCounts(VersionFigures figures) {
+    static List<Integer> toCounts(VersionFigures figures) {
         return List.of(
                 figures.calls(),
                 figures.failures(),
@@ -137,7 +137,7 @@
                 figures.slowBetween());
     }
 
-    private static VersionFigures fromCounts(List<Integer> counts) {
+    static VersionFigures fromCounts(List<Integer> counts) {
         return new VersionFigures(
                 counts.get(0), counts.get(1), counts.get(2), counts.get(3), counts.get(4));
     }
--- a/rhubarbward-net/src/main/java/io/rhubarbward/net/peer/RelayCodecs.java
+++ b/rhubarbward-net/src/main/java/io/rhubarbward/net/peer/RelayCodecs.java
@@ -10,7 +10,9 @@
 import io.rhubarbward.gen.fleet.LoadReportStruct;
 import io.rhubarbward.gen.fleet.LoadTotalsStruct;
 import io.rhubarbward.gen.fleet.ObjectStateStruct;
+import io.rhubarbward.gen.fleet.PairedFiguresStruct;
 import io.rhubarbward.gen.fleet.SuspectNewsStruct;
+import io.rhubarbward.move.PairedFigures;
 import io.rhubarbward.placement.LimitObservation;
 import io.rhubarbward.relay.DataCentreLoad;
 import io.rhubarbward.relay.FollowAnswer;
@@ -74,13 +76,15 @@
                                     report.sequence(),
                                     report.inFlight(),
                                     report.suspectsDigest(),
-                                    toStructs(report.limits())),
+                                    toStructs(report.limits()),
+                                    versionStructs(report.versions())),
                     struct ->
                             new LoadReport(
                                     struct.getSequence(),
                                     struct.getSuspectsDigest(),
                                     struct.getInFlight(),
-                                    fromStructs(struct.getLimits())));
+                                    fromStructs(struct.getLimits()),
+                                    fromVersionStructs(struct.getVersions())));
 
     private static final PeerCodec<LoadTotals, LoadTotalsStruct> LOAD_TOTALS =
             new PeerCodec<>(
@@ -92,13 +96,15 @@
                                     totals.echoSequence(),
                                     totals.inFlight(),
                                     totals.suspectsDigest(),
-                                    toStructs(totals.limits())),
+                                    toStructs(totals.limits()),
+                                    versionStructs(totals.versions())),
                     struct ->
                             new LoadTotals(
                                     struct.getEchoSequence(),
                                     struct.getSuspectsDigest(),
                                     struct.getInFlight(),
-                                    fromStructs(struct.getLimits())));
+                                    fromStructs(struct.getLimits()),
+                                    fromVersionStructs(struct.getVersions())));
 
     private static final PeerCodec<DataCentreLoad, DataCentreLoadStruct> DATA_CENTRE_LOAD =
             new PeerCodec<>(
@@ -112,7 +118,8 @@
                                     load.forwarded(),
                                     load.inFlight(),
                                     load.suspectsDigest(),
-                                    toStructs(load.limits())),
+                                    toStructs(load.limits()),
+                                    versionStructs(load.versions())),
                     struct ->
                             new DataCentreLoad(
                                     struct.getAggregator(),
@@ -120,7 +127,8 @@
                                     struct.isForwarded(),
                                     struct.getSuspectsDigest(),
                                     struct.getInFlight(),
-                                    fromStructs(struct.getLimits())));
+                                    fromStructs(struct.getLimits()),
+                                    fromVersionStructs(struct.getVersions())));
 
     private static final PeerCodec<SuspectNews, SuspectNewsStruct> SUSPECT_NEWS =
             new PeerCodec<>(
@@ -187,6 +195,33 @@
                 struct.getSends());
     }
 
+    private static Map<String, PairedFiguresStruct> versionStructs(
+            Map<String, PairedFigures> versions) {
+        return versions.entrySet().stream()
+                .collect(
+                        Collectors.toMap(
+                                Map.Entry::getKey,
+                                entry ->
+                                        new PairedFiguresStruct(
+                                                MoveCodecs.toCounts(entry.getValue().oldVersion()),
+                                                MoveCodecs.toCounts(
+                                                        entry.getValue().newVersion()))));
+    }
+
+    private static Map<String, PairedFigures> fromVersionStructs(
+            Map<String, PairedFiguresStruct> structs) {
+        return structs.entrySet().stream()
+                .collect(
+                        Collectors.toMap(
+                                Map.Entry::getKey,
+                                entry ->
+                                        new PairedFigures(
+                                                MoveCodecs.fromCounts(
+                                                        entry.getValue().getOldVersion()),
+                                                MoveCodecs.fromCounts(
+                                                        entry.getValue().getNewVersion()))));
+    }
+
     private static CrashSuspectStruct toStruct(CrashSuspect suspect) {
         return new CrashSuspectStruct(suspect.trait(), suspect.crashes(), suspect.answers());
     }
--- a/rhubarbward-net/src/main/thrift/fleet.thrift
+++ b/rhubarbward-net/src/main/thrift/fleet.thrift
@@ -41,6 +41,12 @@
   3: required i32 sends;
 }
 
+// The figures of two versions: calls, failures, timed, slow first tokens, slow between tokens.
+struct PairedFiguresStruct {
+  1: required list<i32> oldVersion;
+  2: required list<i32> newVersion;
+}
+
 // Digests are of what the sender knows of requests that crash servers.
 
 struct LoadReportStruct {
@@ -48,6 +54,7 @@
   2: required map<i32, i32> inFlight;
   3: required i64 suspectsDigest;
   4: required map<i32, LimitObservationStruct> limits;
+  5: required map<string, PairedFiguresStruct> versions;
 }
 
 struct LoadTotalsStruct {
@@ -55,6 +62,7 @@
   2: required map<i32, i32> inFlight;
   3: required i64 suspectsDigest;
   4: required map<i32, LimitObservationStruct> limits;
+  5: required map<string, PairedFiguresStruct> versions;
 }
 
 struct DataCentreLoadStruct {
@@ -64,6 +72,7 @@
   4: required map<i32, i32> inFlight;
   5: required i64 suspectsDigest;
   6: required map<i32, LimitObservationStruct> limits;
+  7: required map<string, PairedFiguresStruct> versions;
 }
 
 struct CrashSuspectStruct {
--- a/rhubarbward-net/src/test/java/io/rhubarbward/net/peer/PeerFrameCodecTest.java
+++ b/rhubarbward-net/src/test/java/io/rhubarbward/net/peer/PeerFrameCodecTest.java
@@ -8,6 +8,8 @@
 import io.rhubarbward.membership.Heartbeat;
 import io.rhubarbward.membership.Introduction;
 import io.rhubarbward.membership.PeerMessage;
+import io.rhubarbward.move.PairedFigures;
+import io.rhubarbward.move.VersionFigures;
 import io.rhubarbward.placement.LimitObservation;
 import io.rhubarbward.quota.HoldingsQuery;
 import io.rhubarbward.quota.QuotaAnswer;
@@ -36,6 +38,12 @@
                     -5, new LimitObservation(OptionalDouble.of(3.7), 40, 2),
                     9, new LimitObservation(OptionalDouble.empty(), 0, 0));
 
+    private static final Map<String, PairedFigures> VERSIONS =
+            Map.of(
+                    "chat v2 r-1",
+                    new PairedFigures(
+                            new VersionFigures(9, 1, 8, 0, 2), new VersionFigures(4, 3, 2, 1, 0)));
+
     private final PeerFrameCodec mCodec = new PeerFrameCodec();
 
     static Stream<PeerMessage> messages() {
@@ -51,9 +59,9 @@
                 new HoldingsQuery(9, List.of("backend/e", "backend/f")),
                 new FollowRequest(7, 900, Map.of("config", 12L)),
                 new FollowAnswer(7, false, 0, List.of()),
-                new LoadReport(3, -9, Map.of(-5, 2), LIMITS),
-                new LoadTotals(3, -9, Map.of(-5, 2, 9, 1), LIMITS),
-                new DataCentreLoad("entry-2", 80, true, -9, Map.of(9, 1), LIMITS),
+                new LoadReport(3, -9, Map.of(-5, 2), LIMITS, VERSIONS),
+                new LoadTotals(3, -9, Map.of(-5, 2, 9, 1), LIMITS, VERSIONS),
+                new DataCentreLoad("entry-2", 80, true, -9, Map.of(9, 1), LIMITS, VERSIONS),
                 new SuspectNews(List.of(new CrashSuspect(-4, Map.of(-8L, 5L), 3))));
     }
 
