Keep parts at their servers while other servers state limits

The bound on load for a part's server is a multiple of the mean over all servers. Those with a limit carry little, which lowers the mean, so that the others were over the bound at nearly every request and no part stayed where it is cached. And the requests that pass near a limit were drawn by chance, so that each part of such a server was read at two.

Change: the mean leaves servers with a limit out; the requests that pass near a limit are chosen by their part in the first place. The request's hash becomes a function of RendezvousHash, which both use.

--- a/rhubarbward-core/src/main/java/io/rhubarbward/forward/ForwardedExchange.java
+++ b/rhubarbward-core/src/main/java/io/rhubarbward/forward/ForwardedExchange.java
@@ -4,6 +4,7 @@
 import io.rhubarbward.crash.CrashSuspects;
 import io.rhubarbward.event.EventField;
 import io.rhubarbward.event.LogEvent;
+import io.rhubarbward.hash.RendezvousHash;
 import io.rhubarbward.placement.Placement;
 import io.rhubarbward.placement.PlacementQuery;
 import io.rhubarbward.placement.SendResult;
@@ -132,7 +133,7 @@
                                         mRequest.service().name(),
                                         mRequest.affinityKey(),
                                         mRequest.sharedTokens(),
-                                        ResolvedRequest.unitHash(mRequest.metadata().attemptId()),
+                                        RendezvousHash.unitHash(mRequest.metadata().attemptId()),
                                         mTriedServers),
                                 mRequest.service());
         if (placement instanceof Placement.Chosen chosen) {
--- a/rhubarbward-core/src/main/java/io/rhubarbward/forward/RequestResolver.java
+++ b/rhubarbward-core/src/main/java/io/rhubarbward/forward/RequestResolver.java
@@ -3,6 +3,7 @@
 import io.rhubarbward.catalog.Catalog;
 import io.rhubarbward.catalog.KeyedAccount;
 import io.rhubarbward.catalog.Route;
+import io.rhubarbward.hash.RendezvousHash;
 import io.rhubarbward.request.CallerRequest;
 import io.rhubarbward.request.Refusal;
 import io.rhubarbward.request.RefusalCode;
@@ -56,7 +57,7 @@
             Catalog catalog,
             Route route,
             @Nullable KeyedAccount account) {
-        String service = route.service(ResolvedRequest.unitHash("split/" + metadata.attemptId()));
+        String service = route.service(RendezvousHash.unitHash("split/" + metadata.attemptId()));
         return catalog.service(service)
                 .<Either<Refusal, ResolvedRequest>>map(
                         profile ->
--- a/rhubarbward-core/src/main/java/io/rhubarbward/forward/ResolvedRequest.java
+++ b/rhubarbward-core/src/main/java/io/rhubarbward/forward/ResolvedRequest.java
@@ -4,7 +4,6 @@
 import io.rhubarbward.catalog.Route;
 import io.rhubarbward.catalog.ServiceProfile;
 import io.rhubarbward.crash.RequestTraits;
-import io.rhubarbward.hash.RendezvousHash;
 import io.rhubarbward.request.CallerRequest;
 import java.util.List;
 import java.util.Optional;
@@ -26,17 +25,6 @@
         Route route,
         ServiceProfile service,
         @Nullable KeyedAccount account) {
-    /** Scales a 53-bit integer, the precision of a double, to the range from 0 to 1. */
-    private static final double UNIT = 0x1.0p-53;
-
-    /** Bits of a 64-bit hash beyond the precision of a double. */
-    private static final int UNUSED_BITS = 11;
-
-    /** Hashes an id to a number from 0 (inclusive) to 1 (exclusive), the same at every router. */
-    static double unitHash(String id) {
-        return (RendezvousHash.hash(id) >>> UNUSED_BITS) * UNIT;
-    }
-
     Optional<String> accountName() {
         return Optional.ofNullable(account).map(KeyedAccount::name);
     }
--- a/rhubarbward-core/src/main/java/io/rhubarbward/hash/RendezvousHash.java
+++ b/rhubarbward-core/src/main/java/io/rhubarbward/hash/RendezvousHash.java
@@ -15,6 +15,12 @@
     private static final long FNV_OFFSET = 0xcbf29ce484222325L;
     private static final long FNV_PRIME = 0x100000001b3L;
 
+    /** Scales a 53-bit integer, the precision of a double, to the range from 0 to 1. */
+    private static final double UNIT = 0x1.0p-53;
+
+    /** Bits of a 64-bit hash beyond the precision of a double. */
+    private static final int UNUSED_BITS = 11;
+
     private RendezvousHash() {}
 
     /** Returns the nodes in descending order of their weights for the key. */
@@ -47,6 +53,11 @@
         return mix(hash);
     }
 
+    /** Hashes a text to a number from 0 (inclusive) to 1 (exclusive), the same at every router. */
+    public static double unitHash(String text) {
+        return (hash(text) >>> UNUSED_BITS) * UNIT;
+    }
+
     private static long weight(long keyHash, String node) {
         return mix(keyHash ^ hash(node));
     }
--- a/rhubarbward-core/src/main/java/io/rhubarbward/placement/PlacementPolicy.java
+++ b/rhubarbward-core/src/main/java/io/rhubarbward/placement/PlacementPolicy.java
@@ -46,7 +46,13 @@
      * Part of a server's limit that is left from which only some requests go there, the fewer the
      * less is left: routers learn of each other's requests a little later.
      */
-    private static final double LIMIT_TAPER = 0.15;
+    private static final double LIMIT_TAPER = 0.3;
+
+    /**
+     * How much a request's prompt part decides whether it is among those; the rest is chance. The
+     * same parts stay at the server, so that the others are read by the next server only.
+     */
+    private static final double LIMIT_PART_WEIGHT = 0.8;
 
     /** Requests in a window by which routers notice that a server takes requests again. */
     private static final double MIN_REQUESTS_PER_LIMIT_WINDOW = 1;
@@ -114,7 +120,7 @@
         }
         List<TrackedServer> withinLimit =
                 withinColdLimit.stream()
-                        .filter(server -> withinStatedLimit(server, query.unitHash(), now))
+                        .filter(server -> withinStatedLimit(server, query, now))
                         .toList();
         if (withinLimit.isEmpty()) {
             return new Placement.None(Placement.Cause.LIMITED, listed.size());
@@ -140,7 +146,7 @@
      * <p>What is left of the limit goes to the router that needs it. Without news of the others,
      * each router keeps to its share.
      */
-    private boolean withinStatedLimit(TrackedServer server, double unitHash, long now) {
+    private boolean withinStatedLimit(TrackedServer server, PlacementQuery query, long now) {
         OptionalDouble limit = server.limitPerSecond(now);
         if (limit.isEmpty()) {
             return true;
@@ -157,7 +163,15 @@
             return own < mLimitSplitter.share(whole, server.server().name());
         }
         double left = 1 - (own + server.limitWindowSendsFromOthers()) / allowed;
-        return left > 0 && unitHash < left / LIMIT_TAPER;
+        return left > 0 && orderAtLimit(server, query) < left / LIMIT_TAPER;
+    }
+
+    /** Returns where the request stands among those to the server, from 0 for the first to 1. */
+    private static double orderAtLimit(TrackedServer server, PlacementQuery query) {
+        return query.affinityKey()
+                .map(key -> RendezvousHash.unitHash(key + '@' + server.server().name()))
+                .map(part -> LIMIT_PART_WEIGHT * part + (1 - LIMIT_PART_WEIGHT) * query.unitHash())
+                .orElse(query.unitHash());
     }
 
     /** Returns the servers that are not avoided, or all of them if every one is. */
@@ -171,7 +185,7 @@
      * Chooses an engine among the eligible ones.
      *
      * @param listed all servers of the service; those that are not eligible count in the mean load
-     *     too, which lowers the bound for the others
+     *     too, which lowers the bound for the others, unless they state a limit
      */
     private Placement placeAtEngine(
             List<TrackedServer> listed,
@@ -188,7 +202,7 @@
             return new Placement.None(Placement.Cause.FULL, eligible.size());
         }
         double meanLoad =
-                listed.stream()
+                withoutStatedLimit(listed, now).stream()
                         .mapToDouble(server -> server.estimatedLoad(now, routers))
                         .average()
                         .orElse(0);
@@ -201,6 +215,16 @@
                 .orElseGet(() -> leastLoaded(candidates));
     }
 
+    /**
+     * Returns the servers that state no limit, or all if every one does. The others must carry what
+     * those with a limit do not take, which is no reason to leave the parts that they have cached.
+     */
+    private static List<TrackedServer> withoutStatedLimit(List<TrackedServer> servers, long now) {
+        List<TrackedServer> unlimited =
+                servers.stream().filter(server -> server.limitPerSecond(now).isEmpty()).toList();
+        return unlimited.isEmpty() ? servers : unlimited;
+    }
+
     /** A server with its estimated load at the time of one placement. */
     private record Candidate(TrackedServer server, double load) {
         boolean hasCapacity() {
--- a/rhubarbward-core/src/test/java/io/rhubarbward/node/ServerLimitTest.java
+++ b/rhubarbward-core/src/test/java/io/rhubarbward/node/ServerLimitTest.java
@@ -108,6 +108,39 @@
         assertThat(servedShare(fleet, namedMillis)).isAtLeast(0.99);
     }
 
+    // Servers without a limit carry more than the mean of all, and still keep their parts.
+    @ParameterizedTest
+    @ValueSource(longs = {1, 2, 3, 4})
+    void partsStayAtTheirServersWhileOthersStateLimits(long seed) {
+        RouterFleet fleet = fleet(seed, 9);
+        fleet.mServers.answerTime(server -> Duration.ofMillis(1500));
+        play(fleet, 4000, 60, 40, step -> {});
+        IntStream.range(0, 4).forEach(server -> mLimits.put("e-" + server, "4"));
+        play(fleet, 6000, 60, 40, step -> {});
+        long settledMillis = fleet.mTimers.nowMillis();
+        play(fleet, 12_000, 60, 40, step -> {});
+        Map<String, Map<String, Integer>> sendsByPart = new HashMap<>();
+        fleet.mServers.arrivals().stream()
+                .filter(arrival -> arrival.atMillis() >= settledMillis)
+                .forEach(
+                        arrival ->
+                                sendsByPart
+                                        .computeIfAbsent(
+                                                arrival.headers().first("part").orElse(""),
+                                                part -> new HashMap<>())
+                                        .merge(arrival.server(), 1, Integer::sum));
+        int atUsualServer =
+                sendsByPart.values().stream()
+                        .mapToInt(sends -> sends.values().stream().mapToInt(n -> n).max().orElse(0))
+                        .sum();
+        int all =
+                sendsByPart.values().stream()
+                        .flatMap(sends -> sends.values().stream())
+                        .mapToInt(n -> n)
+                        .sum();
+        assertThat(atUsualServer / (double) all).isAtLeast(0.7);
+    }
+
     // A part that meets most requests has its home at a server that states a limit.
     @ParameterizedTest
     @ValueSource(longs = {1, 2, 3, 4, 5})
