Do not take the end of a leaving server's connections for a crash

Read again: some servers never say that they drain; their entry goes away, they serve on for a while and end. Requests that were still running there counted as lost in a crash. A server that has left the directory is leaving like one that drains. Limits of servers are also no longer looked through with each total while no router knows of any.

--- a/rhubarbward-core/src/main/java/io/rhubarbward/forward/ServerCall.java
+++ b/rhubarbward-core/src/main/java/io/rhubarbward/forward/ServerCall.java
@@ -218,7 +218,7 @@
                         EventField.of("answerMs", answerMillis()),
                         EventField.of("parts", mRequest.sharedPartIds()));
         // A server that is shutting down ends its connections by itself.
-        if (!mServer.entry().draining()) {
+        if (!mServer.leaving()) {
             mContext.crashSuspects()
                     .recordCrash(mRequest.traits(), mServer.incarnation(), answerMillis());
         }
--- a/rhubarbward-core/src/main/java/io/rhubarbward/placement/ServerTable.java
+++ b/rhubarbward-core/src/main/java/io/rhubarbward/placement/ServerTable.java
@@ -23,6 +23,7 @@
     private final Map<String, List<TrackedServer>> mServersByService = new HashMap<>();
     private final List<Consumer<TrackedServer>> mRemovalSubscribers = new ArrayList<>();
     private final List<Runnable> mSendSubscribers = new ArrayList<>();
+    private boolean mOthersKnowLimits;
 
     /** Creates an empty table. */
     public ServerTable(TimerService timers, EventLog events) {
@@ -64,6 +65,7 @@
     public void onRemoved(ListedServer entry) {
         TrackedServer removed = mServersById.remove(entry.id());
         if (removed != null) {
+            removed.unlist();
             mServersByService
                     .getOrDefault(entry.server().service(), new ArrayList<>())
                     .remove(removed);
@@ -114,6 +116,10 @@
      * @param observations by {@link TrackedServer#hash(String)}
      */
     public void updateLimitsFromOthers(Map<Integer, LimitObservation> observations) {
+        if (observations.isEmpty() && !mOthersKnowLimits) {
+            return;
+        }
+        mOthersKnowLimits = !observations.isEmpty();
         long now = mTimers.nowMillis();
         LimitObservation none =
                 new LimitObservation(OptionalDouble.empty(), LimitObservation.NEVER_HEARD, 0);
--- a/rhubarbward-core/src/main/java/io/rhubarbward/placement/TrackedServer.java
+++ b/rhubarbward-core/src/main/java/io/rhubarbward/placement/TrackedServer.java
@@ -52,6 +52,7 @@
     private final StatedLimit mLimit = new StatedLimit();
     private final int mHash;
     private ListedServer mEntry;
+    private boolean mUnlisted;
     private long mColdUntilMillis;
     private int mInFlight;
     private ServerLoad mReportedLoad;
@@ -98,6 +99,16 @@
         return mEntry;
     }
 
+    /** Records that the server has left the directory. */
+    void unlist() {
+        mUnlisted = true;
+    }
+
+    /** Returns whether the server shuts down by plan or has left: it may end its connections. */
+    public boolean leaving() {
+        return mUnlisted || mEntry.draining();
+    }
+
     /** Returns the number of this router's requests that are in flight to the server. */
     public int inFlight() {
         return mInFlight;
