Keep accessors of limits free of side effects, and log routes by name

Read again: asking for a server's limit recorded a time, and the route of a found fault was logged with service and version.

--- a/rhubarbward-core/src/main/java/io/rhubarbward/move/FleetRollouts.java
+++ b/rhubarbward-core/src/main/java/io/rhubarbward/move/FleetRollouts.java
@@ -274,19 +274,24 @@
         String prefix = rollout.key("");
         totals.entrySet().stream()
                 .filter(entry -> entry.getKey().startsWith(prefix))
-                .forEach(entry -> judgeNew(rollout, entry.getKey(), entry.getValue()));
+                .forEach(
+                        entry ->
+                                judgeNew(
+                                        rollout,
+                                        entry.getKey().substring(prefix.length()),
+                                        entry.getValue()));
         rollout.mJudge
                 .judge(mTimers.nowMillis())
                 .ifPresent(verdict -> decide(rollout, RolloutOrder.State.ROLLED_BACK, verdict));
     }
 
     /** Counts what was added since the last totals. Figures of a router that has ended go away. */
-    private void judgeNew(ServiceRollout rollout, String key, PairedFigures total) {
-        PairedFigures before = rollout.mJudged.getOrDefault(key, PairedFigures.ZERO);
+    private void judgeNew(ServiceRollout rollout, String route, PairedFigures total) {
+        PairedFigures before = rollout.mJudged.getOrDefault(route, PairedFigures.ZERO);
         PairedFigures added = total.minus(before).atLeastZero();
-        rollout.mJudged.put(key, total);
+        rollout.mJudged.put(route, total);
         rollout.mJudgedCalls += added.newVersion().timed();
-        rollout.mJudge.count(key, added, mTimers.nowMillis());
+        rollout.mJudge.count(route, added, mTimers.nowMillis());
     }
 
     private void decide(
--- a/rhubarbward-core/src/main/java/io/rhubarbward/placement/PlacementPolicy.java
+++ b/rhubarbward-core/src/main/java/io/rhubarbward/placement/PlacementPolicy.java
@@ -147,7 +147,7 @@
      * each router keeps to its share.
      */
     private boolean withinStatedLimit(TrackedServer server, PlacementQuery query, long now) {
-        OptionalDouble limit = server.limitPerSecond(now);
+        OptionalDouble limit = server.limitPerSecond();
         if (limit.isEmpty()) {
             return true;
         }
@@ -202,7 +202,7 @@
             return new Placement.None(Placement.Cause.FULL, eligible.size());
         }
         double meanLoad =
-                withoutStatedLimit(listed, now).stream()
+                withoutStatedLimit(listed).stream()
                         .mapToDouble(server -> server.estimatedLoad(now, routers))
                         .average()
                         .orElse(0);
@@ -219,9 +219,9 @@
      * Returns the servers that state no limit, or all if every one does. The others must carry what
      * those with a limit do not take, which is no reason to leave the parts that they have cached.
      */
-    private static List<TrackedServer> withoutStatedLimit(List<TrackedServer> servers, long now) {
+    private static List<TrackedServer> withoutStatedLimit(List<TrackedServer> servers) {
         List<TrackedServer> unlimited =
-                servers.stream().filter(server -> server.limitPerSecond(now).isEmpty()).toList();
+                servers.stream().filter(server -> server.limitPerSecond().isEmpty()).toList();
         return unlimited.isEmpty() ? servers : unlimited;
     }
 
--- a/rhubarbward-core/src/main/java/io/rhubarbward/placement/ServerTable.java
+++ b/rhubarbward-core/src/main/java/io/rhubarbward/placement/ServerTable.java
@@ -139,9 +139,9 @@
 
     private void changeLimit(TrackedServer server, String source, Runnable change) {
         long now = mTimers.nowMillis();
-        OptionalDouble before = server.limitPerSecond(now);
+        OptionalDouble before = server.limitPerSecond();
         change.run();
-        OptionalDouble after = server.limitPerSecond(now);
+        OptionalDouble after = server.limitPerSecond();
         if (!after.equals(before)) {
             mEvents.log(
                     LogEvent.BACKEND_LIMIT_CHANGED,
--- a/rhubarbward-core/src/main/java/io/rhubarbward/placement/StatedLimit.java
+++ b/rhubarbward-core/src/main/java/io/rhubarbward/placement/StatedLimit.java
@@ -24,6 +24,7 @@
     /** The newest answer of which other routers told. */
     private Statement mTold = Statement.NONE;
 
+    /** When the server was last seen to have a limit. */
     private long mLimitedMillis = NEVER_MILLIS;
 
     private record Statement(OptionalDouble perSecond, long atMillis) {
@@ -63,18 +64,16 @@
     }
 
     /** Returns the limit; empty if there is none. */
-    OptionalDouble perSecond(long nowMillis) {
-        OptionalDouble limit = newest().perSecond();
-        if (limit.isPresent()) {
-            mLimitedMillis = nowMillis;
-        }
-        return limit;
+    OptionalDouble perSecond() {
+        return newest().perSecond();
     }
 
     /** Returns whether other routers must be told: the server has a limit, or had until lately. */
     boolean reported(long nowMillis) {
-        return perSecond(nowMillis).isPresent()
-                || nowMillis - mLimitedMillis < REPORTED_AFTER_LIFTED_MILLIS;
+        if (perSecond().isPresent()) {
+            mLimitedMillis = nowMillis;
+        }
+        return nowMillis - mLimitedMillis < REPORTED_AFTER_LIFTED_MILLIS;
     }
 
     /** Returns what this router itself knows. */
--- a/rhubarbward-core/src/main/java/io/rhubarbward/placement/TrackedServer.java
+++ b/rhubarbward-core/src/main/java/io/rhubarbward/placement/TrackedServer.java
@@ -173,8 +173,8 @@
     }
 
     /** Returns the requests a second that the server takes from all routers; empty if unlimited. */
-    OptionalDouble limitPerSecond(long nowMillis) {
-        return mLimit.perSecond(nowMillis);
+    OptionalDouble limitPerSecond() {
+        return mLimit.perSecond();
     }
 
     void recordLimit(OptionalDouble stated, long nowMillis) {
