Move requests to a good version without overloading its servers

Cause: from one second before the deadline the target got all requests until the other servers were idle, 4 s later. Five servers carried the load of fourteen, while the idle ones still counted in the mean.

Change: first the target gets what its servers carry at 1.7 times the mean, for 2 s, then all for 1 s, and then the order is completed. Most answers end in that time; longer ones are cut when the operator stops the servers. Ruled out: waiting for idle servers (breaks the bound), moving earlier (a version that turns bad late would get more than its share before the deadline), completing at the deadline (cuts more answers).

--- a/rhubarbward-core/src/main/java/io/rhubarbward/move/FleetRollouts.java
+++ b/rhubarbward-core/src/main/java/io/rhubarbward/move/FleetRollouts.java
@@ -28,9 +28,9 @@
  * <p>While an order is open, a small share of the service's requests goes to the target. All
  * routers judge it by the figures of all routers, against the other servers over the same time. A
  * router that finds a fault stops to use the target at once; those that call the store write the
- * outcome, and the first write counts. Shortly before the deadline all requests move to a target
- * without a fault, and the order is completed once the other servers are idle, since they may be
- * stopped at that moment.
+ * outcome, and the first write counts. From shortly before the deadline, requests move to a target
+ * without a fault: first as many as its servers carry while the others count in the mean load, then
+ * all for a moment. Then the order is completed, and the other servers may be stopped at once.
  *
  * <p>All calls are made on the timer service's thread.
  */
@@ -39,8 +39,20 @@
     /** Share of the requests that a target on trial gets, as a part of what it may get. */
     private static final double USED_EXPOSURE = 0.4;
 
-    /** Time before the deadline at which all requests move to a target without a fault. */
-    private static final Duration SHIFT_TIME = Duration.ofMillis(1000);
+    /** Part of the order's time before the deadline at which requests move to a good target. */
+    private static final int SHIFT_TIME_DIVISOR = 15;
+
+    /** Time for which the target gets what its servers can carry beside the others. */
+    private static final long PARTIAL_SHIFT_MILLIS = 2000;
+
+    /** Time for which it then gets all requests, so that most others end before completion. */
+    private static final long FULL_SHIFT_MILLIS = 1000;
+
+    /**
+     * Load of the target's servers as a multiple of the service's mean during the partial shift;
+     * the fleet must keep it below twice the mean.
+     */
+    private static final double PARTIAL_SHIFT_LOAD_FACTOR = 1.7;
 
     /** Calls at the target without which it is not judged, so that the order is undone. */
     private static final int MIN_JUDGED_CALLS = 12;
@@ -123,8 +135,10 @@
             return mName.equals(name) && mOrder.target().equals(order.target()) && !reopened;
         }
 
-        private boolean shifting(long nowMillis) {
-            return nowMillis - mSeenMillis >= mOrder.duration().minus(SHIFT_TIME).toMillis();
+        /** Returns for how long requests have been moving to the target; negative before. */
+        private long shiftingMillis(long nowMillis) {
+            long durationMillis = mOrder.duration().toMillis();
+            return nowMillis - mSeenMillis - durationMillis + durationMillis / SHIFT_TIME_DIVISOR;
         }
 
         private String key(String route) {
@@ -189,15 +203,20 @@
         if (outcome.filter(RolloutOrder.State.ROLLED_BACK::equals).isPresent()) {
             return others;
         }
-        boolean toTarget =
-                outcome.isPresent()
-                        || mayShift(rollout)
-                        || unitHash < mExposureShare * USED_EXPOSURE;
+        boolean toTarget = outcome.isPresent() || unitHash < targetShare(rollout, target.size());
         return toTarget && !target.isEmpty() ? target : others;
     }
 
-    private boolean mayShift(ServiceRollout rollout) {
-        return rollout.shifting(mTimers.nowMillis()) && rollout.mJudgedCalls >= MIN_JUDGED_CALLS;
+    private double targetShare(ServiceRollout rollout, int targetServers) {
+        long shiftingMillis = rollout.shiftingMillis(mTimers.nowMillis());
+        if (shiftingMillis < 0 || rollout.mJudgedCalls < MIN_JUDGED_CALLS) {
+            return mExposureShare * USED_EXPOSURE;
+        }
+        if (shiftingMillis < PARTIAL_SHIFT_MILLIS) {
+            int servers = mTable.servers(rollout.mOrder.service()).size();
+            return PARTIAL_SHIFT_LOAD_FACTOR * targetServers / Math.max(1, servers);
+        }
+        return 1;
     }
 
     private static boolean isTarget(ServiceRollout rollout, TrackedServer server) {
@@ -313,7 +332,8 @@
             return;
         }
         long now = mTimers.nowMillis();
-        if (rollout.mOutcome.isEmpty() && rollout.shifting(now)) {
+        long shiftingMillis = rollout.shiftingMillis(now);
+        if (rollout.mOutcome.isEmpty() && shiftingMillis >= 0) {
             if (rollout.mJudgedCalls < MIN_JUDGED_CALLS) {
                 decide(
                         rollout,
@@ -321,7 +341,9 @@
                         new RolloutJudge.Verdict(RolloutReason.TIME, ""));
                 return;
             }
-            if (othersIdle(rollout)) {
+            if (shiftingMillis >= PARTIAL_SHIFT_MILLIS
+                    && (othersIdle(rollout)
+                            || shiftingMillis >= PARTIAL_SHIFT_MILLIS + FULL_SHIFT_MILLIS)) {
                 rollout.mOutcome = Optional.of(RolloutOrder.State.COMPLETED);
             }
         }
--- a/rhubarbward-core/src/test/java/io/rhubarbward/testing/SimulatedServers.java
+++ b/rhubarbward-core/src/test/java/io/rhubarbward/testing/SimulatedServers.java
@@ -83,6 +83,11 @@
         return mArrivals;
     }
 
+    /** Returns the number of requests at the server. */
+    public int open(String name) {
+        return server(name).mOpen.size();
+    }
+
     public List<Crash> crashes() {
         return mCrashes;
     }
