Test that connections which die without a reset are replaced

The check that went with the mesh (LoadGossipTest.aConnectionWithoutEchoIsReconnected) has successors for the three connections that took its place: aggregator to aggregator, follower to relay, relay to follower. Each fails when the reconnect it guards is left out.

--- a/rhubarbward-core/src/test/java/io/rhubarbward/relay/LoadExchangeTest.java
+++ b/rhubarbward-core/src/test/java/io/rhubarbward/relay/LoadExchangeTest.java
@@ -164,6 +164,19 @@
         assertThat(loads.shareOverBound()).isAtMost(0.03);
     }
 
+    // An aggregator whose messages do not arrive is told so, and replaces its connection.
+    @Test
+    void aConnectionBetweenAggregatorsThatDiesWithoutAResetIsReplaced() {
+        Router sender = startRouter("front-1", "a");
+        Router receiver = startRouter("front-2", "b");
+        mTimers.advance(Duration.ofSeconds(1));
+        mPeers.killConnection("front-1", "front-2");
+        mTimers.advance(Duration.ofSeconds(6));
+        sender.place("part");
+        mTimers.advance(Duration.ofMillis(600));
+        assertThat(receiver.inFlightElsewhere()).isEqualTo(1.0);
+    }
+
     private List<Router> startNineRouters() {
         List<Router> routers =
                 IntStream.range(0, 9).mapToObj(index -> startRouter("front-" + index)).toList();
--- a/rhubarbward-core/src/test/java/io/rhubarbward/relay/RelayFleet.java
+++ b/rhubarbward-core/src/test/java/io/rhubarbward/relay/RelayFleet.java
@@ -297,6 +297,11 @@
             mEndpoint.send(to, message);
         }
 
+        @Override
+        public void reconnect(Peer to) {
+            mEndpoint.reconnect(to);
+        }
+
         @Override
         public <M extends PeerMessage> void subscribe(
                 Class<M> type, BiConsumer<String, M> handler) {
--- a/rhubarbward-core/src/test/java/io/rhubarbward/relay/StoreFollowerTest.java
+++ b/rhubarbward-core/src/test/java/io/rhubarbward/relay/StoreFollowerTest.java
@@ -188,6 +188,36 @@
     }
 
     /** Keys are revoked while the store refuses a third of the routers, relays among them. */
+    // A connection that dies without a reset looks open: nobody notices but by missing answers.
+    @Test
+    void aConnectionToARelayThatDiesWithoutAResetIsReplaced() {
+        startThreeDataCentres(6);
+        Router relay = mFleet.relayOf("a");
+        List<String> followers = followersOf(relay);
+        followers.forEach(follower -> mFleet.mPeers.killConnection(follower, relay.mName));
+        mFleet.advance(Duration.ofSeconds(12));
+        assertThat(mFleet.relayOf("a").mFollower.followers()).isEqualTo(followers.size());
+        assertThat(mFleet.relays()).hasSize(3);
+    }
+
+    @Test
+    void aConnectionToAFollowerThatDiesWithoutAResetIsReplaced() {
+        startThreeDataCentres(6);
+        Router relay = mFleet.relayOf("a");
+        List<String> followers = followersOf(relay);
+        followers.forEach(follower -> mFleet.mPeers.killConnection(relay.mName, follower));
+        mFleet.advance(Duration.ofSeconds(12));
+        assertThat(mFleet.relayOf("a").mFollower.followers()).isEqualTo(followers.size());
+        assertThat(mFleet.relays()).hasSize(3);
+    }
+
+    private List<String> followersOf(Router relay) {
+        return mFleet.mRouters.stream()
+                .filter(router -> router.mDataCentre.equals(relay.mDataCentre) && router != relay)
+                .map(router -> router.mName)
+                .toList();
+    }
+
     @Test
     void routersThatTheStoreRefusesGoOnThroughARelay() {
         startThreeDataCentres(12);
--- a/rhubarbward-core/src/test/java/io/rhubarbward/testing/FakePeers.java
+++ b/rhubarbward-core/src/test/java/io/rhubarbward/testing/FakePeers.java
@@ -7,8 +7,10 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.function.BiConsumer;
 import java.util.function.BiPredicate;
 import java.util.function.Consumer;
@@ -25,6 +27,7 @@
     private final TimerService mTimers;
     private final Map<String, Endpoint> mEndpoints = new HashMap<>();
     private final Map<String, List<Runnable>> mHeldBackByPausedVm = new HashMap<>();
+    private final Set<String> mDeadConnections = new HashSet<>();
     private BiPredicate<String, String> mLinkCut = (from, to) -> false;
     private Function<PeerMessage, List<Long>> mDeliveryDelays = message -> List.of(DELAY_MILLIS);
     private Consumer<PeerMessage> mOnSend = message -> {};
@@ -62,6 +65,14 @@
         return delays;
     }
 
+    /**
+     * Lets the connection from one VM to the other die without a reset: what is sent on it is lost
+     * until the sender replaces it.
+     */
+    public void killConnection(String from, String to) {
+        mDeadConnections.add(from + '>' + to);
+    }
+
     /** Ends the faults of {@link #injectFaults}. */
     public void clearFaults() {
         mDeliveryDelays = message -> List.of(DELAY_MILLIS);
@@ -107,7 +118,9 @@
         @Override
         public void send(Peer to, PeerMessage message) {
             mOnSend.accept(message);
-            if (mEndpoints.get(mVm) == this && !mLinkCut.test(mVm, to.vm())) {
+            if (mEndpoints.get(mVm) == this
+                    && !mLinkCut.test(mVm, to.vm())
+                    && !mDeadConnections.contains(mVm + '>' + to.vm())) {
                 mDeliveryDelays
                         .apply(message)
                         .forEach(
@@ -118,6 +131,11 @@
             }
         }
 
+        @Override
+        public void reconnect(Peer to) {
+            mDeadConnections.remove(mVm + '>' + to.vm());
+        }
+
         private void deliverOrHoldBack(String to, PeerMessage message) {
             List<Runnable> heldBack = mHeldBackByPausedVm.get(to);
             if (heldBack == null) {
