Make suspects of crashes cheap while nothing is blamed

Change: traits are computed at admission only while some trait is blamed; what is forgotten is dropped every minute, not with the next crash; answers are told 250 ms later and only until they outweigh all crashes that are kept.

--- a/rhubarbward-core/src/main/java/io/rhubarbward/crash/CrashSuspect.java
+++ b/rhubarbward-core/src/main/java/io/rhubarbward/crash/CrashSuspect.java
@@ -30,6 +30,9 @@
 
     private static final int SKETCH_BITS = Long.SIZE;
 
+    /** Bits from which further answers add nothing: they outweigh more crashes than are kept. */
+    private static final int MAX_SET_BITS = 36;
+
     public CrashSuspect {
         crashes = crashes.size() <= MAX_CRASHES ? Map.copyOf(crashes) : newest(crashes);
     }
@@ -55,6 +58,9 @@
     }
 
     CrashSuspect withAnswer(long requestHash) {
+        if (Long.bitCount(answers) >= MAX_SET_BITS) {
+            return this;
+        }
         return new CrashSuspect(trait, crashes, answers | 1L << (requestHash >>> 58));
     }
 
--- a/rhubarbward-core/src/main/java/io/rhubarbward/crash/CrashSuspects.java
+++ b/rhubarbward-core/src/main/java/io/rhubarbward/crash/CrashSuspects.java
@@ -15,7 +15,6 @@
 import java.util.Map;
 import java.util.Objects;
 import java.util.Set;
-import java.util.function.Consumer;
 import java.util.stream.Collectors;
 
 /**
@@ -71,10 +70,12 @@
 
     private static final int MAX_SUSPECTS = 256;
 
+    private static final Duration FORGET_PERIOD = Duration.ofMinutes(1);
+
     private final TimerService mTimers;
     private final EventLog mEvents;
     private final Map<Long, CrashSuspect> mSuspects = new HashMap<>();
-    private final List<Consumer<List<CrashSuspect>>> mSubscribers = new ArrayList<>();
+    private final List<Subscriber> mSubscribers = new ArrayList<>();
     private Set<Long> mBlamed = Set.of();
     private long mDigest;
 
@@ -87,11 +88,33 @@
         mEvents = events;
     }
 
-    /** Calls the subscriber with the suspects that this router's own observations change. */
-    public void subscribe(Consumer<List<CrashSuspect>> subscriber) {
+    /** Receives what this router's own observations change. */
+    @FunctionalInterface
+    public interface Subscriber {
+        /**
+         * Called after each change.
+         *
+         * @param changed the suspects that have changed
+         * @param crashed whether by a crash; other changes are less urgent
+         */
+        void onChanged(List<CrashSuspect> changed, boolean crashed);
+    }
+
+    /** Adds a subscriber to the changes. */
+    public void subscribe(Subscriber subscriber) {
         mSubscribers.add(subscriber);
     }
 
+    /** Starts to drop what is forgotten as time passes. */
+    public void start() {
+        mTimers.every(FORGET_PERIOD, () -> forget(mTimers.epochMillis()));
+    }
+
+    /** Returns whether no trait is blamed, so that every request may be sent. */
+    public boolean blocksNone() {
+        return mBlamed.isEmpty();
+    }
+
     /** Returns whether no trait is suspected, so that traits need not be computed. */
     public boolean empty() {
         return mSuspects.isEmpty();
@@ -112,7 +135,8 @@
                 merge(
                         traits.stream()
                                 .map(trait -> CrashSuspect.ofCrash(trait, server, epochMillis))
-                                .toList()));
+                                .toList()),
+                true);
     }
 
     /** Records that a request was answered in full. */
@@ -124,12 +148,13 @@
                                 .map(mSuspects::get)
                                 .filter(Objects::nonNull)
                                 .map(suspect -> suspect.withAnswer(requestHash))
-                                .toList()));
+                                .toList()),
+                false);
     }
 
-    private void notifySubscribers(List<CrashSuspect> changed) {
+    private void notifySubscribers(List<CrashSuspect> changed, boolean crashed) {
         if (!changed.isEmpty()) {
-            mSubscribers.forEach(subscriber -> subscriber.accept(changed));
+            mSubscribers.forEach(subscriber -> subscriber.onChanged(changed, crashed));
         }
     }
 
@@ -148,16 +173,21 @@
                 changed.stream().anyMatch(suspect -> mBlamed.contains(suspect.trait()));
         // Answers alone never add to the evidence against a trait that is not blamed.
         if (mKnownCrashes != crashesBefore || blamedAnswered) {
-            mSuspects.values().stream()
-                    .filter(suspect -> forgotten(suspect, now))
-                    .toList()
-                    .forEach(this::remove);
             evict();
             updateBlamed();
         }
         return changed;
     }
 
+    private void forget(long now) {
+        List<CrashSuspect> forgotten =
+                mSuspects.values().stream().filter(suspect -> forgotten(suspect, now)).toList();
+        if (!forgotten.isEmpty()) {
+            forgotten.forEach(this::remove);
+            updateBlamed();
+        }
+    }
+
     private void remove(CrashSuspect suspect) {
         mSuspects.remove(suspect.trait());
         mDigest ^= suspect.digest();
--- a/rhubarbward-core/src/main/java/io/rhubarbward/forward/ForwardedExchange.java
+++ b/rhubarbward-core/src/main/java/io/rhubarbward/forward/ForwardedExchange.java
@@ -146,7 +146,7 @@
     /** Refuses a request that would crash its server; returns whether it did. */
     private boolean refuseIfBlocked() {
         CrashSuspects suspects = mContext.crashSuspects();
-        long blockedMillis = suspects.empty() ? 0 : suspects.blockedMillis(mRequest.traits());
+        long blockedMillis = suspects.blocksNone() ? 0 : suspects.blockedMillis(mRequest.traits());
         if (blockedMillis == 0) {
             return false;
         }
--- a/rhubarbward-core/src/main/java/io/rhubarbward/node/FleetRouter.java
+++ b/rhubarbward-core/src/main/java/io/rhubarbward/node/FleetRouter.java
@@ -204,6 +204,7 @@
         announce();
         mLoadExchange.start();
         mRollouts.start();
+        mCrashSuspects.start();
         mLoopLag.tick();
         mPorts.timers()
                 .every(
--- a/rhubarbward-core/src/main/java/io/rhubarbward/relay/SuspectExchange.java
+++ b/rhubarbward-core/src/main/java/io/rhubarbward/relay/SuspectExchange.java
@@ -31,6 +31,9 @@
     /** Collects the observations of one crash, which arrive together, into one message. */
     private static final Duration SEND_DELAY = Duration.ofMillis(10);
 
+    /** Collects answers, which are many and spare a trait only when others are blamed. */
+    private static final Duration ANSWERS_SEND_DELAY = Duration.ofMillis(250);
+
     /** Shortest time between two messages with all suspects to the same router. */
     private static final long MIN_CATCH_UP_INTERVAL_MILLIS = 1000;
 
@@ -45,6 +48,7 @@
     private final CrashSuspects mSuspects;
     private final TimerService mTimers;
     private final Map<Long, CrashSuspect> mUnsent = new HashMap<>();
+    private long mSendDueMillis;
     private final Map<String, Long> mCaughtUpMillis = new HashMap<>();
 
     SuspectExchange(
@@ -66,7 +70,9 @@
 
     void start() {
         mTransport.subscribe(SuspectNews.class, (sender, news) -> onNews(news));
-        mSuspects.subscribe(this::sendSoon);
+        mSuspects.subscribe(
+                (changed, crashed) ->
+                        sendAfter(crashed ? SEND_DELAY : ANSWERS_SEND_DELAY, changed));
     }
 
     long digest() {
@@ -76,18 +82,23 @@
     private void onNews(SuspectNews news) {
         List<CrashSuspect> changed = mSuspects.merge(news.suspects());
         if (!changed.isEmpty()) {
-            sendSoon(changed);
+            sendAfter(SEND_DELAY, changed);
         }
     }
 
-    private void sendSoon(List<CrashSuspect> changed) {
-        if (mUnsent.isEmpty()) {
-            mTimers.after(SEND_DELAY, this::send);
+    private void sendAfter(Duration delay, List<CrashSuspect> changed) {
+        long dueMillis = mTimers.nowMillis() + delay.toMillis();
+        if (mUnsent.isEmpty() || dueMillis < mSendDueMillis) {
+            mSendDueMillis = dueMillis;
+            mTimers.after(delay, this::send);
         }
         changed.forEach(suspect -> mUnsent.put(suspect.trait(), suspect));
     }
 
     private void send() {
+        if (mUnsent.isEmpty()) {
+            return;
+        }
         SuspectNews news = new SuspectNews(List.copyOf(mUnsent.values()));
         mUnsent.clear();
         mTransport.sendToAll(receivers(), news);
