Log the era of the store's history and answers that are not applied

Store-Era is decoded into the type StoreRevision; events 1311 and 1312 are new. What is compared, and so what is done, is as before.

--- a/rhubarbward-core/src/main/java/io/rhubarbward/store/KindWatcher.java
+++ b/rhubarbward-core/src/main/java/io/rhubarbward/store/KindWatcher.java
@@ -245,10 +245,12 @@
         mHasListed = true;
         mUpToDateAtMillis = Math.max(mUpToDateAtMillis, sentMillis);
         // A peer's update may be newer than a list that was sent before it.
-        if (page.revision() >= mRevision) {
-            mRevision = page.revision();
+        if (page.revision().number() >= mRevision) {
+            mRevision = page.revision().number();
             mListener.onSnapshot(page.items());
             mUpdateSubscriber.accept(KindUpdate.snapshot(name(), mRevision, page.items()));
+        } else {
+            mAvailability.logOutdatedAnswer("list " + name(), page.revision(), mRevision);
         }
         if (!mPaused) {
             watch(mRevision, mWatchWait);
@@ -265,11 +267,13 @@
                         list();
                     } else if (mRevision > revision) {
                         // A peer's update came first; the changes may be older than it.
+                        mAvailability.logOutdatedAnswer(
+                                "watch " + name(), changes.revision(), mRevision);
                         watch(mRevision, RETRY_WATCH_WAIT);
                     } else {
                         markUpToDate(changes, sentMillis, wait);
                         changes.changes().forEach(this::apply);
-                        long reached = Math.max(revision, changes.revision());
+                        long reached = Math.max(revision, changes.revision().number());
                         mRevision = Math.max(mRevision, reached);
                         mUpdateSubscriber.accept(
                                 KindUpdate.changes(name(), revision, reached, changes.changes()));
@@ -313,7 +317,7 @@
         }
     }
 
-    private <R> void call(
+    private <R extends StoreAnswer> void call(
             String callName,
             Supplier<CompletionStage<Either<PlatformFailure, R>>> request,
             Consumer<R> onResult,
@@ -326,16 +330,17 @@
                 .thenAccept(
                         result -> {
                             if (number == mCallNumber) {
-                                result.peek(value -> succeed(value, onResult))
+                                result.peek(value -> succeed(callName, value, onResult))
                                         .peekLeft(failure -> fail(callName, failure, retry));
                             }
                         });
     }
 
-    private <R> void succeed(R value, Consumer<R> onResult) {
+    private <R extends StoreAnswer> void succeed(String callName, R value, Consumer<R> onResult) {
         mBackoffMillis = MIN_BACKOFF_MILLIS;
         mLastCallMillis = mTimers.nowMillis();
         mAvailability.callSucceeded();
+        mAvailability.era().observe(value.revision().era(), callName);
         onResult.accept(value);
     }
 
--- a/rhubarbward-core/src/main/java/io/rhubarbward/store/ObjectChanges.java
+++ b/rhubarbward-core/src/main/java/io/rhubarbward/store/ObjectChanges.java
@@ -12,14 +12,15 @@
  *     kind must be listed again
  * @param <T> the type of the decoded objects
  */
-public record ObjectChanges<T>(List<Change<T>> changes, long revision, boolean gap) {
+public record ObjectChanges<T>(List<Change<T>> changes, StoreRevision revision, boolean gap)
+        implements StoreAnswer {
     public ObjectChanges {
         changes = List.copyOf(changes);
     }
 
-    /** Returns the answer of a store that no longer has the history. */
-    public static <T> ObjectChanges<T> historyLost() {
-        return new ObjectChanges<>(List.of(), 0, true);
+    /** Returns the answer of a store, in the era, that no longer has the history. */
+    public static <T> ObjectChanges<T> historyLost(long era) {
+        return new ObjectChanges<>(List.of(), new StoreRevision(era, 0), true);
     }
 
     /**
--- a/rhubarbward-core/src/main/java/io/rhubarbward/store/ObjectPage.java
+++ b/rhubarbward-core/src/main/java/io/rhubarbward/store/ObjectPage.java
@@ -10,7 +10,8 @@
  * @param revision the store's revision at the time of the answer
  * @param <T> the type of the decoded objects
  */
-public record ObjectPage<T>(List<DecodedObject<T>> items, boolean more, long revision) {
+public record ObjectPage<T>(List<DecodedObject<T>> items, boolean more, StoreRevision revision)
+        implements StoreAnswer {
     public ObjectPage {
         items = List.copyOf(items);
     }
--- a/rhubarbward-core/src/main/java/io/rhubarbward/store/StoreAvailability.java
+++ b/rhubarbward-core/src/main/java/io/rhubarbward/store/StoreAvailability.java
@@ -17,6 +17,7 @@
 
     private final TimerService mTimers;
     private final EventLog mEvents;
+    private final StoreEra mEra;
     private final List<Runnable> mRecoverySubscribers = new ArrayList<>();
     private long mOutageStartMillis = NEVER;
     private long mLastOutageEndMillis = NEVER;
@@ -28,6 +29,12 @@
     public StoreAvailability(TimerService timers, EventLog events) {
         mTimers = timers;
         mEvents = events;
+        mEra = new StoreEra(events);
+    }
+
+    /** Returns the era of the store's history that this process knows of. */
+    public StoreEra era() {
+        return mEra;
     }
 
     /** Runs the subscriber at the end of each outage. */
@@ -79,6 +86,19 @@
         mLastOutageEndMillis = Math.max(mLastOutageEndMillis, now - millisSinceOutage);
     }
 
+    /**
+     * Logs that an answer of the store is not applied, since a later state is known.
+     *
+     * @param known the store's revision that this process knows of
+     */
+    void logOutdatedAnswer(String call, StoreRevision answered, long known) {
+        mEvents.log(
+                LogEvent.STORE_ANSWER_OUTDATED,
+                EventField.of("call", call),
+                EventField.of("answered", answered),
+                EventField.of("known", known));
+    }
+
     /** Returns how long ago this router's newest call failed; a huge number if it succeeded. */
     public long millisSinceFailure() {
         return mTimers.nowMillis() - mFailedMillis;
--- a/rhubarbward-core/src/test/java/io/rhubarbward/testing/FakeObjectKind.java
+++ b/rhubarbward-core/src/test/java/io/rhubarbward/testing/FakeObjectKind.java
@@ -5,6 +5,7 @@
 import io.rhubarbward.store.ObjectKind;
 import io.rhubarbward.store.ObjectPage;
 import io.rhubarbward.store.PlatformFailure;
+import io.rhubarbward.store.StoreRevision;
 import io.vavr.control.Either;
 import java.time.Duration;
 import java.util.ArrayDeque;
@@ -60,7 +61,10 @@
     public final void answerList(long revision, DecodedObject<T>... items) {
         mOpenLists
                 .remove()
-                .complete(Either.right(new ObjectPage<>(List.of(items), false, revision)));
+                .complete(
+                        Either.right(
+                                new ObjectPage<>(
+                                        List.of(items), false, new StoreRevision(0, revision))));
     }
 
     /** Answers the oldest open watch call with updates of the objects. */
@@ -68,7 +72,12 @@
     public final void answerWatch(long revision, DecodedObject<T>... items) {
         List<ObjectChanges.Change<T>> changes =
                 Arrays.stream(items).map(item -> new ObjectChanges.Change<>(item, false)).toList();
-        mOpenWatches.remove().complete(Either.right(new ObjectChanges<>(changes, revision, false)));
+        mOpenWatches
+                .remove()
+                .complete(
+                        Either.right(
+                                new ObjectChanges<>(
+                                        changes, new StoreRevision(0, revision), false)));
     }
 
     /** Answers the oldest open watch call with a deletion. */
@@ -79,12 +88,12 @@
                         Either.right(
                                 new ObjectChanges<>(
                                         List.of(new ObjectChanges.Change<>(item, true)),
-                                        revision,
+                                        new StoreRevision(0, revision),
                                         false)));
     }
 
     public void answerWatchWithHistoryLost() {
-        mOpenWatches.remove().complete(Either.right(ObjectChanges.historyLost()));
+        mOpenWatches.remove().complete(Either.right(ObjectChanges.historyLost(0)));
     }
 
     public void failList() {
--- a/rhubarbward-core/src/test/java/io/rhubarbward/testing/FakeStore.java
+++ b/rhubarbward-core/src/test/java/io/rhubarbward/testing/FakeStore.java
@@ -5,6 +5,7 @@
 import io.rhubarbward.store.ObjectKind;
 import io.rhubarbward.store.ObjectPage;
 import io.rhubarbward.store.PlatformFailure;
+import io.rhubarbward.store.StoreRevision;
 import io.rhubarbward.timer.VirtualTimerService;
 import io.vavr.control.Either;
 import java.time.Duration;
@@ -161,7 +162,7 @@
                                                                                     .text()))
                                                     .toList(),
                                             false,
-                                            mRevision)));
+                                            new StoreRevision(0, mRevision))));
         }
 
         @Override
@@ -193,7 +194,7 @@
 
         private ObjectChanges<T> changesAfter(long revision) {
             if (revision < mHistoryStart) {
-                return ObjectChanges.historyLost();
+                return ObjectChanges.historyLost(0);
             }
             return new ObjectChanges<>(
                     mHistory.stream()
@@ -208,7 +209,7 @@
                                                             event.text().orElse("")),
                                                     event.text().isEmpty()))
                             .toList(),
-                    mRevision,
+                    new StoreRevision(0, mRevision),
                     false);
         }
 
