--- a/rhubarbward-core/src/test/java/io/rhubarbward/testing/FakeStore.java
+++ b/rhubarbward-core/src/test/java/io/rhubarbward/testing/FakeStore.java
@@ -17,13 +17,15 @@
 import java.util.TreeMap;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
+import java.util.function.BiConsumer;
 import java.util.function.BiFunction;
+import java.util.function.Consumer;
 import java.util.function.Function;
 import java.util.function.Predicate;
 
 /**
  * A store of text objects in virtual time, with revisions, waiting watches and a history that can
- * be dropped. It counts the calls and can refuse some routers.
+ * be dropped. It counts the calls, can refuse some routers and can be restored from an older copy.
  */
 public final class FakeStore {
     private static final Duration ONE_WAY = Duration.ofMillis(2);
@@ -32,9 +34,14 @@
     private final VirtualTimerService mTimers;
     private final Map<String, TreeMap<String, StoredText>> mObjects = new HashMap<>();
     private final List<Event> mHistory = new ArrayList<>();
+
+    /** All changes of the current era and of what it goes back to, for restores. */
+    private final List<Event> mLog = new ArrayList<>();
+
     private final List<Watch> mWatches = new ArrayList<>();
     private Predicate<String> mRefuses = router -> false;
     private Predicate<String> mSilentTo = router -> false;
+    private long mEra = 1;
     private long mRevision = 1;
     private long mHistoryStart;
     private int mCalls;
@@ -45,9 +52,11 @@
 
     private record StoredText(long revision, String text) {}
 
-    private record Event(long revision, String kind, String name, Optional<String> text) {}
+    private record Event(
+            long atMillis, long revision, String kind, String name, Optional<String> text) {}
 
-    private record Watch(String router, String kind, long after, Runnable answer) {}
+    private record Watch(
+            String router, String kind, long after, Runnable answer, Runnable failure) {}
 
     /** Refuses the calls of the routers at once. */
     public void refuse(Predicate<String> refuses) {
@@ -64,24 +73,52 @@
         mRevision++;
         mObjects.computeIfAbsent(kind, key -> new TreeMap<>())
                 .put(name, new StoredText(mRevision, text));
-        change(new Event(mRevision, kind, name, Optional.of(text)));
+        change(new Event(mTimers.nowMillis(), mRevision, kind, name, Optional.of(text)));
     }
 
     /** Deletes an object. */
     public void delete(String kind, String name) {
         mRevision++;
         mObjects.computeIfAbsent(kind, key -> new TreeMap<>()).remove(name);
-        change(new Event(mRevision, kind, name, Optional.empty()));
+        change(new Event(mTimers.nowMillis(), mRevision, kind, name, Optional.empty()));
     }
 
     private void change(Event event) {
         mHistory.add(event);
+        mLog.add(event);
         List<Watch> woken =
                 mWatches.stream().filter(watch -> watch.kind().equals(event.kind())).toList();
         mWatches.removeAll(woken);
         woken.forEach(watch -> watch.answer().run());
     }
 
+    /**
+     * Restores the store from a copy of the age: a new era begins with the revision of the copy,
+     * later changes are gone, and waiting watches fail.
+     */
+    public void restore(Duration age) {
+        long copiedMillis = mTimers.nowMillis() - age.toMillis();
+        mEra++;
+        mLog.removeIf(event -> event.atMillis() > copiedMillis);
+        mHistory.removeIf(event -> event.atMillis() > copiedMillis);
+        mRevision = mLog.isEmpty() ? 1 : mLog.get(mLog.size() - 1).revision();
+        mHistoryStart = Math.min(mHistoryStart, mRevision);
+        mObjects.clear();
+        mLog.forEach(this::apply);
+        List<Watch> open = List.copyOf(mWatches);
+        mWatches.clear();
+        open.forEach(watch -> watch.failure().run());
+    }
+
+    private void apply(Event event) {
+        TreeMap<String, StoredText> objects =
+                mObjects.computeIfAbsent(event.kind(), key -> new TreeMap<>());
+        event.text()
+                .ifPresentOrElse(
+                        text -> objects.put(event.name(), new StoredText(event.revision(), text)),
+                        () -> objects.remove(event.name()));
+    }
+
     /** Drops the history of changes. */
     public void dropHistory() {
         mHistoryStart = mRevision;
@@ -145,7 +182,7 @@
         public CompletionStage<Either<PlatformFailure, ObjectPage<T>>> list(
                 Optional<String> afterName) {
             return call(
-                    answer ->
+                    (answer, failure) ->
                             answer.accept(
                                     new ObjectPage<>(
                                             mObjects
@@ -162,14 +199,14 @@
                                                                                     .text()))
                                                     .toList(),
                                             false,
-                                            new StoreRevision(0, mRevision))));
+                                            new StoreRevision(mEra, mRevision))));
         }
 
         @Override
         public CompletionStage<Either<PlatformFailure, ObjectChanges<T>>> watch(
                 long revision, Duration wait) {
             return call(
-                    answer -> {
+                    (answer, failure) -> {
                         ObjectChanges<T> known = changesAfter(revision);
                         if (known.gap() || !known.changes().isEmpty()) {
                             answer.accept(known);
@@ -180,7 +217,8 @@
                                         mRouter,
                                         mKind,
                                         revision,
-                                        () -> answer.accept(changesAfter(revision)));
+                                        () -> answer.accept(changesAfter(revision)),
+                                        failure);
                         mWatches.add(watch);
                         mTimers.after(
                                 wait,
@@ -193,8 +231,8 @@
         }
 
         private ObjectChanges<T> changesAfter(long revision) {
-            if (revision < mHistoryStart) {
-                return ObjectChanges.historyLost(0);
+            if (revision < mHistoryStart || revision > mRevision) {
+                return ObjectChanges.historyLost(mEra);
             }
             return new ObjectChanges<>(
                     mHistory.stream()
@@ -209,12 +247,12 @@
                                                             event.text().orElse("")),
                                                     event.text().isEmpty()))
                             .toList(),
-                    new StoreRevision(0, mRevision),
+                    new StoreRevision(mEra, mRevision),
                     false);
         }
 
         private <R> CompletionStage<Either<PlatformFailure, R>> call(
-                java.util.function.Consumer<java.util.function.Consumer<R>> handler) {
+                BiConsumer<Consumer<R>, Runnable> handler) {
             mCalls++;
             CompletableFuture<Either<PlatformFailure, R>> result = new CompletableFuture<>();
             mTimers.after(
@@ -225,7 +263,7 @@
                         } else if (mRefuses.test(mRouter)) {
                             mTimers.after(ONE_WAY, () -> fail(result));
                         } else {
-                            handler.accept(answer -> deliver(result, answer));
+                            handler.accept(answer -> deliver(result, answer), () -> fail(result));
                         }
                     });
             return result;
