--- a/rhubarbward-core/src/main/java/io/rhubarbward/move/FleetRollouts.java
+++ b/rhubarbward-core/src/main/java/io/rhubarbward/move/FleetRollouts.java
@@ -11,6 +11,7 @@
 import io.rhubarbward.placement.VersionChoice;
 import io.rhubarbward.store.DecodedObject;
 import io.rhubarbward.store.KindListener;
+import io.rhubarbward.store.StoreRevision;
 import io.rhubarbward.timer.TimerService;
 import java.time.Duration;
 import java.util.HashMap;
@@ -113,7 +114,7 @@
         private final Map<String, PairedFigures> mOwn = new TreeMap<>();
         private final Map<String, PairedFigures> mJudged = new HashMap<>();
         private RolloutOrder mOrder;
-        private long mRevision;
+        private StoreRevision mRevision = StoreRevision.NONE;
         private int mJudgedCalls;
         private Optional<RolloutOrder.State> mOutcome = Optional.empty();
         private long mWrittenMillis = Long.MIN_VALUE / 2;
--- a/rhubarbward-core/src/main/java/io/rhubarbward/move/RolloutStatusWriter.java
+++ b/rhubarbward-core/src/main/java/io/rhubarbward/move/RolloutStatusWriter.java
@@ -1,5 +1,6 @@
 package io.rhubarbward.move;
 
+import io.rhubarbward.store.StoreRevision;
 import java.util.concurrent.CompletionStage;
 
 /** Writes the state of a rollout order into the store. */
@@ -12,5 +13,5 @@
      * @return whether it was written; otherwise the newer object arrives by its watch
      */
     CompletionStage<Boolean> write(
-            String name, String target, RolloutOrder.State state, long revision);
+            String name, String target, RolloutOrder.State state, StoreRevision revision);
 }
--- a/rhubarbward-core/src/main/java/io/rhubarbward/relay/FollowRequest.java
+++ b/rhubarbward-core/src/main/java/io/rhubarbward/relay/FollowRequest.java
@@ -1,6 +1,7 @@
 package io.rhubarbward.relay;
 
 import io.rhubarbward.membership.PeerMessage;
+import io.rhubarbward.store.StoreRevision;
 import java.util.Map;
 
 /**
@@ -10,7 +11,8 @@
  * @param unansweredMillis for how long the relay's answers have not arrived; 0 if they do
  * @param revisions the revision that the follower's state of each kind matches, by kind
  */
-public record FollowRequest(long sentMillis, long unansweredMillis, Map<String, Long> revisions)
+public record FollowRequest(
+        long sentMillis, long unansweredMillis, Map<String, StoreRevision> revisions)
         implements PeerMessage {
     public FollowRequest {
         revisions = Map.copyOf(revisions);
--- a/rhubarbward-core/src/main/java/io/rhubarbward/relay/StoreFollower.java
+++ b/rhubarbward-core/src/main/java/io/rhubarbward/relay/StoreFollower.java
@@ -157,7 +157,7 @@
                 mTimers.nowMillis() - mSourceSinceMillis > REQUEST_PERIOD.toMillis();
         if (choice.self()
                 && callsLongEnough
-                && mWatchers.get(0).stalenessMillis() > SUBSTITUTE_STALENESS_MILLIS) {
+                && mWatchers.get(0).millisSinceSynchronised() > SUBSTITUTE_STALENESS_MILLIS) {
             mSelection.choose(false).peers().forEach(this::ask);
         }
         choice.peers().forEach(this::ask);
@@ -222,9 +222,9 @@
         mCheckClocks.run();
         boolean asked = answer.echoMillis() != FollowAnswer.UNASKED;
         if (asked) {
-            mSelection.answered(sender, answer.serving());
+            mSelection.answered(sender, answer.serving() && !isOfPastEra(answer));
         }
-        if (!answer.serving()) {
+        if (!answer.serving() || isOfPastEra(answer)) {
             return;
         }
         answer.kinds().forEach(news -> adopt(news, answer.echoMillis()));
@@ -235,6 +235,11 @@
         }
     }
 
+    private boolean isOfPastEra(FollowAnswer answer) {
+        return answer.kinds().stream()
+                .anyMatch(news -> mAvailability.era().isPast(news.update().revision()));
+    }
+
     private void adopt(FollowAnswer.KindNews news, long echoMillis) {
         KindWatcher<?> watcher = mWatchersByKind.get(news.update().kind());
         if (watcher == null) {
--- a/rhubarbward-core/src/main/java/io/rhubarbward/relay/StoreRelay.java
+++ b/rhubarbward-core/src/main/java/io/rhubarbward/relay/StoreRelay.java
@@ -7,6 +7,7 @@
 import io.rhubarbward.store.KindUpdate;
 import io.rhubarbward.store.KindWatcher;
 import io.rhubarbward.store.StoreAvailability;
+import io.rhubarbward.store.StoreRevision;
 import io.rhubarbward.timer.TimerService;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
@@ -53,7 +54,8 @@
     /**
      * Creates a relay of the watched kinds.
      *
-     * @param watchers the kinds; the first one's staleness decides whether this router serves
+     * @param watchers the kinds; whether this router serves depends on how recently the first one
+     *     was read
      * @param checkClocks voids the watchers' confirmations if the clocks have jumped
      */
     StoreRelay(
@@ -96,7 +98,7 @@
      * @param revision the revision that the follower's state reaches with it
      * @param sentMillis when it was sent
      */
-    private record Sent(long revision, long sentMillis) {}
+    private record Sent(StoreRevision revision, long sentMillis) {}
 
     /** Starts to accept requests; runs the action when a first follower asks. */
     void start(Runnable onFirstFollower) {
@@ -128,12 +130,20 @@
     private boolean serving() {
         return mActive
                 && !mStopping
-                && mWatchers.values().stream().allMatch(KindWatcher::hasListed)
+                && mWatchers.values().stream().allMatch(this::hasListedInCurrentEra)
                 && mAvailability.millisSinceFailure() > FAILURE_EXPIRY_MILLIS
-                && mWatchers.values().iterator().next().stalenessMillis() < MAX_STALENESS_MILLIS;
+                && mWatchers.values().iterator().next().millisSinceSynchronised()
+                        < MAX_STALENESS_MILLIS;
+    }
+
+    private boolean hasListedInCurrentEra(KindWatcher<?> watcher) {
+        return watcher.hasListed() && !mAvailability.era().isPast(watcher.revision());
     }
 
     private void onRequest(String sender, FollowRequest request) {
+        request.revisions()
+                .values()
+                .forEach(revision -> mAvailability.era().observe(revision.era(), sender));
         RouterPresence presence = mRouters.get().get(sender);
         if (presence == null || presence.address().isEmpty()) {
             return;
@@ -189,16 +199,19 @@
     }
 
     /** Returns the revision that the follower has, or will have once it receives what was sent. */
-    private long knownRevision(Follower follower, String kind) {
-        long stated = follower.mRequest.revisions().getOrDefault(kind, KindUpdate.SNAPSHOT);
+    private StoreRevision knownRevision(Follower follower, String kind) {
+        StoreRevision stated =
+                follower.mRequest.revisions().getOrDefault(kind, KindUpdate.SNAPSHOT);
         Sent sent = follower.mSentByKind.get(kind);
-        return sent != null && mTimers.nowMillis() - sent.sentMillis() < DELIVERY_MILLIS
-                ? Math.max(stated, sent.revision())
+        return sent != null
+                        && mTimers.nowMillis() - sent.sentMillis() < DELIVERY_MILLIS
+                        && sent.revision().isAfter(stated)
+                ? sent.revision()
                 : stated;
     }
 
-    private void recordSent(Follower follower, String kind, long revision) {
-        if (revision > knownRevision(follower, kind)) {
+    private void recordSent(Follower follower, String kind, StoreRevision revision) {
+        if (revision.isAfter(knownRevision(follower, kind))) {
             follower.mSentByKind.put(kind, new Sent(revision, mTimers.nowMillis()));
         }
     }
@@ -228,8 +241,8 @@
                 mFollowers.values().stream()
                         .filter(
                                 follower ->
-                                        knownRevision(follower, update.kind())
-                                                >= update.sinceRevision())
+                                        !update.since()
+                                                .isAfter(knownRevision(follower, update.kind())))
                         .toList();
         receivers.forEach(follower -> recordSent(follower, update.kind(), update.revision()));
         mTransport.sendToAll(
--- a/rhubarbward-core/src/main/java/io/rhubarbward/store/DecodedObject.java
+++ b/rhubarbward-core/src/main/java/io/rhubarbward/store/DecodedObject.java
@@ -14,4 +14,4 @@
  * @param <T> the type of the decoded value
  */
 public record DecodedObject<T>(
-        String name, long revision, Either<String, T> value, Supplier<String> text) {}
+        String name, StoreRevision revision, Either<String, T> value, Supplier<String> text) {}
--- a/rhubarbward-core/src/main/java/io/rhubarbward/store/KindListener.java
+++ b/rhubarbward-core/src/main/java/io/rhubarbward/store/KindListener.java
@@ -1,6 +1,8 @@
 package io.rhubarbward.store;
 
+import java.time.Duration;
 import java.util.List;
+import java.util.Set;
 
 /**
  * Receives the objects of a watched kind and their changes.
@@ -8,6 +10,9 @@
  * @param <T> the type of the decoded objects
  */
 public interface KindListener<T> {
+    /** Time in which what a restored store lacks is written again by those who wrote it before. */
+    Duration REWRITE_TIME = Duration.ofSeconds(5);
+
     /** Receives the complete list of objects; any object not in it no longer exists. */
     void onSnapshot(List<DecodedObject<T>> items);
 
@@ -16,4 +21,23 @@
 
     /** Receives the name of an object that was deleted. */
     void onDeleted(String name);
+
+    /**
+     * Receives the names of known objects that a restored store lacks. Each of them is received
+     * again, or as deleted after {@link #rewriteTime}.
+     */
+    default void onMissing(Set<String> names) {}
+
+    /** Returns how long an object that a restored store lacks is kept. */
+    default Duration rewriteTime() {
+        return REWRITE_TIME;
+    }
+
+    /**
+     * Returns whether the store holds what is in force here, so that its answer confirms it. A
+     * restored store may hold an older state.
+     */
+    default boolean storeIsUpToDate() {
+        return true;
+    }
 }
--- a/rhubarbward-core/src/main/java/io/rhubarbward/store/KindWatcher.java
+++ b/rhubarbward-core/src/main/java/io/rhubarbward/store/KindWatcher.java
@@ -4,12 +4,15 @@
 import io.vavr.control.Either;
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.CompletionStage;
 import java.util.function.Consumer;
 import java.util.function.Supplier;
 import java.util.random.RandomGenerator;
+import java.util.stream.Collectors;
 
 /**
  * Keeps a listener up to date with all objects of one kind by list and watch.
@@ -18,8 +21,10 @@
  * new KindWatcher<>(servers, directory, wait, timers, availability, random).start();
  * }</pre>
  *
- * <p>It lists again when the store no longer has the change history, and after {@link #relist()}.
- * Failed calls are retried with exponential backoff and jitter.
+ * <p>It lists again when the store no longer has the change history, when it was restored from an
+ * older copy, and after {@link #relist()}. Objects that a restored store lacks are kept until those
+ * who wrote them had time to write them again. Failed calls are retried with exponential backoff
+ * and jitter.
  *
  * @param <T> the type of the decoded objects
  */
@@ -61,11 +66,23 @@
     private Runnable mRetry = () -> {};
     private long mBackoffMillis = MIN_BACKOFF_MILLIS;
     private long mUpToDateAtMillis = NEVER;
+    private long mSynchronisedAtMillis = NEVER;
     private boolean mHasListed;
     private boolean mPaused;
 
     /** The store's revision that the listener's state matches. */
-    private long mRevision;
+    private StoreRevision mRevision = StoreRevision.NONE;
+
+    /** Whether the newest call is a list, which is answered in the newest era. */
+    private boolean mListOpen;
+
+    /** Names of the objects that the listener has, those in {@link #mMissing} included. */
+    private final Set<String> mNames = new HashSet<>();
+
+    /** Names of known objects that the store has lacked since it was restored. */
+    private final Set<String> mMissing = new HashSet<>();
+
+    private int mRestores;
 
     private Consumer<KindUpdate> mUpdateSubscriber = update -> {};
 
@@ -94,14 +111,27 @@
 
     /** Starts to list and watch. */
     public void start() {
-        mAvailability.subscribeToRecovery(this::retryHungCall);
+        subscribe();
         relist();
     }
 
+    private void subscribe() {
+        mAvailability.subscribeToRecovery(this::retryHungCall);
+        mAvailability.era().subscribe(this::listInNewEra);
+    }
+
+    /** Lists the kind unless a relay does so for this router, or a list is open. */
+    private void listInNewEra() {
+        boolean waitsForRelay = mPaused && mHasListed;
+        if (mAvailability.era().isPast(mRevision) && !waitsForRelay && !mListOpen) {
+            list();
+        }
+    }
+
     /** Lists the kind once and then waits for {@link #adopt} or {@link #resume}. */
     public void startPaused() {
         mPaused = true;
-        mAvailability.subscribeToRecovery(this::retryHungCall);
+        subscribe();
         list();
     }
 
@@ -111,8 +141,9 @@
      */
     public void relist() {
         mUpToDateAtMillis = NEVER;
+        mSynchronisedAtMillis = NEVER;
         if (mPaused && mHasListed) {
-            mCallNumber++;
+            abandonCall();
         } else {
             list();
         }
@@ -121,17 +152,22 @@
     /** Stops calling the store and abandons any open call; the state is kept. */
     public void pause() {
         mPaused = true;
-        mCallNumber++;
+        abandonCall();
         mRetry = () -> {};
     }
 
+    private void abandonCall() {
+        mCallNumber++;
+        mListOpen = false;
+    }
+
     /**
      * Calls the store again after {@link #pause}. The first watch is short, so that it confirms the
      * state soon.
      */
     public void resume() {
         mPaused = false;
-        if (mHasListed) {
+        if (mHasListed && !mAvailability.era().isPast(mRevision)) {
             watch(mRevision, RETRY_WATCH_WAIT);
         } else {
             list();
@@ -153,8 +189,8 @@
         return mCallsSent;
     }
 
-    /** Returns the store's revision that the state matches; 0 before the first list. */
-    public long revision() {
+    /** Returns the store's revision that the state matches; none before the first list. */
+    public StoreRevision revision() {
         return mRevision;
     }
 
@@ -163,22 +199,25 @@
      * update does not continue it.
      */
     public void adopt(KindUpdate update) {
+        mAvailability.era().observe(update.revision().era(), "relay " + update.kind());
         if (update.snapshot()) {
-            if (update.revision() > mRevision || !mHasListed) {
+            if (update.revision().isAfter(mRevision) || !mHasListed) {
                 mHasListed = true;
-                mRevision = update.revision();
-                mListener.onSnapshot(update.objects().stream().map(this::decode).toList());
+                applySnapshot(
+                        update.revision(), update.objects().stream().map(this::decode).toList());
                 mUpdateSubscriber.accept(update);
             }
-        } else if (update.sinceRevision() <= mRevision && update.revision() > mRevision) {
+        } else if (update.since().isInEraOf(mRevision)
+                && !update.since().isAfter(mRevision)
+                && update.revision().isAfter(mRevision)) {
             mRevision = update.revision();
             update.objects()
                     .forEach(
                             object -> {
                                 if (object.deleted()) {
-                                    mListener.onDeleted(object.name());
+                                    delete(object.name());
                                 } else {
-                                    mListener.onItem(decode(object));
+                                    put(decode(object));
                                 }
                             });
             mUpdateSubscriber.accept(update);
@@ -191,15 +230,74 @@
 
     /**
      * Records that the state at the given revision matched the store at the given time on this
-     * router's clock. A newer state matched it as well.
+     * router's clock. A newer state of the same era matched it as well.
      */
-    public void confirm(long revision, long atMillis) {
-        if (mHasListed && mRevision >= revision) {
-            mUpToDateAtMillis =
-                    Math.max(mUpToDateAtMillis, Math.min(atMillis, mTimers.nowMillis()));
+    public void confirm(StoreRevision revision, long atMillis) {
+        if (mHasListed && revision.isInEraOf(mRevision) && !revision.isAfter(mRevision)) {
+            confirmAt(atMillis);
+        }
+    }
+
+    private void confirmAt(long atMillis) {
+        long confirmedMillis = Math.min(atMillis, mTimers.nowMillis());
+        mSynchronisedAtMillis = Math.max(mSynchronisedAtMillis, confirmedMillis);
+        if (mListener.storeIsUpToDate()) {
+            mUpToDateAtMillis = Math.max(mUpToDateAtMillis, confirmedMillis);
         }
     }
 
+    private void put(DecodedObject<T> item) {
+        mNames.add(item.name());
+        mMissing.remove(item.name());
+        mListener.onItem(item);
+    }
+
+    private void delete(String name) {
+        mNames.remove(name);
+        mMissing.remove(name);
+        mListener.onDeleted(name);
+    }
+
+    private void applySnapshot(StoreRevision revision, List<DecodedObject<T>> items) {
+        StoreRevision before = mRevision;
+        mRevision = revision;
+        Set<String> listed = items.stream().map(DecodedObject::name).collect(Collectors.toSet());
+        boolean restored = !before.equals(StoreRevision.NONE) && !before.isInEraOf(revision);
+        if (restored) {
+            keepMissing(before, listed);
+        }
+        mMissing.removeAll(listed);
+        if (mMissing.isEmpty()) {
+            mNames.clear();
+            mNames.addAll(listed);
+            mListener.onSnapshot(items);
+        } else {
+            mNames.stream()
+                    .filter(name -> !listed.contains(name) && !mMissing.contains(name))
+                    .toList()
+                    .forEach(this::delete);
+            items.forEach(this::put);
+        }
+    }
+
+    /** Keeps the objects that a restored store lacks until they had time to be written again. */
+    private void keepMissing(StoreRevision before, Set<String> listed) {
+        mNames.stream().filter(name -> !listed.contains(name)).forEach(mMissing::add);
+        mAvailability.logRestoredKind(
+                name(), before, mRevision, listed.size(), Set.copyOf(mMissing), stalenessMillis());
+        if (!mMissing.isEmpty()) {
+            mListener.onMissing(Set.copyOf(mMissing));
+        }
+        int restores = ++mRestores;
+        mTimers.after(
+                mListener.rewriteTime(),
+                () -> {
+                    if (restores == mRestores) {
+                        List.copyOf(mMissing).forEach(this::delete);
+                    }
+                });
+    }
+
     /** Retries an open call that may never be answered since its connection died in the outage. */
     private void retryHungCall() {
         if (mTimers.nowMillis() - mLastCallMillis >= HUNG_CALL_AGE_MILLIS) {
@@ -220,21 +318,35 @@
         return mTimers.nowMillis() - mUpToDateAtMillis;
     }
 
+    /**
+     * Returns the time since the store's state was last known to have been read in full, in
+     * milliseconds, whether or not it is as new as what is in force here.
+     */
+    public long millisSinceSynchronised() {
+        return mTimers.nowMillis() - mSynchronisedAtMillis;
+    }
+
     private void list() {
         list(Optional.empty(), new ArrayList<>(), mTimers.nowMillis());
     }
 
     private void list(
             Optional<String> afterName, List<DecodedObject<T>> items, long firstSentMillis) {
+        mListOpen = true;
         call(
                 "list " + mKind.name(),
                 () -> mKind.list(afterName),
                 page -> {
+                    boolean continued =
+                            items.isEmpty() || items.get(0).revision().isInEraOf(page.revision());
                     items.addAll(page.items());
-                    if (page.more() && !page.items().isEmpty()) {
+                    if (!continued) {
+                        list();
+                    } else if (page.more() && !page.items().isEmpty()) {
                         String last = page.items().get(page.items().size() - 1).name();
                         list(Optional.of(last), items, firstSentMillis);
                     } else {
+                        mListOpen = false;
                         onListed(new ObjectPage<>(items, false, page.revision()), firstSentMillis);
                     }
                 },
@@ -243,38 +355,36 @@
 
     private void onListed(ObjectPage<T> page, long sentMillis) {
         mHasListed = true;
-        mUpToDateAtMillis = Math.max(mUpToDateAtMillis, sentMillis);
         // A peer's update may be newer than a list that was sent before it.
-        if (page.revision().number() >= mRevision) {
-            mRevision = page.revision().number();
-            mListener.onSnapshot(page.items());
-            mUpdateSubscriber.accept(KindUpdate.snapshot(name(), mRevision, page.items()));
-        } else {
+        if (mRevision.isAfter(page.revision())) {
             mAvailability.logOutdatedAnswer("list " + name(), page.revision(), mRevision);
+        } else {
+            applySnapshot(page.revision(), page.items());
+            mUpdateSubscriber.accept(KindUpdate.snapshot(name(), mRevision, page.items()));
         }
+        confirm(page.revision(), sentMillis);
         if (!mPaused) {
             watch(mRevision, mWatchWait);
         }
     }
 
-    private void watch(long revision, Duration wait) {
+    private void watch(StoreRevision revision, Duration wait) {
+        mListOpen = false;
         long sentMillis = mTimers.nowMillis();
         call(
                 "watch " + mKind.name(),
                 () -> mKind.watch(revision, wait),
                 changes -> {
-                    if (changes.gap()) {
+                    if (changes.gap() || !changes.revision().isInEraOf(revision)) {
                         list();
-                    } else if (mRevision > revision) {
+                    } else if (mRevision.isAfter(revision)) {
                         // A peer's update came first; the changes may be older than it.
-                        mAvailability.logOutdatedAnswer(
-                                "watch " + name(), changes.revision(), mRevision);
                         watch(mRevision, RETRY_WATCH_WAIT);
                     } else {
-                        markUpToDate(changes, sentMillis, wait);
                         changes.changes().forEach(this::apply);
-                        long reached = Math.max(revision, changes.revision().number());
-                        mRevision = Math.max(mRevision, reached);
+                        StoreRevision reached = StoreRevision.later(revision, changes.revision());
+                        mRevision = reached;
+                        markUpToDate(changes, sentMillis, wait);
                         mUpdateSubscriber.accept(
                                 KindUpdate.changes(name(), revision, reached, changes.changes()));
                         watchAfter(reached, changes.changes().isEmpty() ? Duration.ZERO : mRest);
@@ -285,7 +395,7 @@
     }
 
     /** Watches after a rest, in which further changes gather, so that one call returns them all. */
-    private void watchAfter(long revision, Duration rest) {
+    private void watchAfter(StoreRevision revision, Duration rest) {
         if (rest.isZero()) {
             watch(revision, mWatchWait);
             return;
@@ -301,19 +411,17 @@
     }
 
     private void markUpToDate(ObjectChanges<T> changes, long sentMillis, Duration wait) {
-        long upToDateAtMillis =
+        confirmAt(
                 changes.changes().isEmpty()
                         ? sentMillis + wait.toMillis() - MAX_MISSED_CHANGES_MILLIS
-                        : sentMillis;
-        mUpToDateAtMillis =
-                Math.max(mUpToDateAtMillis, Math.min(upToDateAtMillis, mTimers.nowMillis()));
+                        : sentMillis);
     }
 
     private void apply(ObjectChanges.Change<T> change) {
         if (change.deleted()) {
-            mListener.onDeleted(change.item().name());
+            delete(change.item().name());
         } else {
-            mListener.onItem(change.item());
+            put(change.item());
         }
     }
 
@@ -330,7 +438,15 @@
                 .thenAccept(
                         result -> {
                             if (number == mCallNumber) {
-                                result.peek(value -> succeed(callName, value, onResult))
+                                result.filterOrElse(
+                                                answer ->
+                                                        !mAvailability
+                                                                .era()
+                                                                .isPast(answer.revision()),
+                                                answer ->
+                                                        new PlatformFailure.PastEra(
+                                                                answer.revision()))
+                                        .peek(answer -> succeed(callName, answer, onResult))
                                         .peekLeft(failure -> fail(callName, failure, retry));
                             }
                         });
--- a/rhubarbward-core/src/main/java/io/rhubarbward/store/ObjectKind.java
+++ b/rhubarbward-core/src/main/java/io/rhubarbward/store/ObjectKind.java
@@ -20,8 +20,9 @@
     CompletionStage<Either<PlatformFailure, ObjectPage<T>>> list(Optional<String> afterName);
 
     /** Returns the changes after the revision, or no changes if none come within the wait. */
-    CompletionStage<Either<PlatformFailure, ObjectChanges<T>>> watch(long revision, Duration wait);
+    CompletionStage<Either<PlatformFailure, ObjectChanges<T>>> watch(
+            StoreRevision revision, Duration wait);
 
     /** Decodes an object from the text that {@link DecodedObject#text} returned at a peer. */
-    DecodedObject<T> decode(String name, long revision, String text);
+    DecodedObject<T> decode(String name, StoreRevision revision, String text);
 }
--- a/rhubarbward-core/src/main/java/io/rhubarbward/store/PlatformFailure.java
+++ b/rhubarbward-core/src/main/java/io/rhubarbward/store/PlatformFailure.java
@@ -38,6 +38,13 @@
      */
     record Unreadable(String detail) implements PlatformFailure {}
 
+    /**
+     * The answer is from an era of the store's history that has ended.
+     *
+     * @param revision the revision that the answer states
+     */
+    record PastEra(StoreRevision revision) implements PlatformFailure {}
+
     /** How a call failed. */
     enum Reason {
         NO_CONNECTION,
--- a/rhubarbward-core/src/main/java/io/rhubarbward/store/StoreAvailability.java
+++ b/rhubarbward-core/src/main/java/io/rhubarbward/store/StoreAvailability.java
@@ -6,6 +6,7 @@
 import io.rhubarbward.timer.TimerService;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Set;
 
 /**
  * Tracks from the results of all calls whether this process can reach the store.
@@ -29,7 +30,7 @@
     public StoreAvailability(TimerService timers, EventLog events) {
         mTimers = timers;
         mEvents = events;
-        mEra = new StoreEra(events);
+        mEra = new StoreEra(timers, events);
     }
 
     /** Returns the era of the store's history that this process knows of. */
@@ -91,7 +92,7 @@
      *
      * @param known the store's revision that this process knows of
      */
-    void logOutdatedAnswer(String call, StoreRevision answered, long known) {
+    void logOutdatedAnswer(String call, StoreRevision answered, StoreRevision known) {
         mEvents.log(
                 LogEvent.STORE_ANSWER_OUTDATED,
                 EventField.of("call", call),
@@ -99,6 +100,31 @@
                 EventField.of("known", known));
     }
 
+    /**
+     * Logs that a kind's state was listed in a new era of the store.
+     *
+     * @param before the revision of the state before
+     * @param listed how many objects the store has
+     * @param kept the names of known objects that it lacks
+     * @param stalenessMillis how stale the state before may have been
+     */
+    void logRestoredKind(
+            String kind,
+            StoreRevision before,
+            StoreRevision now,
+            int listed,
+            Set<String> kept,
+            long stalenessMillis) {
+        mEvents.log(
+                LogEvent.STORE_KIND_RESTORED,
+                EventField.of("kind", kind),
+                EventField.of("before", before),
+                EventField.of("now", now),
+                EventField.of("listed", listed),
+                EventField.of("kept", kept),
+                EventField.of("ageMs", stalenessMillis));
+    }
+
     /** Returns how long ago this router's newest call failed; a huge number if it succeeded. */
     public long millisSinceFailure() {
         return mTimers.nowMillis() - mFailedMillis;
--- a/rhubarbward-net/src/main/java/io/rhubarbward/gen/fleet/FollowRequestStruct.java
+++ b/rhubarbward-net/src/main/java/io/rhubarbward/gen/fleet/FollowRequestStruct.java
@@ -19,7 +19,7 @@
 
   private long sentMillis; // required
   private long unansweredMillis; // required
-  private @org.apache.thrift.annotation.Nullable java.util.Map<java.lang.String,java.lang.Long> revisions; // required
+  private @org.apache.thrift.annotation.Nullable java.util.Map<java.lang.String,StoreRevisionStruct> revisions; // required
 
   /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
   public enum _Fields implements org.apache.thrift.TFieldIdEnum {
@@ -103,7 +103,7 @@
     tmpMap.put(_Fields.REVISIONS, new org.apache.thrift.meta_data.FieldMetaData("revisions", org.apache.thrift.TFieldRequirementType.REQUIRED, 
         new org.apache.thrift.meta_data.MapMetaData(org.apache.thrift.protocol.TType.MAP, 
             new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.STRING), 
-            new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64))));
+            new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, StoreRevisionStruct.class))));
     metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
     org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(FollowRequestStruct.class, metaDataMap);
   }
@@ -114,7 +114,7 @@
   public FollowRequestStruct(
     long sentMillis,
     long unansweredMillis,
-    java.util.Map<java.lang.String,java.lang.Long> revisions)
+    java.util.Map<java.lang.String,StoreRevisionStruct> revisions)
   {
     this();
     this.sentMillis = sentMillis;
@@ -132,7 +132,18 @@
     this.sentMillis = other.sentMillis;
     this.unansweredMillis = other.unansweredMillis;
     if (other.isSetRevisions()) {
-      java.util.Map<java.lang.String,java.lang.Long> __this__revisions = new java.util.HashMap<java.lang.String,java.lang.Long>(other.revisions);
+      java.util.Map<java.lang.String,StoreRevisionStruct> __this__revisions = new java.util.HashMap<java.lang.String,StoreRevisionStruct>(other.revisions.size());
+      for (java.util.Map.Entry<java.lang.String, StoreRevisionStruct> other_element : other.revisions.entrySet()) {
+
+        java.lang.String other_element_key = other_element.getKey();
+        StoreRevisionStruct other_element_value = other_element.getValue();
+
+        java.lang.String __this__revisions_copy_key = other_element_key;
+
+        StoreRevisionStruct __this__revisions_copy_value = new StoreRevisionStruct(other_element_value);
+
+        __this__revisions.put(__this__revisions_copy_key, __this__revisions_copy_value);
+      }
       this.revisions = __this__revisions;
     }
   }
@@ -201,19 +212,19 @@
     return (this.revisions == null) ? 0 : this.revisions.size();
   }
 
-  public void putToRevisions(java.lang.String key, long val) {
+  public void putToRevisions(java.lang.String key, StoreRevisionStruct val) {
     if (this.revisions == null) {
-      this.revisions = new java.util.HashMap<java.lang.String,java.lang.Long>();
+      this.revisions = new java.util.HashMap<java.lang.String,StoreRevisionStruct>();
     }
     this.revisions.put(key, val);
   }
 
   @org.apache.thrift.annotation.Nullable
-  public java.util.Map<java.lang.String,java.lang.Long> getRevisions() {
+  public java.util.Map<java.lang.String,StoreRevisionStruct> getRevisions() {
     return this.revisions;
   }
 
-  public FollowRequestStruct setRevisions(@org.apache.thrift.annotation.Nullable java.util.Map<java.lang.String,java.lang.Long> revisions) {
+  public FollowRequestStruct setRevisions(@org.apache.thrift.annotation.Nullable java.util.Map<java.lang.String,StoreRevisionStruct> revisions) {
     this.revisions = revisions;
     return this;
   }
@@ -256,7 +267,7 @@
       if (value == null) {
         unsetRevisions();
       } else {
-        setRevisions((java.util.Map<java.lang.String,java.lang.Long>)value);
+        setRevisions((java.util.Map<java.lang.String,StoreRevisionStruct>)value);
       }
       break;
 
@@ -505,13 +516,14 @@
             if (schemeField.type == org.apache.thrift.protocol.TType.MAP) {
               {
                 org.apache.thrift.protocol.TMap _map0 = iprot.readMapBegin();
-                struct.revisions = new java.util.HashMap<java.lang.String,java.lang.Long>(2*_map0.size);
+                struct.revisions = new java.util.HashMap<java.lang.String,StoreRevisionStruct>(2*_map0.size);
                 @org.apache.thrift.annotation.Nullable java.lang.String _key1;
-                long _val2;
+                @org.apache.thrift.annotation.Nullable StoreRevisionStruct _val2;
                 for (int _i3 = 0; _i3 < _map0.size; ++_i3)
                 {
                   _key1 = iprot.readString();
-                  _val2 = iprot.readI64();
+                  _val2 = new StoreRevisionStruct();
+                  _val2.read(iprot);
                   struct.revisions.put(_key1, _val2);
                 }
                 iprot.readMapEnd();
@@ -552,11 +564,11 @@
       if (struct.revisions != null) {
         oprot.writeFieldBegin(REVISIONS_FIELD_DESC);
         {
-          oprot.writeMapBegin(new org.apache.thrift.protocol.TMap(org.apache.thrift.protocol.TType.STRING, org.apache.thrift.protocol.TType.I64, struct.revisions.size()));
-          for (java.util.Map.Entry<java.lang.String, java.lang.Long> _iter4 : struct.revisions.entrySet())
+          oprot.writeMapBegin(new org.apache.thrift.protocol.TMap(org.apache.thrift.protocol.TType.STRING, org.apache.thrift.protocol.TType.STRUCT, struct.revisions.size()));
+          for (java.util.Map.Entry<java.lang.String, StoreRevisionStruct> _iter4 : struct.revisions.entrySet())
           {
             oprot.writeString(_iter4.getKey());
-            oprot.writeI64(_iter4.getValue());
+            _iter4.getValue().write(oprot);
           }
           oprot.writeMapEnd();
         }
@@ -584,10 +596,10 @@
       oprot.writeI64(struct.unansweredMillis);
       {
         oprot.writeI32(struct.revisions.size());
-        for (java.util.Map.Entry<java.lang.String, java.lang.Long> _iter5 : struct.revisions.entrySet())
+        for (java.util.Map.Entry<java.lang.String, StoreRevisionStruct> _iter5 : struct.revisions.entrySet())
         {
           oprot.writeString(_iter5.getKey());
-          oprot.writeI64(_iter5.getValue());
+          _iter5.getValue().write(oprot);
         }
       }
     }
@@ -600,14 +612,15 @@
       struct.unansweredMillis = iprot.readI64();
       struct.setUnansweredMillisIsSet(true);
       {
-        org.apache.thrift.protocol.TMap _map6 = iprot.readMapBegin(org.apache.thrift.protocol.TType.STRING, org.apache.thrift.protocol.TType.I64); 
-        struct.revisions = new java.util.HashMap<java.lang.String,java.lang.Long>(2*_map6.size);
+        org.apache.thrift.protocol.TMap _map6 = iprot.readMapBegin(org.apache.thrift.protocol.TType.STRING, org.apache.thrift.protocol.TType.STRUCT); 
+        struct.revisions = new java.util.HashMap<java.lang.String,StoreRevisionStruct>(2*_map6.size);
         @org.apache.thrift.annotation.Nullable java.lang.String _key7;
-        long _val8;
+        @org.apache.thrift.annotation.Nullable StoreRevisionStruct _val8;
         for (int _i9 = 0; _i9 < _map6.size; ++_i9)
         {
           _key7 = iprot.readString();
-          _val8 = iprot.readI64();
+          _val8 = new StoreRevisionStruct();
+          _val8.read(iprot);
           struct.revisions.put(_key7, _val8);
         }
       }
--- a/rhubarbward-net/src/main/java/io/rhubarbward/gen/fleet/KindNewsStruct.java
+++ b/rhubarbward-net/src/main/java/io/rhubarbward/gen/fleet/KindNewsStruct.java
@@ -11,8 +11,8 @@
   private static final org.apache.thrift.protocol.TStruct STRUCT_DESC = new org.apache.thrift.protocol.TStruct("KindNewsStruct");
 
   private static final org.apache.thrift.protocol.TField KIND_FIELD_DESC = new org.apache.thrift.protocol.TField("kind", org.apache.thrift.protocol.TType.STRING, (short)1);
-  private static final org.apache.thrift.protocol.TField SINCE_REVISION_FIELD_DESC = new org.apache.thrift.protocol.TField("sinceRevision", org.apache.thrift.protocol.TType.I64, (short)2);
-  private static final org.apache.thrift.protocol.TField REVISION_FIELD_DESC = new org.apache.thrift.protocol.TField("revision", org.apache.thrift.protocol.TType.I64, (short)3);
+  private static final org.apache.thrift.protocol.TField SINCE_FIELD_DESC = new org.apache.thrift.protocol.TField("since", org.apache.thrift.protocol.TType.STRUCT, (short)2);
+  private static final org.apache.thrift.protocol.TField REVISION_FIELD_DESC = new org.apache.thrift.protocol.TField("revision", org.apache.thrift.protocol.TType.STRUCT, (short)3);
   private static final org.apache.thrift.protocol.TField OBJECTS_FIELD_DESC = new org.apache.thrift.protocol.TField("objects", org.apache.thrift.protocol.TType.LIST, (short)4);
   private static final org.apache.thrift.protocol.TField STALENESS_MILLIS_FIELD_DESC = new org.apache.thrift.protocol.TField("stalenessMillis", org.apache.thrift.protocol.TType.I64, (short)5);
 
@@ -20,15 +20,15 @@
   private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY = new KindNewsStructTupleSchemeFactory();
 
   private @org.apache.thrift.annotation.Nullable java.lang.String kind; // required
-  private long sinceRevision; // required
-  private long revision; // required
+  private @org.apache.thrift.annotation.Nullable StoreRevisionStruct since; // optional
+  private @org.apache.thrift.annotation.Nullable StoreRevisionStruct revision; // required
   private @org.apache.thrift.annotation.Nullable java.util.List<ObjectStateStruct> objects; // required
   private long stalenessMillis; // required
 
   /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
   public enum _Fields implements org.apache.thrift.TFieldIdEnum {
     KIND((short)1, "kind"),
-    SINCE_REVISION((short)2, "sinceRevision"),
+    SINCE((short)2, "since"),
     REVISION((short)3, "revision"),
     OBJECTS((short)4, "objects"),
     STALENESS_MILLIS((short)5, "stalenessMillis");
@@ -49,8 +49,8 @@
       switch(fieldId) {
         case 1: // KIND
           return KIND;
-        case 2: // SINCE_REVISION
-          return SINCE_REVISION;
+        case 2: // SINCE
+          return SINCE;
         case 3: // REVISION
           return REVISION;
         case 4: // OBJECTS
@@ -100,19 +100,18 @@
   }
 
   // isset id assignments
-  private static final int __SINCEREVISION_ISSET_ID = 0;
-  private static final int __REVISION_ISSET_ID = 1;
-  private static final int __STALENESSMILLIS_ISSET_ID = 2;
+  private static final int __STALENESSMILLIS_ISSET_ID = 0;
   private byte __isset_bitfield = 0;
+  private static final _Fields optionals[] = {_Fields.SINCE};
   public static final java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> metaDataMap;
   static {
     java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> tmpMap = new java.util.EnumMap<_Fields, org.apache.thrift.meta_data.FieldMetaData>(_Fields.class);
     tmpMap.put(_Fields.KIND, new org.apache.thrift.meta_data.FieldMetaData("kind", org.apache.thrift.TFieldRequirementType.REQUIRED, 
         new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.STRING)));
-    tmpMap.put(_Fields.SINCE_REVISION, new org.apache.thrift.meta_data.FieldMetaData("sinceRevision", org.apache.thrift.TFieldRequirementType.REQUIRED, 
-        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
+    tmpMap.put(_Fields.SINCE, new org.apache.thrift.meta_data.FieldMetaData("since", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
+        new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, StoreRevisionStruct.class)));
     tmpMap.put(_Fields.REVISION, new org.apache.thrift.meta_data.FieldMetaData("revision", org.apache.thrift.TFieldRequirementType.REQUIRED, 
-        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
+        new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, StoreRevisionStruct.class)));
     tmpMap.put(_Fields.OBJECTS, new org.apache.thrift.meta_data.FieldMetaData("objects", org.apache.thrift.TFieldRequirementType.REQUIRED, 
         new org.apache.thrift.meta_data.ListMetaData(org.apache.thrift.protocol.TType.LIST, 
             new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, ObjectStateStruct.class))));
@@ -127,17 +126,13 @@
 
   public KindNewsStruct(
     java.lang.String kind,
-    long sinceRevision,
-    long revision,
+    StoreRevisionStruct revision,
     java.util.List<ObjectStateStruct> objects,
     long stalenessMillis)
   {
     this();
     this.kind = kind;
-    this.sinceRevision = sinceRevision;
-    setSinceRevisionIsSet(true);
     this.revision = revision;
-    setRevisionIsSet(true);
     this.objects = objects;
     this.stalenessMillis = stalenessMillis;
     setStalenessMillisIsSet(true);
@@ -151,8 +146,12 @@
     if (other.isSetKind()) {
       this.kind = other.kind;
     }
-    this.sinceRevision = other.sinceRevision;
-    this.revision = other.revision;
+    if (other.isSetSince()) {
+      this.since = new StoreRevisionStruct(other.since);
+    }
+    if (other.isSetRevision()) {
+      this.revision = new StoreRevisionStruct(other.revision);
+    }
     if (other.isSetObjects()) {
       java.util.List<ObjectStateStruct> __this__objects = new java.util.ArrayList<ObjectStateStruct>(other.objects.size());
       for (ObjectStateStruct other_element : other.objects) {
@@ -171,10 +170,8 @@
   @Override
   public void clear() {
     this.kind = null;
-    setSinceRevisionIsSet(false);
-    this.sinceRevision = 0;
-    setRevisionIsSet(false);
-    this.revision = 0;
+    this.since = null;
+    this.revision = null;
     this.objects = null;
     setStalenessMillisIsSet(false);
     this.stalenessMillis = 0;
@@ -205,50 +202,54 @@
     }
   }
 
-  public long getSinceRevision() {
-    return this.sinceRevision;
+  @org.apache.thrift.annotation.Nullable
+  public StoreRevisionStruct getSince() {
+    return this.since;
   }
 
-  public KindNewsStruct setSinceRevision(long sinceRevision) {
-    this.sinceRevision = sinceRevision;
-    setSinceRevisionIsSet(true);
+  public KindNewsStruct setSince(@org.apache.thrift.annotation.Nullable StoreRevisionStruct since) {
+    this.since = since;
     return this;
   }
 
-  public void unsetSinceRevision() {
-    __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __SINCEREVISION_ISSET_ID);
+  public void unsetSince() {
+    this.since = null;
   }
 
-  /** Returns true if field sinceRevision is set (has been assigned a value) and false otherwise */
-  public boolean isSetSinceRevision() {
-    return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __SINCEREVISION_ISSET_ID);
+  /** Returns true if field since is set (has been assigned a value) and false otherwise */
+  public boolean isSetSince() {
+    return this.since != null;
   }
 
-  public void setSinceRevisionIsSet(boolean value) {
-    __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __SINCEREVISION_ISSET_ID, value);
+  public void setSinceIsSet(boolean value) {
+    if (!value) {
+      this.since = null;
+    }
   }
 
-  public long getRevision() {
+  @org.apache.thrift.annotation.Nullable
+  public StoreRevisionStruct getRevision() {
     return this.revision;
   }
 
-  public KindNewsStruct setRevision(long revision) {
+  public KindNewsStruct setRevision(@org.apache.thrift.annotation.Nullable StoreRevisionStruct revision) {
     this.revision = revision;
-    setRevisionIsSet(true);
     return this;
   }
 
   public void unsetRevision() {
-    __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __REVISION_ISSET_ID);
+    this.revision = null;
   }
 
   /** Returns true if field revision is set (has been assigned a value) and false otherwise */
   public boolean isSetRevision() {
-    return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __REVISION_ISSET_ID);
+    return this.revision != null;
   }
 
   public void setRevisionIsSet(boolean value) {
-    __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __REVISION_ISSET_ID, value);
+    if (!value) {
+      this.revision = null;
+    }
   }
 
   public int getObjectsSize() {
@@ -326,11 +327,11 @@
       }
       break;
 
-    case SINCE_REVISION:
+    case SINCE:
       if (value == null) {
-        unsetSinceRevision();
+        unsetSince();
       } else {
-        setSinceRevision((java.lang.Long)value);
+        setSince((StoreRevisionStruct)value);
       }
       break;
 
@@ -338,7 +339,7 @@
       if (value == null) {
         unsetRevision();
       } else {
-        setRevision((java.lang.Long)value);
+        setRevision((StoreRevisionStruct)value);
       }
       break;
 
@@ -368,8 +369,8 @@
     case KIND:
       return getKind();
 
-    case SINCE_REVISION:
-      return getSinceRevision();
+    case SINCE:
+      return getSince();
 
     case REVISION:
       return getRevision();
@@ -394,8 +395,8 @@
     switch (field) {
     case KIND:
       return isSetKind();
-    case SINCE_REVISION:
-      return isSetSinceRevision();
+    case SINCE:
+      return isSetSince();
     case REVISION:
       return isSetRevision();
     case OBJECTS:
@@ -428,21 +429,21 @@
         return false;
     }
 
-    boolean this_present_sinceRevision = true;
-    boolean that_present_sinceRevision = true;
-    if (this_present_sinceRevision || that_present_sinceRevision) {
-      if (!(this_present_sinceRevision && that_present_sinceRevision))
+    boolean this_present_since = true && this.isSetSince();
+    boolean that_present_since = true && that.isSetSince();
+    if (this_present_since || that_present_since) {
+      if (!(this_present_since && that_present_since))
         return false;
-      if (this.sinceRevision != that.sinceRevision)
+      if (!this.since.equals(that.since))
         return false;
     }
 
-    boolean this_present_revision = true;
-    boolean that_present_revision = true;
+    boolean this_present_revision = true && this.isSetRevision();
+    boolean that_present_revision = true && that.isSetRevision();
     if (this_present_revision || that_present_revision) {
       if (!(this_present_revision && that_present_revision))
         return false;
-      if (this.revision != that.revision)
+      if (!this.revision.equals(that.revision))
         return false;
     }
 
@@ -475,9 +476,13 @@
     if (isSetKind())
       hashCode = hashCode * 8191 + kind.hashCode();
 
-    hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(sinceRevision);
+    hashCode = hashCode * 8191 + ((isSetSince()) ? 131071 : 524287);
+    if (isSetSince())
+      hashCode = hashCode * 8191 + since.hashCode();
 
-    hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(revision);
+    hashCode = hashCode * 8191 + ((isSetRevision()) ? 131071 : 524287);
+    if (isSetRevision())
+      hashCode = hashCode * 8191 + revision.hashCode();
 
     hashCode = hashCode * 8191 + ((isSetObjects()) ? 131071 : 524287);
     if (isSetObjects())
@@ -506,12 +511,12 @@
         return lastComparison;
       }
     }
-    lastComparison = java.lang.Boolean.compare(isSetSinceRevision(), other.isSetSinceRevision());
+    lastComparison = java.lang.Boolean.compare(isSetSince(), other.isSetSince());
     if (lastComparison != 0) {
       return lastComparison;
     }
-    if (isSetSinceRevision()) {
-      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.sinceRevision, other.sinceRevision);
+    if (isSetSince()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.since, other.since);
       if (lastComparison != 0) {
         return lastComparison;
       }
@@ -577,13 +582,23 @@
       sb.append(this.kind);
     }
     first = false;
-    if (!first) sb.append(", ");
-    sb.append("sinceRevision:");
-    sb.append(this.sinceRevision);
-    first = false;
+    if (isSetSince()) {
+      if (!first) sb.append(", ");
+      sb.append("since:");
+      if (this.since == null) {
+        sb.append("null");
+      } else {
+        sb.append(this.since);
+      }
+      first = false;
+    }
     if (!first) sb.append(", ");
     sb.append("revision:");
-    sb.append(this.revision);
+    if (this.revision == null) {
+      sb.append("null");
+    } else {
+      sb.append(this.revision);
+    }
     first = false;
     if (!first) sb.append(", ");
     sb.append("objects:");
@@ -606,13 +621,20 @@
     if (kind == null) {
       throw new org.apache.thrift.protocol.TProtocolException("Required field 'kind' was not present! Struct: " + toString());
     }
-    // alas, we cannot check 'sinceRevision' because it's a primitive and you chose the non-beans generator.
-    // alas, we cannot check 'revision' because it's a primitive and you chose the non-beans generator.
+    if (revision == null) {
+      throw new org.apache.thrift.protocol.TProtocolException("Required field 'revision' was not present! Struct: " + toString());
+    }
     if (objects == null) {
       throw new org.apache.thrift.protocol.TProtocolException("Required field 'objects' was not present! Struct: " + toString());
     }
     // alas, we cannot check 'stalenessMillis' because it's a primitive and you chose the non-beans generator.
     // check for sub-struct validity
+    if (since != null) {
+      since.validate();
+    }
+    if (revision != null) {
+      revision.validate();
+    }
   }
 
   private void writeObject(java.io.ObjectOutputStream out) throws java.io.IOException {
@@ -661,17 +683,19 @@
               org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
             break;
-          case 2: // SINCE_REVISION
-            if (schemeField.type == org.apache.thrift.protocol.TType.I64) {
-              struct.sinceRevision = iprot.readI64();
-              struct.setSinceRevisionIsSet(true);
+          case 2: // SINCE
+            if (schemeField.type == org.apache.thrift.protocol.TType.STRUCT) {
+              struct.since = new StoreRevisionStruct();
+              struct.since.read(iprot);
+              struct.setSinceIsSet(true);
             } else { 
               org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
             break;
           case 3: // REVISION
-            if (schemeField.type == org.apache.thrift.protocol.TType.I64) {
-              struct.revision = iprot.readI64();
+            if (schemeField.type == org.apache.thrift.protocol.TType.STRUCT) {
+              struct.revision = new StoreRevisionStruct();
+              struct.revision.read(iprot);
               struct.setRevisionIsSet(true);
             } else { 
               org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
@@ -712,12 +736,6 @@
       iprot.readStructEnd();
 
       // check for required fields of primitive type, which can't be checked in the validate method
-      if (!struct.isSetSinceRevision()) {
-        throw new org.apache.thrift.protocol.TProtocolException("Required field 'sinceRevision' was not found in serialized data! Struct: " + toString());
-      }
-      if (!struct.isSetRevision()) {
-        throw new org.apache.thrift.protocol.TProtocolException("Required field 'revision' was not found in serialized data! Struct: " + toString());
-      }
       if (!struct.isSetStalenessMillis()) {
         throw new org.apache.thrift.protocol.TProtocolException("Required field 'stalenessMillis' was not found in serialized data! Struct: " + toString());
       }
@@ -734,12 +752,18 @@
         oprot.writeString(struct.kind);
         oprot.writeFieldEnd();
       }
-      oprot.writeFieldBegin(SINCE_REVISION_FIELD_DESC);
-      oprot.writeI64(struct.sinceRevision);
-      oprot.writeFieldEnd();
-      oprot.writeFieldBegin(REVISION_FIELD_DESC);
-      oprot.writeI64(struct.revision);
-      oprot.writeFieldEnd();
+      if (struct.since != null) {
+        if (struct.isSetSince()) {
+          oprot.writeFieldBegin(SINCE_FIELD_DESC);
+          struct.since.write(oprot);
+          oprot.writeFieldEnd();
+        }
+      }
+      if (struct.revision != null) {
+        oprot.writeFieldBegin(REVISION_FIELD_DESC);
+        struct.revision.write(oprot);
+        oprot.writeFieldEnd();
+      }
       if (struct.objects != null) {
         oprot.writeFieldBegin(OBJECTS_FIELD_DESC);
         {
@@ -774,8 +798,7 @@
     public void write(org.apache.thrift.protocol.TProtocol prot, KindNewsStruct struct) throws org.apache.thrift.TException {
       org.apache.thrift.protocol.TTupleProtocol oprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
       oprot.writeString(struct.kind);
-      oprot.writeI64(struct.sinceRevision);
-      oprot.writeI64(struct.revision);
+      struct.revision.write(oprot);
       {
         oprot.writeI32(struct.objects.size());
         for (ObjectStateStruct _iter14 : struct.objects)
@@ -784,6 +807,14 @@
         }
       }
       oprot.writeI64(struct.stalenessMillis);
+      java.util.BitSet optionals = new java.util.BitSet();
+      if (struct.isSetSince()) {
+        optionals.set(0);
+      }
+      oprot.writeBitSet(optionals, 1);
+      if (struct.isSetSince()) {
+        struct.since.write(oprot);
+      }
     }
 
     @Override
@@ -791,9 +822,8 @@
       org.apache.thrift.protocol.TTupleProtocol iprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
       struct.kind = iprot.readString();
       struct.setKindIsSet(true);
-      struct.sinceRevision = iprot.readI64();
-      struct.setSinceRevisionIsSet(true);
-      struct.revision = iprot.readI64();
+      struct.revision = new StoreRevisionStruct();
+      struct.revision.read(iprot);
       struct.setRevisionIsSet(true);
       {
         org.apache.thrift.protocol.TList _list15 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
@@ -809,6 +839,12 @@
       struct.setObjectsIsSet(true);
       struct.stalenessMillis = iprot.readI64();
       struct.setStalenessMillisIsSet(true);
+      java.util.BitSet incoming = iprot.readBitSet(1);
+      if (incoming.get(0)) {
+        struct.since = new StoreRevisionStruct();
+        struct.since.read(iprot);
+        struct.setSinceIsSet(true);
+      }
     }
   }
 
--- a/rhubarbward-net/src/main/java/io/rhubarbward/gen/fleet/ObjectStateStruct.java
+++ b/rhubarbward-net/src/main/java/io/rhubarbward/gen/fleet/ObjectStateStruct.java
@@ -11,14 +11,14 @@
   private static final org.apache.thrift.protocol.TStruct STRUCT_DESC = new org.apache.thrift.protocol.TStruct("ObjectStateStruct");
 
   private static final org.apache.thrift.protocol.TField NAME_FIELD_DESC = new org.apache.thrift.protocol.TField("name", org.apache.thrift.protocol.TType.STRING, (short)1);
-  private static final org.apache.thrift.protocol.TField REVISION_FIELD_DESC = new org.apache.thrift.protocol.TField("revision", org.apache.thrift.protocol.TType.I64, (short)2);
+  private static final org.apache.thrift.protocol.TField REVISION_FIELD_DESC = new org.apache.thrift.protocol.TField("revision", org.apache.thrift.protocol.TType.STRUCT, (short)2);
   private static final org.apache.thrift.protocol.TField TEXT_FIELD_DESC = new org.apache.thrift.protocol.TField("text", org.apache.thrift.protocol.TType.STRING, (short)3);
 
   private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY = new ObjectStateStructStandardSchemeFactory();
   private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY = new ObjectStateStructTupleSchemeFactory();
 
   private @org.apache.thrift.annotation.Nullable java.lang.String name; // required
-  private long revision; // required
+  private @org.apache.thrift.annotation.Nullable StoreRevisionStruct revision; // required
   private @org.apache.thrift.annotation.Nullable java.lang.String text; // optional
 
   /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
@@ -90,8 +90,6 @@
   }
 
   // isset id assignments
-  private static final int __REVISION_ISSET_ID = 0;
-  private byte __isset_bitfield = 0;
   private static final _Fields optionals[] = {_Fields.TEXT};
   public static final java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> metaDataMap;
   static {
@@ -99,7 +97,7 @@
     tmpMap.put(_Fields.NAME, new org.apache.thrift.meta_data.FieldMetaData("name", org.apache.thrift.TFieldRequirementType.REQUIRED, 
         new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.STRING)));
     tmpMap.put(_Fields.REVISION, new org.apache.thrift.meta_data.FieldMetaData("revision", org.apache.thrift.TFieldRequirementType.REQUIRED, 
-        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
+        new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, StoreRevisionStruct.class)));
     tmpMap.put(_Fields.TEXT, new org.apache.thrift.meta_data.FieldMetaData("text", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
         new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.STRING)));
     metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
@@ -111,23 +109,23 @@
 
   public ObjectStateStruct(
     java.lang.String name,
-    long revision)
+    StoreRevisionStruct revision)
   {
     this();
     this.name = name;
     this.revision = revision;
-    setRevisionIsSet(true);
   }
 
   /**
    * Performs a deep copy on <i>other</i>.
    */
   public ObjectStateStruct(ObjectStateStruct other) {
-    __isset_bitfield = other.__isset_bitfield;
     if (other.isSetName()) {
       this.name = other.name;
     }
-    this.revision = other.revision;
+    if (other.isSetRevision()) {
+      this.revision = new StoreRevisionStruct(other.revision);
+    }
     if (other.isSetText()) {
       this.text = other.text;
     }
@@ -141,8 +139,7 @@
   @Override
   public void clear() {
     this.name = null;
-    setRevisionIsSet(false);
-    this.revision = 0;
+    this.revision = null;
     this.text = null;
   }
 
@@ -171,27 +168,29 @@
     }
   }
 
-  public long getRevision() {
+  @org.apache.thrift.annotation.Nullable
+  public StoreRevisionStruct getRevision() {
     return this.revision;
   }
 
-  public ObjectStateStruct setRevision(long revision) {
+  public ObjectStateStruct setRevision(@org.apache.thrift.annotation.Nullable StoreRevisionStruct revision) {
     this.revision = revision;
-    setRevisionIsSet(true);
     return this;
   }
 
   public void unsetRevision() {
-    __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __REVISION_ISSET_ID);
+    this.revision = null;
   }
 
   /** Returns true if field revision is set (has been assigned a value) and false otherwise */
   public boolean isSetRevision() {
-    return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __REVISION_ISSET_ID);
+    return this.revision != null;
   }
 
   public void setRevisionIsSet(boolean value) {
-    __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __REVISION_ISSET_ID, value);
+    if (!value) {
+      this.revision = null;
+    }
   }
 
   @org.apache.thrift.annotation.Nullable
@@ -234,7 +233,7 @@
       if (value == null) {
         unsetRevision();
       } else {
-        setRevision((java.lang.Long)value);
+        setRevision((StoreRevisionStruct)value);
       }
       break;
 
@@ -306,12 +305,12 @@
         return false;
     }
 
-    boolean this_present_revision = true;
-    boolean that_present_revision = true;
+    boolean this_present_revision = true && this.isSetRevision();
+    boolean that_present_revision = true && that.isSetRevision();
     if (this_present_revision || that_present_revision) {
       if (!(this_present_revision && that_present_revision))
         return false;
-      if (this.revision != that.revision)
+      if (!this.revision.equals(that.revision))
         return false;
     }
 
@@ -335,7 +334,9 @@
     if (isSetName())
       hashCode = hashCode * 8191 + name.hashCode();
 
-    hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(revision);
+    hashCode = hashCode * 8191 + ((isSetRevision()) ? 131071 : 524287);
+    if (isSetRevision())
+      hashCode = hashCode * 8191 + revision.hashCode();
 
     hashCode = hashCode * 8191 + ((isSetText()) ? 131071 : 524287);
     if (isSetText())
@@ -415,7 +416,11 @@
     first = false;
     if (!first) sb.append(", ");
     sb.append("revision:");
-    sb.append(this.revision);
+    if (this.revision == null) {
+      sb.append("null");
+    } else {
+      sb.append(this.revision);
+    }
     first = false;
     if (isSetText()) {
       if (!first) sb.append(", ");
@@ -436,8 +441,13 @@
     if (name == null) {
       throw new org.apache.thrift.protocol.TProtocolException("Required field 'name' was not present! Struct: " + toString());
     }
-    // alas, we cannot check 'revision' because it's a primitive and you chose the non-beans generator.
+    if (revision == null) {
+      throw new org.apache.thrift.protocol.TProtocolException("Required field 'revision' was not present! Struct: " + toString());
+    }
     // check for sub-struct validity
+    if (revision != null) {
+      revision.validate();
+    }
   }
 
   private void writeObject(java.io.ObjectOutputStream out) throws java.io.IOException {
@@ -450,8 +460,6 @@
 
   private void readObject(java.io.ObjectInputStream in) throws java.io.IOException, java.lang.ClassNotFoundException {
     try {
-      // it doesn't seem like you should have to do this, but java serialization is wacky, and doesn't call the default constructor.
-      __isset_bitfield = 0;
       read(new org.apache.thrift.protocol.TCompactProtocol(new org.apache.thrift.transport.TIOStreamTransport(in)));
     } catch (org.apache.thrift.TException te) {
       throw new java.io.IOException(te);
@@ -487,8 +495,9 @@
             }
             break;
           case 2: // REVISION
-            if (schemeField.type == org.apache.thrift.protocol.TType.I64) {
-              struct.revision = iprot.readI64();
+            if (schemeField.type == org.apache.thrift.protocol.TType.STRUCT) {
+              struct.revision = new StoreRevisionStruct();
+              struct.revision.read(iprot);
               struct.setRevisionIsSet(true);
             } else { 
               org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
@@ -510,9 +519,6 @@
       iprot.readStructEnd();
 
       // check for required fields of primitive type, which can't be checked in the validate method
-      if (!struct.isSetRevision()) {
-        throw new org.apache.thrift.protocol.TProtocolException("Required field 'revision' was not found in serialized data! Struct: " + toString());
-      }
       struct.validate();
     }
 
@@ -526,9 +532,11 @@
         oprot.writeString(struct.name);
         oprot.writeFieldEnd();
       }
-      oprot.writeFieldBegin(REVISION_FIELD_DESC);
-      oprot.writeI64(struct.revision);
-      oprot.writeFieldEnd();
+      if (struct.revision != null) {
+        oprot.writeFieldBegin(REVISION_FIELD_DESC);
+        struct.revision.write(oprot);
+        oprot.writeFieldEnd();
+      }
       if (struct.text != null) {
         if (struct.isSetText()) {
           oprot.writeFieldBegin(TEXT_FIELD_DESC);
@@ -555,7 +563,7 @@
     public void write(org.apache.thrift.protocol.TProtocol prot, ObjectStateStruct struct) throws org.apache.thrift.TException {
       org.apache.thrift.protocol.TTupleProtocol oprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
       oprot.writeString(struct.name);
-      oprot.writeI64(struct.revision);
+      struct.revision.write(oprot);
       java.util.BitSet optionals = new java.util.BitSet();
       if (struct.isSetText()) {
         optionals.set(0);
@@ -571,7 +579,8 @@
       org.apache.thrift.protocol.TTupleProtocol iprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
       struct.name = iprot.readString();
       struct.setNameIsSet(true);
-      struct.revision = iprot.readI64();
+      struct.revision = new StoreRevisionStruct();
+      struct.revision.read(iprot);
       struct.setRevisionIsSet(true);
       java.util.BitSet incoming = iprot.readBitSet(1);
       if (incoming.get(0)) {
--- a/rhubarbward-net/src/main/java/io/rhubarbward/net/peer/RelayCodecs.java
+++ b/rhubarbward-net/src/main/java/io/rhubarbward/net/peer/RelayCodecs.java
@@ -11,6 +11,7 @@
 import io.rhubarbward.gen.fleet.LoadTotalsStruct;
 import io.rhubarbward.gen.fleet.ObjectStateStruct;
 import io.rhubarbward.gen.fleet.PairedFiguresStruct;
+import io.rhubarbward.gen.fleet.StoreRevisionStruct;
 import io.rhubarbward.gen.fleet.SuspectNewsStruct;
 import io.rhubarbward.move.PairedFigures;
 import io.rhubarbward.placement.LimitObservation;
@@ -23,6 +24,7 @@
 import io.rhubarbward.relay.SuspectNews;
 import io.rhubarbward.store.KindUpdate;
 import io.rhubarbward.store.KindUpdate.ObjectState;
+import io.rhubarbward.store.StoreRevision;
 import java.util.List;
 import java.util.Map;
 import java.util.OptionalDouble;
@@ -39,12 +41,22 @@
                             new FollowRequestStruct(
                                     request.sentMillis(),
                                     request.unansweredMillis(),
-                                    request.revisions()),
+                                    request.revisions().entrySet().stream()
+                                            .collect(
+                                                    Collectors.toMap(
+                                                            Map.Entry::getKey,
+                                                            entry -> toStruct(entry.getValue())))),
                     struct ->
                             new FollowRequest(
                                     struct.getSentMillis(),
                                     struct.getUnansweredMillis(),
-                                    struct.getRevisions()));
+                                    struct.getRevisions().entrySet().stream()
+                                            .collect(
+                                                    Collectors.toMap(
+                                                            Map.Entry::getKey,
+                                                            entry ->
+                                                                    fromStruct(
+                                                                            entry.getValue())))));
 
     private static final PeerCodec<FollowAnswer, FollowAnswerStruct> FOLLOW_ANSWER =
             new PeerCodec<>(
@@ -158,12 +170,24 @@
 
     private static KindNewsStruct toStruct(KindNews news) {
         KindUpdate update = news.update();
-        return new KindNewsStruct(
-                update.kind(),
-                update.sinceRevision(),
-                update.revision(),
-                update.objects().stream().map(RelayCodecs::toStruct).toList(),
-                news.stalenessMillis());
+        KindNewsStruct struct =
+                new KindNewsStruct(
+                        update.kind(),
+                        toStruct(update.revision()),
+                        update.objects().stream().map(RelayCodecs::toStruct).toList(),
+                        news.stalenessMillis());
+        if (!update.snapshot()) {
+            struct.setSince(toStruct(update.since()));
+        }
+        return struct;
+    }
+
+    private static StoreRevisionStruct toStruct(StoreRevision revision) {
+        return new StoreRevisionStruct(revision.era(), revision.number());
+    }
+
+    private static StoreRevision fromStruct(StoreRevisionStruct struct) {
+        return new StoreRevision(struct.getEra(), struct.getNumber());
     }
 
     private static Map<Integer, LimitObservationStruct> toStructs(
@@ -231,7 +255,8 @@
     }
 
     private static ObjectStateStruct toStruct(ObjectState object) {
-        ObjectStateStruct struct = new ObjectStateStruct(object.name(), object.revision());
+        ObjectStateStruct struct =
+                new ObjectStateStruct(object.name(), toStruct(object.revision()));
         if (!object.deleted()) {
             struct.setText(object.text());
         }
@@ -242,8 +267,8 @@
         return new KindNews(
                 new KindUpdate(
                         struct.getKind(),
-                        struct.getSinceRevision(),
-                        struct.getRevision(),
+                        struct.isSetSince() ? fromStruct(struct.getSince()) : KindUpdate.SNAPSHOT,
+                        fromStruct(struct.getRevision()),
                         struct.getObjects().stream().map(RelayCodecs::fromStruct).toList()),
                 struct.getStalenessMillis());
     }
@@ -253,6 +278,6 @@
             return ObjectState.deleted(struct.getName());
         }
         String text = struct.getText();
-        return new ObjectState(struct.getName(), struct.getRevision(), () -> text);
+        return new ObjectState(struct.getName(), fromStruct(struct.getRevision()), () -> text);
     }
 }
--- a/rhubarbward-net/src/main/thrift/fleet.thrift
+++ b/rhubarbward-net/src/main/thrift/fleet.thrift
@@ -1,25 +1,32 @@
 // Messages of the relay slice.
 namespace java io.rhubarbward.gen.fleet
 
+// The era of the store's history, and the revision within it.
+struct StoreRevisionStruct {
+  1: required i64 era;
+  2: required i64 number;
+}
+
 struct FollowRequestStruct {
   // The sender's monotonic clock, in milliseconds.
   1: required i64 sentMillis;
   2: required i64 unansweredMillis;
   // Revision of the sender's state by kind.
-  3: required map<string, i64> revisions;
+  3: required map<string, StoreRevisionStruct> revisions;
 }
 
 struct ObjectStateStruct {
   1: required string name;
-  2: required i64 revision;
+  2: required StoreRevisionStruct revision;
   // As the store sent it; left out for a deleted object.
   3: optional string text;
 }
 
 struct KindNewsStruct {
   1: required string kind;
-  2: required i64 sinceRevision;
-  3: required i64 revision;
+  // Left out if the objects are the complete state.
+  2: optional StoreRevisionStruct since;
+  3: required StoreRevisionStruct revision;
   4: required list<ObjectStateStruct> objects;
   5: required i64 stalenessMillis;
 }
