Trust keys only while the store holds the configuration in force

A restored store may hold an older configuration than the one in force. An answer of the store now confirms the catalogue only if it has the same version.

CatalogTest.aStoreThatLostTheCurrentCatalogDoesNotConfirmIt fails without the change (expected to be false).

--- a/rhubarbward-core/src/main/java/io/rhubarbward/catalog/CurrentCatalog.java
+++ b/rhubarbward-core/src/main/java/io/rhubarbward/catalog/CurrentCatalog.java
@@ -14,13 +14,15 @@
 /**
  * Holds the catalogue with the highest version that this process has read.
  *
- * <p>Only a higher version replaces the current one. A lower version and a deletion are ignored.
+ * <p>Only a higher version replaces the current one. A lower version and a deletion are ignored; a
+ * store that has them does not confirm the current catalogue, since it lost later ones.
  */
 public final class CurrentCatalog implements KindListener<Catalog> {
     private final String mObjectName;
     private final EventLog mEvents;
     private final List<Consumer<Catalog>> mSubscribers = new ArrayList<>();
     private @Nullable Catalog mCurrent;
+    private Optional<Catalog> mInStore = Optional.empty();
 
     /** Accepts catalogues from the object with the given name only; other objects are ignored. */
     public CurrentCatalog(String objectName, EventLog events) {
@@ -49,7 +51,11 @@
             return;
         }
         item.value()
-                .peek(this::replaceIfNewer)
+                .peek(
+                        catalog -> {
+                            mInStore = Optional.of(catalog);
+                            replaceIfNewer(catalog);
+                        })
                 .peekLeft(
                         reason ->
                                 mEvents.log(
@@ -58,8 +64,16 @@
                                         EventField.of("reason", reason)));
     }
 
+    @Override
+    public boolean storeIsUpToDate() {
+        return current().map(Catalog::version).equals(mInStore.map(Catalog::version));
+    }
+
     @Override
     public void onDeleted(String name) {
+        if (name.equals(mObjectName)) {
+            mInStore = Optional.empty();
+        }
         mEvents.log(LogEvent.CONFIG_OLDER_IGNORED, EventField.of("deleted", name));
     }
 
--- a/rhubarbward-core/src/test/java/io/rhubarbward/catalog/CatalogTest.java
+++ b/rhubarbward-core/src/test/java/io/rhubarbward/catalog/CatalogTest.java
@@ -58,6 +58,19 @@
         assertThat(mEvents.logged()).contains(LogEvent.CONFIG_OLDER_IGNORED);
     }
 
+    /** Guards against a revoked key that is trusted since the store was restored without it. */
+    @Test
+    void aStoreThatLostTheCurrentCatalogDoesNotConfirmIt() {
+        mCurrentCatalog.onItem(FakeObjectKind.item("main", Catalogs.of(7)));
+        assertThat(mCurrentCatalog.storeIsUpToDate()).isTrue();
+        mCurrentCatalog.onSnapshot(List.of(FakeObjectKind.item("main", Catalogs.of(5))));
+        assertThat(mCurrentCatalog.storeIsUpToDate()).isFalse();
+        mCurrentCatalog.onDeleted("main");
+        assertThat(mCurrentCatalog.storeIsUpToDate()).isFalse();
+        mCurrentCatalog.onItem(FakeObjectKind.item("main", Catalogs.of(7)));
+        assertThat(mCurrentCatalog.storeIsUpToDate()).isTrue();
+    }
+
     @Test
     void undecodableForeignAndDeletedObjectsKeepTheCurrentCatalog() {
         mCurrentCatalog.onItem(FakeObjectKind.item("main", Catalogs.of(7)));
