Ignore entries that a backend server wrote before the known one

A restored store lists servers as they were: a draining server as ready, a server that has left as there. Entries carry how often this life of the server has written; an earlier one is ignored. A server that is gone and listed by no later entry is used once the store has kept the entry for longer than that of a silent server.

--- a/rhubarbward-core/src/main/java/io/rhubarbward/directory/ListedServer.java
+++ b/rhubarbward-core/src/main/java/io/rhubarbward/directory/ListedServer.java
@@ -11,6 +11,7 @@
  * @param draining whether it is shutting down and must get no new requests
  * @param coldRemaining how much longer it stays cold (slow after its start), counted from the write
  *     of the entry
+ * @param writes how often this incarnation had written its entry; 0 if the entry does not state it
  * @param startedAtMillis start of this incarnation of the server in Unix milliseconds; 0 if the
  *     entry does not state it
  */
@@ -19,6 +20,7 @@
         int slots,
         boolean draining,
         Duration coldRemaining,
+        long writes,
         long startedAtMillis) {
     /** Returns the server's id. */
     public String id() {
@@ -36,4 +38,18 @@
     boolean startedBefore(ListedServer other) {
         return startedAtMillis > 0 && startedAtMillis < other.startedAtMillis;
     }
+
+    /** Returns whether the same incarnation of the server wrote this entry earlier. */
+    boolean writtenBefore(ListedServer other) {
+        return countsWritesWith(other) && writes < other.writes;
+    }
+
+    /** Returns whether this entry is the other one or an earlier one of the server. */
+    boolean isNoLaterThan(ListedServer other) {
+        return startedBefore(other) || (countsWritesWith(other) && writes <= other.writes);
+    }
+
+    private boolean countsWritesWith(ListedServer other) {
+        return startedAtMillis > 0 && startedAtMillis == other.startedAtMillis && writes > 0;
+    }
 }
--- a/rhubarbward-core/src/test/java/io/rhubarbward/directory/BackendDirectoryTest.java
+++ b/rhubarbward-core/src/test/java/io/rhubarbward/directory/BackendDirectoryTest.java
@@ -77,6 +77,47 @@
         assertThat(mNotifications).doesNotContain("removed i-1");
     }
 
+    private static DecodedObject<ListedServer> written(String id, long writes, boolean draining) {
+        return FakeObjectKind.item(id, ListedServers.written(id, writes, draining));
+    }
+
+    private List<String> listedIds() {
+        return mDirectory.servers().stream().map(ListedServer::id).toList();
+    }
+
+    /** Guards against new requests to a leaving server since the store was restored. */
+    @Test
+    void aDrainingServerIsNotMadeReadyByAnEntryThatItWroteBefore() {
+        mDirectory.onItem(written("i-1", 7, true));
+        mDirectory.onSnapshot(List.of(written("i-1", 5, false)));
+        assertThat(mDirectory.server("i-1").orElseThrow().draining()).isTrue();
+    }
+
+    /** Guards against requests to a server that has left but is listed in a restored store. */
+    @Test
+    void aServerThatIsGoneIsNotUsedForAnEntryThatItWroteBefore() {
+        mDirectory.onItem(written("i-1", 7, false));
+        mDirectory.onDeleted("i-1");
+        mDirectory.onSnapshot(List.of(written("i-1", 7, false)));
+        mTimers.advance(Duration.ofSeconds(4));
+        assertThat(listedIds()).isEmpty();
+        mDirectory.onDeleted("i-1");
+        mTimers.advance(Duration.ofSeconds(4));
+        assertThat(listedIds()).isEmpty();
+    }
+
+    @Test
+    void aServerThatWasGoneIsUsedAgainOnceItWritesOrItsEntryDoesNotLapse() {
+        mDirectory.onItem(written("i-1", 7, false));
+        mDirectory.onItem(written("i-2", 7, false));
+        mDirectory.onSnapshot(List.of());
+        mDirectory.onSnapshot(List.of(written("i-1", 6, false), written("i-2", 6, false)));
+        mDirectory.onItem(written("i-1", 8, false));
+        assertThat(listedIds()).containsExactly("i-1");
+        mTimers.advance(Duration.ofSeconds(6));
+        assertThat(listedIds()).containsExactly("i-1", "i-2");
+    }
+
     @Test
     void twoSecondsAfterAnOutageADeletedEntryIsRemovedImmediately() {
         mDirectory.onSnapshot(List.of(item("i-1")));
--- a/rhubarbward-core/src/test/java/io/rhubarbward/placement/PlacementPolicyTest.java
+++ b/rhubarbward-core/src/test/java/io/rhubarbward/placement/PlacementPolicyTest.java
@@ -45,7 +45,12 @@
 
     private static ListedServer serverWith64Slots(String id, String dataCentre) {
         return new ListedServer(
-                ListedServers.server(id, "chat", dataCentre).server(), 64, false, Duration.ZERO, 1);
+                ListedServers.server(id, "chat", dataCentre).server(),
+                64,
+                false,
+                Duration.ZERO,
+                0,
+                1);
     }
 
     private static PlacementQuery query(String affinityKey) {
--- a/rhubarbward-core/src/test/java/io/rhubarbward/testing/ListedServers.java
+++ b/rhubarbward-core/src/test/java/io/rhubarbward/testing/ListedServers.java
@@ -12,6 +12,18 @@
         return server(id, service, dataCentre, Duration.ZERO, false, 1);
     }
 
+    /** Returns the entry that the server has written for the given time in this incarnation. */
+    public static ListedServer written(String id, long writes, boolean draining) {
+        ListedServer server = server(id, "chat", "a", Duration.ZERO, draining, 1);
+        return new ListedServer(
+                server.server(),
+                server.slots(),
+                draining,
+                server.coldRemaining(),
+                writes,
+                server.startedAtMillis());
+    }
+
     public static ListedServer server(
             String id,
             String service,
@@ -30,6 +42,7 @@
                 8,
                 draining,
                 coldStart,
+                0,
                 born);
     }
 }
--- a/rhubarbward-core/src/test/java/io/rhubarbward/testing/RouterFleet.java
+++ b/rhubarbward-core/src/test/java/io/rhubarbward/testing/RouterFleet.java
@@ -29,6 +29,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.BiConsumer;
@@ -51,6 +52,7 @@
     public final List<Router> mRouters = new ArrayList<>();
     public final List<Sent> mSent = new ArrayList<>();
     public final SplittableRandom mRandom;
+    private int mAnnouncements;
     private final Map<String, String> mDataCentreByServer = new HashMap<>();
     private final Map<String, String> mVersionByServer = new HashMap<>();
     private final Catalog mCatalog =
@@ -111,6 +113,24 @@
         mStore.put(ROLLOUTS, "chat", target + ' ' + duration.toMillis() + " REQUESTED");
     }
 
+    /** Restores the store from a copy of the age, after an outage. */
+    public void restoreStore(Duration copyAge, Duration outage) {
+        mStore.refuse(router -> true);
+        mTimers.advance(outage);
+        mStore.restore(copyAge.plus(outage));
+        mStore.refuse(router -> false);
+    }
+
+    /** Returns how often routers have listed themselves. */
+    public int announcements() {
+        return mAnnouncements;
+    }
+
+    /** Returns the names of the routers that the store lists. */
+    public Set<String> listedRouters() {
+        return mStore.objects(ROUTERS).keySet();
+    }
+
     /** Returns the state of the order in the store. */
     public RolloutOrder.State rolloutState() {
         return decodeRollout("chat", mStore.objects(ROLLOUTS).getOrDefault("chat", ""))
@@ -156,6 +176,7 @@
                         64,
                         false,
                         Duration.ZERO,
+                        0,
                         Long.parseLong(fields[1])));
     }
 
@@ -271,6 +292,7 @@
                             CompletableFuture.completedStage(
                                     writeRollout(name, target, state, revision)),
                     (router, presence) -> {
+                        mAnnouncements++;
                         mStore.put(
                                 ROUTERS, router, presence.dataCentre() + ' ' + presence.address());
                         return CompletableFuture.completedStage(true);
