List a router again that a restored store does not list

Routers wrote their entries at their start only. A router that the restored store does not list writes its entry again, within 600 ms, so that the writes are spread.

RestoredStoreTest.routersListThemselvesAgainOnceEach fails without the change (expected 9 entries, were 0).

--- a/rhubarbward-core/src/main/java/io/rhubarbward/directory/RouterDirectory.java
+++ b/rhubarbward-core/src/main/java/io/rhubarbward/directory/RouterDirectory.java
@@ -10,18 +10,32 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.TreeMap;
+import java.util.function.Consumer;
 import java.util.stream.Collectors;
 
 /** The routers that have listed themselves in the store, keyed by VM name. */
 public final class RouterDirectory implements KindListener<RouterPresence> {
     private final EventLog mEvents;
     private final Map<String, RouterPresence> mRouters = new TreeMap<>();
+    private Consumer<Set<String>> mRestoreSubscriber = names -> {};
 
     /** Creates an empty directory that logs each change. */
     public RouterDirectory(EventLog events) {
         mEvents = events;
     }
 
+    /** Calls the subscriber with the names of the routers that a restored store lists. */
+    public void subscribeToRestores(Consumer<Set<String>> subscriber) {
+        mRestoreSubscriber = subscriber;
+    }
+
+    @Override
+    public void onRestored(Set<String> missing) {
+        Set<String> listed = new HashSet<>(mRouters.keySet());
+        listed.removeAll(missing);
+        mRestoreSubscriber.accept(listed);
+    }
+
     @Override
     public void onSnapshot(List<DecodedObject<RouterPresence>> items) {
         Set<String> missing = new HashSet<>(mRouters.keySet());
--- a/rhubarbward-core/src/main/java/io/rhubarbward/node/FleetRouter.java
+++ b/rhubarbward-core/src/main/java/io/rhubarbward/node/FleetRouter.java
@@ -37,6 +37,7 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.Optional;
+import java.util.Set;
 
 /**
  * A router on the users' platform: wires its components together over {@link FleetPorts}, without
@@ -69,6 +70,9 @@
     /** Delay before a failed write of this router's entry is retried. */
     private static final Duration ANNOUNCE_RETRY_DELAY = Duration.ofMillis(700);
 
+    /** Time over which routers spread the writes of the entries that a restored store lacks. */
+    private static final int ANNOUNCE_SPREAD_MILLIS = 600;
+
     private final FleetNodeSettings mSettings;
     private final FleetPorts mPorts;
     private final StoreAvailability mStoreAvailability;
@@ -204,6 +208,7 @@
                         EventField.of("dataCentre", mSettings.dataCentre()),
                         EventField.of("store", mSettings.store()));
         mStoreFollower.start();
+        mRouters.subscribeToRestores(this::announceUnlessListed);
         announce();
         mLoadExchange.start();
         mRollouts.start();
@@ -230,6 +235,15 @@
                         });
     }
 
+    private void announceUnlessListed(Set<String> listed) {
+        if (!listed.contains(mSettings.vm())) {
+            mPorts.timers()
+                    .after(
+                            Duration.ofMillis(mPorts.random().nextInt(ANNOUNCE_SPREAD_MILLIS)),
+                            this::announce);
+        }
+    }
+
     private RouterPresence ownPresence() {
         InetSocketAddress peers = mSettings.peers();
         return new RouterPresence(
--- a/rhubarbward-core/src/main/java/io/rhubarbward/store/KindListener.java
+++ b/rhubarbward-core/src/main/java/io/rhubarbward/store/KindListener.java
@@ -23,10 +23,12 @@
     void onDeleted(String name);
 
     /**
-     * Receives the names of known objects that a restored store lacks. Each of them is received
-     * again, or as deleted after {@link #rewriteTime}.
+     * Is called once the objects of a restored store have been received.
+     *
+     * @param missing the names of known objects that the store lacks; each is received again, or as
+     *     deleted after {@link #rewriteTime}
      */
-    default void onMissing(Set<String> names) {}
+    default void onRestored(Set<String> missing) {}
 
     /** Returns how long an object that a restored store lacks is kept. */
     default Duration rewriteTime() {
--- a/rhubarbward-core/src/main/java/io/rhubarbward/store/KindWatcher.java
+++ b/rhubarbward-core/src/main/java/io/rhubarbward/store/KindWatcher.java
@@ -264,7 +264,7 @@
         Set<String> listed = items.stream().map(DecodedObject::name).collect(Collectors.toSet());
         boolean restored = !before.equals(StoreRevision.NONE) && !before.isInEraOf(revision);
         if (restored) {
-            keepMissing(before, listed);
+            mNames.stream().filter(name -> !listed.contains(name)).forEach(mMissing::add);
         }
         mMissing.removeAll(listed);
         if (mMissing.isEmpty()) {
@@ -278,16 +278,16 @@
                     .forEach(this::delete);
             items.forEach(this::put);
         }
+        if (restored) {
+            keepMissing(before, listed.size());
+        }
     }
 
     /** Keeps the objects that a restored store lacks until they had time to be written again. */
-    private void keepMissing(StoreRevision before, Set<String> listed) {
-        mNames.stream().filter(name -> !listed.contains(name)).forEach(mMissing::add);
+    private void keepMissing(StoreRevision before, int listed) {
         mAvailability.logRestoredKind(
-                name(), before, mRevision, listed.size(), Set.copyOf(mMissing), stalenessMillis());
-        if (!mMissing.isEmpty()) {
-            mListener.onMissing(Set.copyOf(mMissing));
-        }
+                name(), before, mRevision, listed, Set.copyOf(mMissing), stalenessMillis());
+        mListener.onRestored(Set.copyOf(mMissing));
         int restores = ++mRestores;
         mTimers.after(
                 mListener.rewriteTime(),
