Keep the outcome of a rollout that the store has lost

The outcome of an order is the routers' own write, so a restored store may have lost it. Within an era a reopened order is a new one; in a new era it is the same order, whose outcome is kept and written again by the routers that call the store.

Both tests of rollouts in node.RestoredStoreTest fail without the change (expected ROLLED_BACK, was RUNNING).

--- a/rhubarbward-core/src/main/java/io/rhubarbward/move/FleetRollouts.java
+++ b/rhubarbward-core/src/main/java/io/rhubarbward/move/FleetRollouts.java
@@ -130,10 +130,24 @@
             return mOrder.state().ended() ? Optional.of(mOrder.state()) : mOutcome;
         }
 
-        /** Returns whether this is the order, perhaps in another state, and no newer one. */
-        private boolean isFor(String name, RolloutOrder order) {
-            boolean reopened = mOrder.state().ended() && !order.state().ended();
-            return mName.equals(name) && mOrder.target().equals(order.target()) && !reopened;
+        /**
+         * Returns whether this is the order, perhaps in another state, and no newer one. A store
+         * that was restored may have lost the outcome of the order.
+         */
+        private boolean isFor(DecodedObject<RolloutOrder> item, RolloutOrder order) {
+            boolean reopened =
+                    mOrder.state().ended()
+                            && !order.state().ended()
+                            && item.revision().isInEraOf(mRevision);
+            return mName.equals(item.name()) && mOrder.target().equals(order.target()) && !reopened;
+        }
+
+        private void update(RolloutOrder order, StoreRevision revision) {
+            if (!revision.isInEraOf(mRevision)) {
+                mOutcome = outcome();
+            }
+            mOrder = order;
+            mRevision = revision;
         }
 
         /** Returns for how long requests have been moving to the target; negative before. */
@@ -166,7 +180,7 @@
         RolloutOrder order = item.value().get();
         ServiceRollout known = mRollouts.get(order.service());
         ServiceRollout rollout =
-                known != null && known.isFor(item.name(), order)
+                known != null && known.isFor(item, order)
                         ? known
                         : new ServiceRollout(item.name(), order, mTimers.nowMillis());
         if (rollout != known || rollout.mOrder.state() != order.state()) {
@@ -178,8 +192,7 @@
                     EventField.of("state", order.state()),
                     EventField.of("revision", item.revision()));
         }
-        rollout.mOrder = order;
-        rollout.mRevision = item.revision();
+        rollout.update(order, item.revision());
         mRollouts.put(order.service(), rollout);
     }
 
