Take a refusal without an id only on a connection's first request

Callers would be told 'not run' of a request that runs (REFUSED), or it would run at a second server (TWICE). A refusal with the id of another attempt was discarded before and still is; one that names no attempt was taken for the answer to the current request. It is now taken on a connection that was not used before; on a kept one it proves nothing: the call is broken, and its request may have run.

Shown impossible: a refusal that names another attempt, and one attempt at one server twice. Not decidable: a refusal in the place of a body with a length.

--- a/rhubarbward-core/src/main/java/io/rhubarbward/forward/ServerCall.java
+++ b/rhubarbward-core/src/main/java/io/rhubarbward/forward/ServerCall.java
@@ -133,13 +133,15 @@
         mAnswerBegunMillis = mContext.timers().nowMillis();
         mFraming = new EventStreamFraming(headers);
         ResponseMetadata metadata = mContext.dialect().readAnswer(status, headers);
+        if (!answersThisAttempt(metadata)) {
+            fail(SendResult.BROKEN);
+            return;
+        }
         metadata.load().ifPresent(load -> mServer.recordLoad(load, mContext.timers().nowMillis()));
         if (status != ForwardedExchange.MISDIRECTED_STATUS) {
             mContext.table().recordLimit(mServer, metadata.limitPerSecond());
         }
-        boolean answersThisAttempt =
-                metadata.attemptId().filter(mRequest.metadata().attemptId()::equals).isPresent();
-        if (metadata.notRun() && (answersThisAttempt || metadata.attemptId().isEmpty())) {
+        if (metadata.notRun()) {
             SendResult result =
                     status == ForwardedExchange.MISDIRECTED_STATUS
                             ? SendResult.MISDIRECTED
@@ -147,13 +149,23 @@
             if (end(result)) {
                 mListener.onNotRun(mServer, status);
             }
-        } else if (!answersThisAttempt || !metadata.genuine()) {
+        } else if (!metadata.genuine()) {
             fail(SendResult.BROKEN);
         } else {
             mListener.onHead(status, headers);
         }
     }
 
+    /**
+     * Returns whether the answer names this attempt. A statement that it did not run need not name
+     * it, unless the connection was used before: then it may be one of an earlier attempt.
+     */
+    private boolean answersThisAttempt(ResponseMetadata metadata) {
+        return metadata.attemptId()
+                .map(mRequest.metadata().attemptId()::equals)
+                .orElse(metadata.notRun() && mCall != null && !mCall.usesKeptConnection());
+    }
+
     private void fail(SendResult result) {
         if (end(result)) {
             if (mCall != null) {
--- a/rhubarbward-core/src/main/java/io/rhubarbward/request/BackendCall.java
+++ b/rhubarbward-core/src/main/java/io/rhubarbward/request/BackendCall.java
@@ -18,4 +18,9 @@
     default void expire() {
         cancel();
     }
+
+    /** Returns whether an earlier request was sent on the connection of this call. */
+    default boolean usesKeptConnection() {
+        return false;
+    }
 }
--- a/rhubarbward-core/src/test/java/io/rhubarbward/testing/FakeBackends.java
+++ b/rhubarbward-core/src/test/java/io/rhubarbward/testing/FakeBackends.java
@@ -13,14 +13,20 @@
 /** A backend client that records requests and lets the test answer each one explicitly. */
 public final class FakeBackends implements BackendClient {
     private final List<Sent> mSent = new ArrayList<>();
+    private boolean mKeepConnections;
 
     @Override
     public BackendCall send(BackendRequest request, BackendListener listener) {
-        Sent sent = new Sent(request, listener);
+        Sent sent = new Sent(request, listener, mKeepConnections);
         mSent.add(sent);
         return sent;
     }
 
+    /** Sends further requests on connections that were used before. */
+    public void keepConnections() {
+        mKeepConnections = true;
+    }
+
     /** Returns the requests that were sent, in order. */
     public List<Sent> sent() {
         return mSent;
@@ -35,12 +41,14 @@
     public static final class Sent implements BackendCall {
         private final BackendRequest mRequest;
         private final BackendListener mListener;
+        private final boolean mKeptConnection;
         private boolean mCancelled;
         private boolean mPaused;
 
-        Sent(BackendRequest request, BackendListener listener) {
+        Sent(BackendRequest request, BackendListener listener, boolean keptConnection) {
             mRequest = request;
             mListener = listener;
+            mKeptConnection = keptConnection;
         }
 
         public BackendRequest request() {
@@ -92,6 +100,11 @@
             mPaused = false;
         }
 
+        @Override
+        public boolean usesKeptConnection() {
+            return mKeptConnection;
+        }
+
         @Override
         public void cancel() {
             mCancelled = true;
--- a/rhubarbward-net/src/main/java/io/rhubarbward/net/backend/BackendExchange.java
+++ b/rhubarbward-net/src/main/java/io/rhubarbward/net/backend/BackendExchange.java
@@ -26,6 +26,7 @@
     private volatile @Nullable ListenableFuture<Boolean> mFuture;
     private volatile @Nullable Channel mChannel;
     private volatile boolean mRequestSent;
+    private volatile boolean mKeptConnection;
     private int mStatus;
 
     /**
@@ -55,6 +56,7 @@
     @Override
     public void onConnectionPooled(Channel connection) {
         mChannel = connection;
+        mKeptConnection = true;
     }
 
     @Override
@@ -113,6 +115,11 @@
         setReading(true);
     }
 
+    @Override
+    public boolean usesKeptConnection() {
+        return mKeptConnection;
+    }
+
     @Override
     public void cancel() {
         mCancelled = true;
