End a broken stream to an HTTP/1.0 caller with a reset

What a second server answers can't follow: once an answer has begun, no second send is made, and an aborted response writes nothing (BrokenStreamTest on real sockets: chunks without a last one, with and without Connection: close; a body shorter than its length, HTTP/1.0 and 1.1).

One case failed: a caller that speaks HTTP/1.0 got chunks, which it does not know, and took a stream that broke off for whole. It gets a body that ends with its connection now, and a break is a reset. Both tests of that case failed before (found transfer-encoding: chunked, no reset).

--- a/rhubarbward-net/src/main/java/io/rhubarbward/net/http/CallerConnection.java
+++ b/rhubarbward-net/src/main/java/io/rhubarbward/net/http/CallerConnection.java
@@ -148,7 +148,11 @@
         mRequestBody.writeBytes(content.content());
         if (content instanceof LastHttpContent && mRequestHead != null) {
             CallerRequest request = toCallerRequest(mRequestHead, mRequestBody);
-            NettyResponse response = startResponse(context, HttpUtil.isKeepAlive(mRequestHead));
+            NettyResponse response =
+                    startResponse(
+                            context,
+                            mRequestHead.protocolVersion(),
+                            HttpUtil.isKeepAlive(mRequestHead));
             discardRequest();
             mTimers.execute(() -> serve(request, response));
         }
@@ -160,10 +164,12 @@
         exchange.mListener = mHandler.handle(request, response);
     }
 
-    private NettyResponse startResponse(ChannelHandlerContext context, boolean keepAlive) {
+    private NettyResponse startResponse(
+            ChannelHandlerContext context, HttpVersion callerVersion, boolean keepAlive) {
         NettyResponse response =
                 new NettyResponse(
                         context.channel(),
+                        callerVersion,
                         () -> keepAlive && !mKeepAliveDisabled.getAsBoolean(),
                         () -> onResponseWritten(context));
         mResponse = response;
@@ -188,8 +194,10 @@
     }
 
     private void sendRefusal(ChannelHandlerContext context, Refusal refusal) {
+        HttpVersion callerVersion =
+                mRequestHead == null ? HttpVersion.HTTP_1_1 : mRequestHead.protocolVersion();
         discardRequest();
-        NettyResponse response = startResponse(context, false);
+        NettyResponse response = startResponse(context, callerVersion, false);
         mTimers.execute(() -> refusal.sendTo(response));
     }
 
--- a/rhubarbward-net/src/main/java/io/rhubarbward/net/http/NettyResponse.java
+++ b/rhubarbward-net/src/main/java/io/rhubarbward/net/http/NettyResponse.java
@@ -4,6 +4,7 @@
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelFutureListener;
+import io.netty.channel.ChannelOption;
 import io.netty.handler.codec.http.DefaultHttpContent;
 import io.netty.handler.codec.http.DefaultHttpResponse;
 import io.netty.handler.codec.http.DefaultLastHttpContent;
@@ -19,12 +20,18 @@
 import java.util.function.BooleanSupplier;
 import org.jspecify.annotations.Nullable;
 
-/** Writes one HTTP response to a Netty channel. */
+/**
+ * Writes one HTTP response to a Netty channel.
+ *
+ * <p>A caller that uses HTTP/1.0 knows no chunks: a body without a length ends with its connection,
+ * and one that breaks off ends with a reset of the connection.
+ */
 final class NettyResponse implements CallerResponse {
     private static final int NO_CONTENT = 204;
     private static final int NOT_MODIFIED = 304;
 
     private final Channel mChannel;
+    private final HttpVersion mCallerVersion;
     private final BooleanSupplier mKeepAliveAllowed;
     private final Runnable mOnWritten;
     private @Nullable ChannelFuture mLastWrite;
@@ -35,26 +42,35 @@
     /**
      * Creates a response on the channel.
      *
+     * @param callerVersion the HTTP version of the request
      * @param keepAliveAllowed whether the connection stays open afterwards; asked when the response
      *     begins
      * @param onWritten runs once the response is written, if the connection stays open
      */
-    NettyResponse(Channel channel, BooleanSupplier keepAliveAllowed, Runnable onWritten) {
+    NettyResponse(
+            Channel channel,
+            HttpVersion callerVersion,
+            BooleanSupplier keepAliveAllowed,
+            Runnable onWritten) {
         mChannel = channel;
+        mCallerVersion = callerVersion;
         mKeepAliveAllowed = keepAliveAllowed;
         mOnWritten = onWritten;
     }
 
     @Override
     public void begin(int status, HeaderFields headers) {
+        if (mEnded) {
+            return;
+        }
         HttpResponse head =
                 new DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(status));
         headers.fields().forEach(field -> head.headers().add(field.name(), field.value()));
         boolean hasNoBody = status == NO_CONTENT || status == NOT_MODIFIED;
-        if (!hasNoBody && !HttpUtil.isContentLengthSet(head)) {
+        if (!hasNoBody && !HttpUtil.isContentLengthSet(head) && knowsChunks()) {
             HttpUtil.setTransferEncodingChunked(head, true);
         }
-        mKeepAlive = mKeepAliveAllowed.getAsBoolean();
+        mKeepAlive = knowsChunks() && mKeepAliveAllowed.getAsBoolean();
         if (!mKeepAlive) {
             head.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
         }
@@ -62,6 +78,10 @@
         scheduleFlush();
     }
 
+    private boolean knowsChunks() {
+        return mCallerVersion.compareTo(HttpVersion.HTTP_1_1) >= 0;
+    }
+
     /** Flushes once for all writes in the same event-loop iteration. */
     private void scheduleFlush() {
         if (!mChannel.eventLoop().inEventLoop()) {
@@ -111,6 +131,10 @@
         mEnded = true;
         // Once the last write is done, the connection may already serve the next request.
         if (mLastWrite == null || !mLastWrite.isDone()) {
+            if (!knowsChunks()) {
+                // Makes the close a reset.
+                mChannel.config().setOption(ChannelOption.SO_LINGER, 0);
+            }
             mChannel.close();
         }
     }
