Fail a request when its connection delivers what cannot be decoded

BrokenAnswerTest shows on real sockets that this can't look whole here: a head cut in the status line, in a field, before the blank line and after it with a length, by close and by reset, on a new and on a kept connection, always fails the call, and no head is passed on.

One case next to it failed: bytes that can't be decoded within a response that is discarded, as one of an earlier request, were discarded too, and the request waited for its deadline on a connection that can't go on. bytesThatAreNoAnswerWithinAnEarlierAnswerFailTheRequest timed out after 60 s without the change.

--- a/rhubarbward-net/src/main/java/io/rhubarbward/net/backend/ResponseGuard.java
+++ b/rhubarbward-net/src/main/java/io/rhubarbward/net/backend/ResponseGuard.java
@@ -25,6 +25,7 @@
  *   <li>A response with the id of another request, or an interim response, is discarded, and the
  *       request stays open.
  *   <li>A message that arrives while no request is open closes the connection.
+ *   <li>A message that cannot be decoded fails the open request, also within a discarded response.
  *   <li>After an error nothing is passed on, so that a response that is delimited by the close of
  *       the connection does not look complete.
  *   <li>An idle connection is closed before the server's own idle timeout, so that no request is
@@ -79,6 +80,11 @@
             ReferenceCountUtil.release(message);
             return;
         }
+        if (object.decoderResult().isFailure()) {
+            ReferenceCountUtil.release(message);
+            exceptionCaught(context, object.decoderResult().cause());
+            return;
+        }
         if (!mRequestOpen && !mDiscarding) {
             ReferenceCountUtil.release(message);
             if (!(message instanceof LastHttpContent)) {
--- /dev/null
+++ b/rhubarbward-net/src/test/java/io/rhubarbward/net/backend/BrokenAnswerTest.java
@@ -0,0 +1,224 @@
+package io.rhubarbward.net.backend;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import io.netty.channel.nio.NioEventLoopGroup;
+import io.netty.util.HashedWheelTimer;
+import io.rhubarbward.config.BackendServer;
+import io.rhubarbward.event.EventLog;
+import io.rhubarbward.request.BackendCall;
+import io.rhubarbward.request.BackendFailure;
+import io.rhubarbward.request.BackendListener;
+import io.rhubarbward.request.BackendRequest;
+import io.rhubarbward.request.HeaderFields;
+import io.rhubarbward.timer.SystemTimerService;
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import org.asynchttpclient.AsyncHttpClient;
+import org.jspecify.annotations.Nullable;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** Answers of faulty servers over real sockets, with responses paired by their ids. */
+@Timeout(60)
+final class BrokenAnswerTest {
+    private static final String ID_HEADER = "x-id";
+
+    private final ScriptedServer mServer = new ScriptedServer();
+    private final SystemTimerService mTimers =
+            new SystemTimerService("broken-answer-test", EventLog.none());
+    private final NioEventLoopGroup mGroup = new NioEventLoopGroup(1);
+    private final HashedWheelTimer mWheel = new HashedWheelTimer();
+    private final AsyncHttpClient mHttp = HttpClients.openOnEventLoop(mGroup, mWheel, ID_HEADER);
+    private final AsyncBackendClient mClient = new AsyncBackendClient(mHttp, mTimers);
+
+    BrokenAnswerTest() throws IOException {}
+
+    @AfterEach
+    void close() throws IOException {
+        mHttp.close();
+        mWheel.stop();
+        mGroup.shutdownGracefully(0, 1, TimeUnit.SECONDS).syncUninterruptibly();
+        mTimers.close();
+        mServer.close();
+    }
+
+    private static String answer(String id, int status, String body) {
+        return ("HTTP/1.1 " + status + " X\r\n" + ID_HEADER + ": " + id + "\r\n")
+                + ("Content-Length: " + body.length() + "\r\n\r\n" + body);
+    }
+
+    private Answer send(String id) {
+        BackendServer server =
+                new BackendServer(
+                        "s",
+                        "orders",
+                        "dc-a",
+                        mServer.address(),
+                        "1",
+                        BackendServer.Fencing.IGNORES);
+        Answer answer = new Answer();
+        answer.mCall =
+                mClient.send(
+                        new BackendRequest(
+                                server,
+                                "GET",
+                                "/" + id,
+                                HeaderFields.of(ID_HEADER, id),
+                                ByteBuffer.allocate(0)),
+                        answer);
+        return answer;
+    }
+
+    /** Sends a request that is answered, so that the next one uses its connection. */
+    private void useConnection() throws Exception {
+        Answer answer = send("r-1");
+        mServer.takeRequest().respond(answer("r-1", 503, ""));
+        assertThat(answer.await()).containsExactly("head 503", "complete");
+    }
+
+    /** Guards against an earlier refusal that is taken for the answer to a later request. */
+    @ParameterizedTest
+    @ValueSource(ints = {400, 421, 429, 503})
+    void aRefusalOfAnEarlierRequestIsNotTheAnswerToTheNext(int status) throws Exception {
+        useConnection();
+        Answer answer = send("r-2");
+        ScriptedServer.PendingRequest pending = mServer.takeRequest();
+        pending.respond(answer("r-1", status, "again"));
+        pending.respond(answer("r-2", 200, "two"));
+        assertThat(answer.await()).containsExactly("head 200", "two", "complete").inOrder();
+    }
+
+    /** Its text can't belong to the body, which states the sizes of its chunks. */
+    @Test
+    void aRefusalBetweenHeadAndBodyFailsTheAnswer() throws Exception {
+        useConnection();
+        Answer answer = send("r-2");
+        ScriptedServer.PendingRequest pending = mServer.takeRequest();
+        pending.respond(
+                "HTTP/1.1 200 OK\r\n" + ID_HEADER + ": r-2\r\nTransfer-Encoding: chunked\r\n\r\n");
+        pending.respond(answer("r-1", 503, "again"));
+        assertThat(answer.await()).containsExactly("head 200", "CONNECTION_LOST").inOrder();
+    }
+
+    @Test
+    void aCallTellsWhetherItsConnectionWasUsedBefore() throws Exception {
+        Answer first = send("r-1");
+        mServer.takeRequest().respond(answer("r-1", 200, ""));
+        first.await();
+        Answer second = send("r-2");
+        mServer.takeRequest().respond("HTTP/1.1 503 X\r\nContent-Length: 0\r\n\r\n");
+        assertThat(second.await()).containsExactly("head 503", "complete");
+        assertThat(first.usedKeptConnection()).isFalse();
+        assertThat(second.usedKeptConnection()).isTrue();
+        assertThat(mServer.connectionCount()).isEqualTo(1);
+    }
+
+    /** Guards against a request that waits for its deadline on a connection that can't go on. */
+    @Test
+    void bytesThatAreNoAnswerWithinAnEarlierAnswerFailTheRequest() throws Exception {
+        useConnection();
+        Answer answer = send("r-2");
+        ScriptedServer.PendingRequest pending = mServer.takeRequest();
+        pending.respond(
+                "HTTP/1.1 200 OK\r\n" + ID_HEADER + ": r-1\r\nTransfer-Encoding: chunked\r\n\r\n");
+        pending.respond("no size\r\n");
+        assertThat(answer.await()).containsExactly("CONNECTION_LOST");
+    }
+
+    /** Guards against an answer whose head was cut and that looks whole, with an empty body. */
+    @ParameterizedTest
+    @CsvSource({
+        "HTTP/1, false",
+        "HTTP/1, true",
+        "HTTP/1.1 200 OK, false",
+        "HTTP/1.1 200 OK, true",
+        "HTTP/1.1 200 OK|, false",
+        "HTTP/1.1 200 OK|, true",
+        "HTTP/1.1 200 OK|x-id: r-, false",
+        "HTTP/1.1 200 OK|x-id: r-, true",
+        "HTTP/1.1 200 OK|x-id: r-2|, false",
+        "HTTP/1.1 200 OK|x-id: r-2|, true",
+        "HTTP/1.1 200 OK|x-id: r-2|Content-Length: 0|, false",
+        "HTTP/1.1 200 OK|x-id: r-2|Content-Length: 0|, true",
+        "HTTP/1.1 200 OK|x-id: r-2|Content-Length: 1, false",
+        "HTTP/1.1 200 OK|x-id: r-2|Content-Length: 1, true",
+    })
+    void anAnswerThatEndsWithinItsHeadFails(String head, boolean reset) throws Exception {
+        for (boolean kept : List.of(false, true)) {
+            if (kept) {
+                useConnection();
+            }
+            Answer answer = send("r-2");
+            ScriptedServer.PendingRequest pending = mServer.takeRequest();
+            pending.respond(head.replace("|", "\r\n"));
+            end(pending, reset);
+            assertThat(answer.await()).containsExactly("CONNECTION_LOST");
+        }
+    }
+
+    @ParameterizedTest
+    @ValueSource(booleans = {false, true})
+    void anAnswerThatEndsAfterItsHeadFailsUnlessItIsWhole(boolean reset) throws Exception {
+        Answer answer = send("r-2");
+        ScriptedServer.PendingRequest pending = mServer.takeRequest();
+        pending.respond("HTTP/1.1 200 OK\r\nx-id: r-2\r\nContent-Length: 3\r\n\r\n");
+        end(pending, reset);
+        assertThat(answer.await()).contains("CONNECTION_LOST");
+        assertThat(answer.mEvents).doesNotContain("complete");
+    }
+
+    private static void end(ScriptedServer.PendingRequest pending, boolean reset)
+            throws IOException {
+        if (reset) {
+            pending.socket().setSoLinger(true, 0);
+        }
+        pending.closeConnection();
+    }
+
+    /** Records the events of a call in order. */
+    private static final class Answer implements BackendListener {
+        private final LinkedBlockingQueue<List<String>> mEnded = new LinkedBlockingQueue<>();
+        private final List<String> mEvents = new ArrayList<>();
+        private @Nullable BackendCall mCall;
+
+        boolean usedKeptConnection() {
+            return mCall != null && mCall.usesKeptConnection();
+        }
+
+        List<String> await() throws InterruptedException {
+            return mEnded.take();
+        }
+
+        @Override
+        public void onHead(int status, HeaderFields headers) {
+            mEvents.add("head " + status);
+        }
+
+        @Override
+        public void onPart(ByteBuffer part) {
+            mEvents.add(StandardCharsets.US_ASCII.decode(part).toString());
+        }
+
+        @Override
+        public void onComplete() {
+            mEvents.add("complete");
+            mEnded.add(List.copyOf(mEvents));
+        }
+
+        @Override
+        public void onFailure(BackendFailure failure) {
+            mEvents.add(failure.name());
+            mEnded.add(List.copyOf(mEvents));
+        }
+    }
+}
