--- a/rhubarbward-daemon/src/test/java/io/rhubarbward/daemon/FleetStoreTest.java
+++ b/rhubarbward-daemon/src/test/java/io/rhubarbward/daemon/FleetStoreTest.java
@@ -77,6 +77,24 @@
         sendUntil(200);
     }
 
+    /** Guards against a revoked key that comes back, and changes that are missed, in a new era. */
+    @Test
+    void aRestoredStoreTakesNothingBackAndItsChangesAreSeen() throws IOException {
+        mFleet.store().copy();
+        mFleet.store().put("config", "main", CONFIG_WITH_ANOTHER_KEY.formatted(5));
+        sendUntil(401);
+        mFleet.store().restore();
+        for (int request = 0; request < 20; request++) {
+            assertThat(send()).isEqualTo(401);
+        }
+        mFleet.store()
+                .put(
+                        "config",
+                        "main",
+                        CONFIG_WITH_ANOTHER_KEY.formatted(6).replace("another", "sample"));
+        sendUntil(200);
+    }
+
     @Test
     void duringAStoreOutageRequestsWithAKeyAreServedAtFirstAndRefusedLater() throws IOException {
         mFleet.store().down(true);
--- a/rhubarbward-net/src/main/java/io/rhubarbward/net/http/JsonResponses.java
+++ b/rhubarbward-net/src/main/java/io/rhubarbward/net/http/JsonResponses.java
@@ -25,21 +25,31 @@
     private static final ObjectMapper MAPPER =
             JsonMapper.builder().enable(SerializationFeature.ORDER_MAP_ENTRIES_BY_KEYS).build();
 
+    private static final String JSON = "application/json";
+
     private JsonResponses() {}
 
     /** Sends a response with the value as its JSON body. */
     public static CallerListener send(CallerResponse response, int status, Object value) {
-        return send(response, status, "application/json", render(value));
+        return send(response, status, JSON, render(value));
+    }
+
+    /** Sends a response with the value as its JSON body and further header fields. */
+    public static CallerListener send(
+            CallerResponse response, int status, HeaderFields headers, Object value) {
+        return send(response, status, headers.with("content-type", JSON), render(value));
     }
 
     /** Sends a response with the text as its body, in UTF-8. */
     public static CallerListener send(
             CallerResponse response, int status, String contentType, String text) {
+        return send(response, status, HeaderFields.of("content-type", contentType), text);
+    }
+
+    private static CallerListener send(
+            CallerResponse response, int status, HeaderFields headers, String text) {
         ByteBuffer body = StandardCharsets.UTF_8.encode(text);
-        response.begin(
-                status,
-                HeaderFields.of("content-type", contentType)
-                        .with("content-length", Integer.toString(body.remaining())));
+        response.begin(status, headers.with("content-length", Integer.toString(body.remaining())));
         response.write(body);
         response.finish();
         return NO_OP_LISTENER;
--- a/rhubarbward-standin/src/main/java/io/rhubarbward/standin/fleet/StoreStandin.java
+++ b/rhubarbward-standin/src/main/java/io/rhubarbward/standin/fleet/StoreStandin.java
@@ -12,6 +12,7 @@
 import io.rhubarbward.request.CallerListener;
 import io.rhubarbward.request.CallerRequest;
 import io.rhubarbward.request.CallerResponse;
+import io.rhubarbward.request.HeaderFields;
 import io.rhubarbward.timer.TimerService;
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
@@ -34,6 +35,7 @@
 public final class StoreStandin implements AutoCloseable {
     private static final ObjectMapper MAPPER = new ObjectMapper();
     private static final String OBJECTS_PATH = "/api/objects/";
+    private static final String ERA_HEADER = "store-era";
     private static final int OK = 200;
     private static final int NOT_FOUND = 404;
     private static final int CONFLICT = 409;
@@ -45,7 +47,9 @@
     private final Map<String, Map<String, ObjectNode>> mObjects = new TreeMap<>();
     private final List<Change> mChanges = new ArrayList<>();
     private final List<Watch> mPendingWatches = new ArrayList<>();
+    private long mEra = 1;
     private long mRevision = 1;
+    private Copy mCopy = new Copy(1, Map.of());
     private long mCompactedRevision;
     private boolean mDown;
 
@@ -81,6 +85,34 @@
                 });
     }
 
+    /** Copies the current state, for {@link #restore}. */
+    public void copy() {
+        mTimers.execute(
+                () -> {
+                    Map<String, Map<String, ObjectNode>> objects = new TreeMap<>();
+                    mObjects.forEach((kind, byName) -> objects.put(kind, Map.copyOf(byName)));
+                    mCopy = new Copy(mRevision, objects);
+                });
+    }
+
+    /**
+     * Goes back to the last copy, as a store does that is restored: a new era begins, later changes
+     * are gone, their revisions are assigned again, and the connections of waiting watches end.
+     */
+    public void restore() {
+        mTimers.execute(
+                () -> {
+                    mEra++;
+                    mRevision = mCopy.revision();
+                    mChanges.removeIf(change -> change.revision() > mRevision);
+                    mObjects.clear();
+                    mCopy.objects()
+                            .forEach((kind, byName) -> mObjects.put(kind, new TreeMap<>(byName)));
+                    mPendingWatches.forEach(watch -> watch.response().abort());
+                    mPendingWatches.clear();
+                });
+    }
+
     /**
      * Creates or replaces an object, as an operator or a replica would.
      *
@@ -127,9 +159,14 @@
         answerable.forEach(this::answer);
     }
 
+    private CallerListener reply(CallerResponse response, int status, Object value) {
+        return JsonResponses.send(
+                response, status, HeaderFields.of(ERA_HEADER, Long.toString(mEra)), value);
+    }
+
     private CallerListener handle(CallerRequest request, CallerResponse response) {
         if (mDown || !request.path().startsWith(OBJECTS_PATH)) {
-            return JsonResponses.send(response, mDown ? UNAVAILABLE : NOT_FOUND, Map.of());
+            return reply(response, mDown ? UNAVAILABLE : NOT_FOUND, Map.of());
         }
         String[] path = request.path().substring(OBJECTS_PATH.length()).split("/");
         Map<String, String> query = parseQuery(request.target());
@@ -142,7 +179,7 @@
         ObjectNode page = MAPPER.createObjectNode().put("hasMore", false).put("at", mRevision);
         ArrayNode items = page.putArray("items");
         objects(path[0]).values().forEach(items::add);
-        return JsonResponses.send(response, OK, page);
+        return reply(response, OK, page);
     }
 
     private static Map<String, String> parseQuery(String target) {
@@ -166,18 +203,18 @@
     private CallerListener create(String kind, JsonNode body, CallerResponse response) {
         String name = body.path("metadata").path("name").asText();
         if (objects(kind).containsKey(name)) {
-            return JsonResponses.send(response, CONFLICT, Map.of());
+            return reply(response, CONFLICT, Map.of());
         }
         ObjectNode object = MAPPER.createObjectNode();
         object.set("spec", body.path("spec"));
         putObject(kind, name, object);
-        return JsonResponses.send(response, OK, object);
+        return reply(response, OK, object);
     }
 
     private CallerListener watch(String kind, Map<String, String> query, CallerResponse response) {
         long afterRevision = Long.parseLong(query.get("watch"));
-        if (afterRevision < mCompactedRevision) {
-            return JsonResponses.send(response, GONE, Map.of());
+        if (afterRevision < mCompactedRevision || afterRevision > mRevision) {
+            return reply(response, GONE, Map.of());
         }
         Watch watch = new Watch(kind, afterRevision, response);
         if (changesFor(watch).isEmpty()) {
@@ -211,7 +248,7 @@
                                 events.addObject()
                                         .put("deleted", change.deleted())
                                         .set("object", change.object()));
-        JsonResponses.send(watch.response(), OK, answer);
+        reply(watch.response(), OK, answer);
     }
 
     @Override
@@ -219,6 +256,14 @@
         mListener.close();
     }
 
+    /**
+     * A copy of the state.
+     *
+     * @param revision the store's revision at the time of the copy
+     * @param objects the objects by kind and name
+     */
+    private record Copy(long revision, Map<String, Map<String, ObjectNode>> objects) {}
+
     /**
      * A write or deletion in the history.
      *
