Test restored stores beside frozen, cut-off and starting routers

Two restores in a row, one without an outage, a relay and a follower that are cut off through it, a router that starts in the outage, a lost configuration that is written again late, routers that reach only each other, objects that the copy lacks, answers of a past era.

--- a/rhubarbward-core/src/test/java/io/rhubarbward/relay/RestoredStoreTest.java
+++ b/rhubarbward-core/src/test/java/io/rhubarbward/relay/RestoredStoreTest.java
@@ -72,4 +72,150 @@
         double calls = mFleet.mStore.calls() - before;
         assertThat(calls / mFleet.mRouters.size()).isLessThan(15.0);
     }
+
+    private void startAndLoseVersion3() {
+        startThreeDataCentres();
+        mFleet.writeVersion(2);
+        mFleet.advance(Duration.ofSeconds(10));
+        mFleet.writeVersion(3);
+        mFleet.advance(Duration.ofSeconds(1));
+    }
+
+    private void writeAgain() {
+        mFleet.mStore.put(RelayFleet.CONFIG, "main", "3");
+    }
+
+    private void assertNextVersionReachesAll() {
+        mFleet.writeVersion(4);
+        mFleet.advance(Duration.ofSeconds(1));
+        assertAllUpToDate();
+        assertThat(mFleet.trusted()).hasSize(mFleet.running(router -> true).size());
+    }
+
+    /** Guards against a key whose removal is lost and that a list of the copy makes trusted. */
+    @Test
+    void noKeyIsTrustedForLongUntilTheLostConfigurationIsWrittenAgain() {
+        startAndLoseVersion3();
+        restoreAfterOutage(Duration.ofSeconds(1));
+        int before = mFleet.mStore.calls();
+        mFleet.advance(Duration.ofSeconds(8));
+        assertThat(mFleet.trusted()).isEmpty();
+        assertThat(mFleet.relays()).hasSize(3);
+        assertThat((mFleet.mStore.calls() - before) / 9.0).isLessThan(15.0);
+        writeAgain();
+        mFleet.advance(Duration.ofSeconds(1));
+        assertThat(mFleet.trusted()).hasSize(9);
+        assertNextVersionReachesAll();
+    }
+
+    @Test
+    void aRestoreThatNoRouterNoticesAsAnOutage() {
+        startAndLoseVersion3();
+        mFleet.mStore.restore(COPY_AGE);
+        writeAgain();
+        mFleet.advance(Duration.ofSeconds(2));
+        assertNextVersionReachesAll();
+    }
+
+    @Test
+    void twoRestoresInARow() {
+        startAndLoseVersion3();
+        restoreAfterOutage(Duration.ofMillis(400));
+        writeAgain();
+        mFleet.advance(Duration.ofMillis(300));
+        restoreAfterOutage(Duration.ofMillis(400));
+        writeAgain();
+        mFleet.advance(Duration.ofSeconds(2));
+        assertNextVersionReachesAll();
+    }
+
+    @Test
+    void aRouterThatIsFrozenThroughARestore() {
+        startAndLoseVersion3();
+        RelayFleet.Router relay = mFleet.relayOf("a");
+        relay.freeze();
+        restoreAfterOutage(Duration.ofSeconds(1));
+        writeAgain();
+        mFleet.advance(Duration.ofSeconds(4));
+        relay.thaw();
+        mFleet.advance(Duration.ofSeconds(2));
+        assertNextVersionReachesAll();
+    }
+
+    @Test
+    void aRouterThatStartsWhileTheStoreIsOut() {
+        startAndLoseVersion3();
+        RelayFleet.Router router = mFleet.relayOf("b");
+        mFleet.mStore.refuse(any -> true);
+        router.restart();
+        mFleet.advance(Duration.ofSeconds(1));
+        mFleet.mStore.restore(COPY_AGE);
+        mFleet.mStore.refuse(any -> false);
+        writeAgain();
+        mFleet.advance(Duration.ofSeconds(4));
+        assertNextVersionReachesAll();
+    }
+
+    /** Its followers learn of the new era from the store and tell the relay. */
+    @Test
+    void aRelayThatIsCutOffFromTheStoreThroughARestore() {
+        startAndLoseVersion3();
+        RelayFleet.Router relay = mFleet.relayOf("a");
+        mFleet.mStore.beSilentTo(relay.mName::equals);
+        mFleet.mStore.restore(COPY_AGE);
+        writeAgain();
+        mFleet.advance(Duration.ofSeconds(5));
+        assertNextVersionReachesAll();
+        mFleet.mStore.beSilentTo(any -> false);
+        mFleet.advance(Duration.ofSeconds(30));
+        mFleet.writeVersion(5);
+        mFleet.advance(Duration.ofSeconds(1));
+        assertAllUpToDate();
+    }
+
+    @Test
+    void aFollowerThatIsCutOffThroughARestoreAndHalfAMinuteAfterIt() {
+        startAndLoseVersion3();
+        RelayFleet.Router relay = mFleet.relayOf("a");
+        RelayFleet.Router follower =
+                mFleet.running(router -> router.mDataCentre.equals("a") && router != relay).get(0);
+        mFleet.mStore.beSilentTo(follower.mName::equals);
+        mFleet.mPeers.cut((from, to) -> from.equals(follower.mName) || to.equals(follower.mName));
+        restoreAfterOutage(Duration.ofSeconds(1));
+        writeAgain();
+        mFleet.advance(Duration.ofSeconds(30));
+        assertThat(mFleet.trusted()).doesNotContain(follower);
+        mFleet.mStore.beSilentTo(any -> false);
+        mFleet.mPeers.cut((from, to) -> false);
+        mFleet.advance(Duration.ofSeconds(4));
+        assertNextVersionReachesAll();
+    }
+
+    /** Guards against routers that confirm each other's state with no call to the store. */
+    @Test
+    void routersThatReachOnlyEachOtherTrustNoKeyForLong() {
+        startAndLoseVersion3();
+        restoreAfterOutage(Duration.ofSeconds(1));
+        writeAgain();
+        mFleet.advance(Duration.ofSeconds(1));
+        mFleet.mStore.refuse(any -> true);
+        mFleet.advance(Duration.ofSeconds(5));
+        assertThat(mFleet.trusted()).isEmpty();
+    }
+
+    /** What the copy lacks is kept until its writers had time, and is gone without them. */
+    @Test
+    void objectsThatTheCopyLacksAreKeptForAWhile() {
+        startThreeDataCentres();
+        mFleet.mStore.put(RelayFleet.SERVERS, "e-2", "ready");
+        mFleet.mStore.put(RelayFleet.SERVERS, "e-3", "ready");
+        mFleet.advance(Duration.ofSeconds(3));
+        restoreAfterOutage(Duration.ofSeconds(1));
+        mFleet.advance(Duration.ofMillis(1500));
+        mFleet.running(any -> true)
+                .forEach(router -> assertThat(router.mKnownServers.keySet()).hasSize(3));
+        mFleet.mStore.put(RelayFleet.SERVERS, "e-2", "ready");
+        mFleet.advance(Duration.ofSeconds(6));
+        assertAllUpToDate();
+    }
 }
--- a/rhubarbward-core/src/test/java/io/rhubarbward/store/KindWatcherTest.java
+++ b/rhubarbward-core/src/test/java/io/rhubarbward/store/KindWatcherTest.java
@@ -159,4 +159,20 @@
         assertThat(mWatcher.stalenessMillis()).isAtLeast(1100);
         assertThat(mKind.watchedFor()).isEqualTo(WATCH_WAIT);
     }
+
+    /** Guards against an answer of a past era, or without one, that is taken for a newer state. */
+    @Test
+    void anAnswerOfAPastEraIsAFailedCall() {
+        mWatcher.start();
+        mKind.answerListInEra(2, 7, FakeObjectKind.item("a", "1"));
+        mWatcher.relist();
+        mKind.answerListInEra(1, 9, FakeObjectKind.item("b", "1"));
+        mWatcher.relist();
+        mKind.answerList(9, FakeObjectKind.item("b", "1"));
+        assertThat(mNotifications).containsExactly("all [a]");
+        assertThat(mAvailability.unavailable()).isTrue();
+        mTimers.advance(Duration.ofSeconds(1));
+        mKind.answerListInEra(2, 9, FakeObjectKind.item("c", "1"));
+        assertThat(mNotifications).containsExactly("all [a]", "all [c]").inOrder();
+    }
 }
--- a/rhubarbward-core/src/test/java/io/rhubarbward/testing/FakeObjectKind.java
+++ b/rhubarbward-core/src/test/java/io/rhubarbward/testing/FakeObjectKind.java
@@ -57,6 +57,17 @@
         return mOpenWatches.getLast();
     }
 
+    /** Answers the oldest open list call with a single page of a store in the era. */
+    @SafeVarargs
+    public final void answerListInEra(long era, long revision, DecodedObject<T>... items) {
+        mOpenLists
+                .remove()
+                .complete(
+                        Either.right(
+                                new ObjectPage<>(
+                                        List.of(items), false, new StoreRevision(era, revision))));
+    }
+
     /** Answers the oldest open list call with a single page. */
     @SafeVarargs
     public final void answerList(long revision, DecodedObject<T>... items) {
