--- a/rhubarbward-core/src/test/java/io/rhubarbward/relay/RelayFleet.java
+++ b/rhubarbward-core/src/test/java/io/rhubarbward/relay/RelayFleet.java
@@ -183,6 +183,10 @@
             mRuns = true;
             mFollower.start();
             mTimers.every(Duration.ofMillis(200), this::checkClocks);
+            announce();
+        }
+
+        void announce() {
             mStore.put(ROUTERS, mName, mDataCentre + " " + mName + ":1");
         }
 
--- a/rhubarbward-core/src/test/java/io/rhubarbward/relay/RestoredStoreTest.java
+++ b/rhubarbward-core/src/test/java/io/rhubarbward/relay/RestoredStoreTest.java
@@ -4,7 +4,10 @@
 import static com.google.common.truth.Truth.assertWithMessage;
 
 import java.time.Duration;
+import java.util.SplittableRandom;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /**
  * A store that comes back from a copy some seconds old. {@link RelayFleet} checks after every step
@@ -218,4 +221,55 @@
         mFleet.advance(Duration.ofSeconds(6));
         assertAllUpToDate();
     }
+
+    /** Restores of random age beside outages, restarts, freezes and cut links. */
+    @ParameterizedTest
+    @ValueSource(longs = {1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12})
+    void restoresAmongOtherFaults(long seed) {
+        SplittableRandom random = new SplittableRandom(seed);
+        startThreeDataCentres();
+        for (int round = 0; round < 12; round++) {
+            RelayFleet.Router disturbed = mFleet.mRouters.get(random.nextInt(9));
+            disturb(disturbed, random.nextInt(4));
+            mFleet.writeVersion(mFleet.newestVersion() + 1);
+            mFleet.advance(Duration.ofMillis(random.nextInt(1500)));
+            mFleet.mStore.refuse(router -> true);
+            mFleet.advance(Duration.ofMillis(random.nextInt(2000)));
+            mFleet.mStore.restore(Duration.ofMillis(random.nextInt(15_000)));
+            mFleet.mStore.refuse(router -> false);
+            writeAllAgain();
+            mFleet.advance(Duration.ofMillis(random.nextInt(4000)));
+            heal(disturbed);
+        }
+        mFleet.advance(Duration.ofSeconds(12));
+        mFleet.writeVersion(mFleet.newestVersion() + 1);
+        mFleet.advance(Duration.ofSeconds(1));
+        assertAllUpToDate();
+        assertThat(mFleet.trusted()).hasSize(9);
+    }
+
+    private void disturb(RelayFleet.Router router, int kind) {
+        switch (kind) {
+            case 0 -> router.freeze();
+            case 1 -> router.restart();
+            case 2 -> mFleet.mStore.beSilentTo(router.mName::equals);
+            default ->
+                    mFleet.mPeers.cut(
+                            (from, to) -> from.equals(router.mName) || to.equals(router.mName));
+        }
+    }
+
+    private void heal(RelayFleet.Router router) {
+        if (router.mFrozen) {
+            router.thaw();
+        }
+        mFleet.mStore.beSilentTo(any -> false);
+        mFleet.mPeers.cut((from, to) -> false);
+    }
+
+    private void writeAllAgain() {
+        mFleet.mStore.put(RelayFleet.CONFIG, "main", String.valueOf(mFleet.newestVersion()));
+        mFleet.mStore.put(RelayFleet.SERVERS, "e-1", "ready");
+        mFleet.mRouters.forEach(RelayFleet.Router::announce);
+    }
 }
