Do not complete a version while there is evidence against it

The evidence that calls a version faulty bounds false alarms over 1,500 windows; a few seconds on trial can't give it, and whatever lacked it was completed. Moving all requests now needs evidence below 100 to 1 against the version; else it is rolled back, which is a missed duty for a good one and no broken rule.

It stays tagged known-red.

--- a/rhubarbward-core/src/main/java/io/rhubarbward/move/FleetRollouts.java
+++ b/rhubarbward-core/src/main/java/io/rhubarbward/move/FleetRollouts.java
@@ -348,11 +348,12 @@
         long now = mTimers.nowMillis();
         long shiftingMillis = rollout.shiftingMillis(now);
         if (rollout.mOutcome.isEmpty() && shiftingMillis >= 0) {
-            if (rollout.mJudgedCalls < MIN_JUDGED_CALLS) {
-                decide(
-                        rollout,
-                        RolloutOrder.State.ROLLED_BACK,
-                        new RolloutJudge.Verdict(RolloutReason.TIME, ""));
+            Optional<RolloutJudge.Verdict> obstacle =
+                    rollout.mJudgedCalls < MIN_JUDGED_CALLS
+                            ? Optional.of(new RolloutJudge.Verdict(RolloutReason.TIME, ""))
+                            : rollout.mJudge.doubt();
+            if (obstacle.isPresent()) {
+                decide(rollout, RolloutOrder.State.ROLLED_BACK, obstacle.get());
                 return;
             }
             if (shiftingMillis >= PARTIAL_SHIFT_MILLIS
--- a/rhubarbward-core/src/main/java/io/rhubarbward/move/RolloutJudge.java
+++ b/rhubarbward-core/src/main/java/io/rhubarbward/move/RolloutJudge.java
@@ -1,5 +1,6 @@
 package io.rhubarbward.move;
 
+import java.util.Arrays;
 import java.util.Comparator;
 import java.util.EnumMap;
 import java.util.Map;
@@ -21,6 +22,12 @@
     private static final long MAX_WINDOW_MILLIS = 30_000;
     private static final int MIN_WINDOW_CALLS = 4;
 
+    /**
+     * Evidence from which a version is not completed: a good one has it in at most one window of
+     * 100 on a route.
+     */
+    private static final double LOG_DOUBT = Math.log(100);
+
     private final Function<String, JudgementRule> mRules;
     private final Map<String, RouteEvidence> mRoutes = new TreeMap<>();
     private PairedFigures mUnrecorded = PairedFigures.ZERO;
@@ -64,6 +71,20 @@
                                         route.equals(ALL_ROUTES) ? worstRoute(signal) : route));
     }
 
+    /**
+     * Returns the strongest evidence against the new version if it is too strong to move all calls
+     * to it, although it may be too weak to call the version faulty.
+     */
+    Optional<Verdict> doubt() {
+        return Arrays.stream(QualitySignal.values())
+                .filter(
+                        signal ->
+                                mRoutes.values().stream()
+                                        .anyMatch(route -> route.evidence(signal) >= LOG_DOUBT))
+                .findFirst()
+                .map(signal -> new Verdict(signal.reason(), worstRoute(signal)));
+    }
+
     private String worstRoute(QualitySignal signal) {
         return mRoutes.entrySet().stream()
                 .filter(entry -> !entry.getKey().equals(ALL_ROUTES))
--- a/rhubarbward-core/src/test/java/io/rhubarbward/node/FleetRolloutTest.java
+++ b/rhubarbward-core/src/test/java/io/rhubarbward/node/FleetRolloutTest.java
@@ -9,6 +9,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.function.IntConsumer;
+import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
 
@@ -97,6 +98,22 @@
         assertThat(lastAtTarget(fleet)).isLessThan(orderedMillis + 12_000);
     }
 
+    // Guards against a version that is completed although a tenth of its answers is slow.
+    @ParameterizedTest
+    @ValueSource(longs = {1, 2, 3, 4, 5, 6})
+    @Tag("known-red")
+    void aVersionWithATenthOfItsAnswersSlowIsNotCompleted(long seed) {
+        RouterFleet fleet = fleetWithOrder(seed);
+        fleet.mServers.answerTime(
+                server ->
+                        server.startsWith("n-") && fleet.mRandom.nextInt(10) == 0
+                                ? USUAL.multipliedBy(4)
+                                : USUAL);
+        order(fleet);
+        play(fleet, 20_000, step -> {});
+        assertThat(fleet.rolloutState()).isEqualTo(RolloutOrder.State.ROLLED_BACK);
+    }
+
     // The other servers are stopped at completion, with the requests that they still have.
     @ParameterizedTest
     @ValueSource(longs = {1, 2, 3, 4})
