--- a/rhubarbward-core/src/test/java/io/rhubarbward/node/FleetRolloutTest.java
+++ b/rhubarbward-core/src/test/java/io/rhubarbward/node/FleetRolloutTest.java
@@ -100,9 +100,19 @@
 
     // Guards against a version that is completed although a tenth of its answers is slow.
     @ParameterizedTest
-    @ValueSource(longs = {1, 2, 3, 4, 5, 6})
-    @Tag("known-red")
+    @ValueSource(longs = {1, 2, 3, 5, 6})
     void aVersionWithATenthOfItsAnswersSlowIsNotCompleted(long seed) {
+        assertRolledBackWithATenthOfItsAnswersSlow(seed);
+    }
+
+    @ParameterizedTest
+    @ValueSource(longs = 4)
+    @Tag("known-red")
+    void aVersionWithATenthOfItsAnswersSlowIsNotCompletedEither(long seed) {
+        assertRolledBackWithATenthOfItsAnswersSlow(seed);
+    }
+
+    private static void assertRolledBackWithATenthOfItsAnswersSlow(long seed) {
         RouterFleet fleet = fleetWithOrder(seed);
         fleet.mServers.answerTime(
                 server ->
