Log failed connection attempts to backend servers

No line told how and after which time an attempt to reach a server failed, so that waiting and refusing could not be told apart.

No change of behaviour.

--- a/rhubarbward-core/src/main/java/io/rhubarbward/event/LogEvent.java
+++ b/rhubarbward-core/src/main/java/io/rhubarbward/event/LogEvent.java
@@ -64,6 +64,7 @@
     DATA_CENTRE_EMPTIED(1504, WARNING),
     BACKEND_CONNECTION_LOST(1505, INFO),
     BACKEND_LIMIT_CHANGED(1506, INFO),
+    BACKEND_UNREACHABLE(1507, INFO),
 
     // 1600: routing (no events yet).
 
--- a/rhubarbward-core/src/main/java/io/rhubarbward/forward/ServerCall.java
+++ b/rhubarbward-core/src/main/java/io/rhubarbward/forward/ServerCall.java
@@ -213,13 +213,25 @@
     public void onFailure(BackendFailure failure) {
         SendResult result = result(failure);
         if (end(result)) {
-            if (!failure.provesNotRun() && failure != BackendFailure.SILENT) {
+            if (failure.provesNotRun() || failure == BackendFailure.SILENT) {
+                logUnreachable(result);
+            } else {
                 recordConnectionLost(result);
             }
             mListener.onFailed(mServer, result, !failure.provesNotRun());
         }
     }
 
+    private void logUnreachable(SendResult result) {
+        mContext.events()
+                .log(
+                        LogEvent.BACKEND_UNREACHABLE,
+                        EventField.of("id", mRequest.metadata().attemptId()),
+                        EventField.of("server", mServer.server().name()),
+                        EventField.of("result", result),
+                        EventField.of("afterMs", mContext.timers().nowMillis() - mSentMillis));
+    }
+
     private void recordConnectionLost(SendResult result) {
         mContext.events()
                 .log(
