--- a/rhubarbward-core/src/main/java/io/rhubarbward/forward/ForwardContext.java
+++ b/rhubarbward-core/src/main/java/io/rhubarbward/forward/ForwardContext.java
@@ -5,6 +5,8 @@
 import io.rhubarbward.event.EventLog;
 import io.rhubarbward.placement.PlacementPolicy;
 import io.rhubarbward.placement.ServerTable;
+import io.rhubarbward.reach.ForwardingPeers;
+import io.rhubarbward.reach.Reachability;
 import io.rhubarbward.request.BackendClient;
 import io.rhubarbward.timer.TimerService;
 import java.util.function.LongSupplier;
@@ -20,6 +22,8 @@
  * @param retryBudget limits retries
  * @param crashSuspects finds and blocks requests that crash backend servers
  * @param sendObserver told how each send ended
+ * @param reach whether this router reaches the backend servers
+ * @param peers the routers through which requests go while it does not
  * @param backends sends requests to backend servers
  * @param timers clock and timers
  * @param loopLagMillis how far the event loop may be behind: a request that is read now may have
@@ -36,6 +40,8 @@
         LocalRetryBudget retryBudget,
         CrashSuspects crashSuspects,
         SendObserver sendObserver,
+        Reachability reach,
+        ForwardingPeers peers,
         BackendClient backends,
         TimerService timers,
         LongSupplier loopLagMillis,
--- a/rhubarbward-core/src/main/java/io/rhubarbward/forward/ForwardMetrics.java
+++ b/rhubarbward-core/src/main/java/io/rhubarbward/forward/ForwardMetrics.java
@@ -11,7 +11,9 @@
 
     private final Counter mRequests;
     private final Counter mSends;
+    private final Counter mForwarded;
     private final Gauge mOpenRequests;
+    private final Gauge mServersReachable;
     private final Histogram mFirstByteSeconds;
     private final Histogram mTotalSeconds;
 
@@ -31,11 +33,24 @@
                         .help("Sends to backend servers by service and result.")
                         .labelNames("service", "result")
                         .register(registry);
+        mForwarded =
+                Counter.builder()
+                        .withoutExemplars()
+                        .name("rhubarbward_forwarded_to_routers_total")
+                        .help("Requests forwarded through other routers, by result.")
+                        .labelNames("result")
+                        .register(registry);
         mOpenRequests =
                 Gauge.builder()
                         .name("rhubarbward_forward_open")
                         .help("Requests that are being served.")
                         .register(registry);
+        mServersReachable =
+                Gauge.builder()
+                        .name("rhubarbward_servers_reachable")
+                        .help("0 while this router reaches no backend server, else 1.")
+                        .register(registry);
+        mServersReachable.set(1);
         mFirstByteSeconds =
                 Histogram.builder()
                         .withoutExemplars()
@@ -62,6 +77,15 @@
         mSends.labelValues(service, result).inc();
     }
 
+    void countForwarded(String result) {
+        mForwarded.labelValues(result).inc();
+    }
+
+    /** Shows whether this router reaches the backend servers. */
+    public void setServersReachable(boolean reachable) {
+        mServersReachable.set(reachable ? 1 : 0);
+    }
+
     void setOpenRequests(int requests) {
         mOpenRequests.set(requests);
     }
--- a/rhubarbward-core/src/main/java/io/rhubarbward/forward/ForwardedExchange.java
+++ b/rhubarbward-core/src/main/java/io/rhubarbward/forward/ForwardedExchange.java
@@ -9,6 +9,9 @@
 import io.rhubarbward.placement.PlacementQuery;
 import io.rhubarbward.placement.SendResult;
 import io.rhubarbward.placement.TrackedServer;
+import io.rhubarbward.reach.ForwardingPeer;
+import io.rhubarbward.reach.PeerRefusal;
+import io.rhubarbward.reach.ReachState;
 import io.rhubarbward.request.CallerListener;
 import io.rhubarbward.request.CallerResponse;
 import io.rhubarbward.request.HeaderFields;
@@ -18,6 +21,7 @@
 import java.nio.ByteBuffer;
 import java.time.Duration;
 import java.util.HashSet;
+import java.util.Optional;
 import java.util.Set;
 import java.util.function.Consumer;
 import org.jspecify.annotations.Nullable;
@@ -29,7 +33,7 @@
  * than once. Once an answer has begun to reach the caller, it is either completed or the caller's
  * connection is aborted, so that the caller notices the incomplete answer.
  */
-final class ForwardedExchange implements CallerListener, ServerCall.Listener {
+final class ForwardedExchange implements CallerListener, ServerCall.Listener, PeerCall.Listener {
     static final int MISDIRECTED_STATUS = 421;
     private static final int MIN_SERVER_ERROR_STATUS = 500;
 
@@ -42,6 +46,9 @@
      */
     private static final int MAX_EXTRA_SENDS = 2;
 
+    /** Other routers that one request may be forwarded to, one after the other. */
+    private static final int MAX_PEERS = 3;
+
     /** Remaining time below which sending is pointless: servers stop at the deadline. */
     private static final long MIN_REMAINING_MILLIS = 20;
 
@@ -66,7 +73,8 @@
     private final long mArrivedMillis;
     private final long mDeadlineMillis;
     private TimerService.Subscription mDeadlineTimer = () -> {};
-    private @Nullable ServerCall mCall;
+    private @Nullable OpenCall mCall;
+    private final Set<String> mTriedPeers = new HashSet<>();
     private int mSends;
     private int mPossibleRuns;
     private boolean mAnswerBegun;
@@ -126,6 +134,13 @@
         if (refuseIfBlocked()) {
             return;
         }
+        if (!mRequest.forwarded() && mContext.reach().state() == ReachState.CUT_OFF) {
+            forwardOrRefuse("this router reaches no backend server", remainingMillis);
+            return;
+        }
+        if (mSends > 0 && forwardIfInDoubt(remainingMillis)) {
+            return;
+        }
         Placement placement =
                 mContext.policy()
                         .place(
@@ -139,10 +154,114 @@
         if (placement instanceof Placement.Chosen chosen) {
             send(chosen, remainingMillis);
         } else if (placement instanceof Placement.None none) {
-            refuseUnplaced(none);
+            if (!forwardIfInDoubt(remainingMillis)) {
+                refuseUnplaced(none);
+            }
         }
     }
 
+    /** Forwards the request if this router's links are in doubt; returns whether it did. */
+    private boolean forwardIfInDoubt(long remainingMillis) {
+        boolean inDoubt = !mRequest.forwarded() && mContext.reach().state().doubtful();
+        Optional<ForwardingPeer> peer =
+                inDoubt ? mContext.peers().choose(mTriedPeers) : Optional.empty();
+        peer.ifPresent(found -> forward(found, remainingMillis));
+        return peer.isPresent();
+    }
+
+    private void forwardOrRefuse(String reason, long remainingMillis) {
+        Optional<ForwardingPeer> peer =
+                mTriedPeers.size() < MAX_PEERS
+                        ? mContext.peers().choose(mTriedPeers)
+                        : Optional.empty();
+        peer.ifPresentOrElse(
+                found -> forward(found, remainingMillis),
+                () -> refuse(RefusalCode.NO_BACKEND, reason + ", and no other router is known to"));
+    }
+
+    private void forward(ForwardingPeer peer, long remainingMillis) {
+        if (mRequest.account() != null && !mContext.freshness().mayTrustKeys()) {
+            refuse(RefusalCode.NOT_READY, "the configuration is no longer confirmed");
+            return;
+        }
+        mTriedPeers.add(peer.name());
+        mContext.events()
+                .log(
+                        LogEvent.REQUEST_FORWARDED,
+                        EventField.of("id", mRequest.metadata().attemptId()),
+                        EventField.of("route", route().name()),
+                        EventField.of("router", peer.name()),
+                        EventField.of("reach", mContext.reach().state()),
+                        EventField.of("remainingMs", remainingMillis));
+        PeerCall call = new PeerCall(mRequest, mContext, peer, this);
+        mCall = call;
+        call.send(Duration.ofMillis(remainingMillis), maxAttempts() - mPossibleRuns);
+    }
+
+    @Override
+    public void onPeerRefused(ForwardingPeer peer, PeerRefusal refusal) {
+        mCall = null;
+        if (refusal.othersMayServe()) {
+            mContext.peers().onUnable(peer);
+            placeAndSend();
+            return;
+        }
+        if (refusal.mayHaveRun()) {
+            mPossibleRuns++;
+        }
+        refuse(refusal.code(), "router " + peer.name(), refusal.retryAfterMillis());
+    }
+
+    @Override
+    public void onPeerFailed(ForwardingPeer peer, SendResult result, boolean mayHaveRun) {
+        mCall = null;
+        mContext.peers().onUnable(peer);
+        if (mAnswerBegun) {
+            end("cut-" + result, mResponse::abort);
+            return;
+        }
+        if (mayHaveRun) {
+            mPossibleRuns++;
+        }
+        if (mayRetry(mayHaveRun)) {
+            placeAndSend();
+        } else {
+            refuse(RefusalCode.BACKEND_LOST, "router " + peer.name() + ": " + result);
+        }
+    }
+
+    /**
+     * Moves the request to another router, if its answer has not begun, now that this router has
+     * turned out to be cut off from the servers.
+     */
+    void onCutOff() {
+        OpenCall call = mCall;
+        if (!(call instanceof ServerCall) || mAnswerBegun) {
+            return;
+        }
+        boolean mayHaveRun = call.mayHaveBeenSent();
+        if (mayHaveRun && !mayRetryAfterRun()) {
+            return;
+        }
+        mCall = null;
+        call.cancel(SendResult.CANCELLED);
+        if (mayHaveRun) {
+            mPossibleRuns++;
+        }
+        placeAndSend();
+    }
+
+    /** Returns whether the request may be sent once more if the open call may have run it. */
+    private boolean mayRetryAfterRun() {
+        return route().mayRunAgain()
+                && mPossibleRuns + 1 < maxAttempts()
+                && mContext.retryBudget().tryAcquire(mRequest.service().name());
+    }
+
+    private int maxAttempts() {
+        return Math.min(route().maxAttempts(), mRequest.origin().attemptsLeft());
+    }
+
     /** Refuses a request that would crash its server; returns whether it did. */
     private boolean refuseIfBlocked() {
         CrashSuspects suspects = mContext.crashSuspects();
@@ -187,6 +306,7 @@
                         EventField.of("server", server.server().name()),
                         EventField.of("reason", chosen.reason()),
                         EventField.of("send", mSends),
+                        EventField.of("forwardedBy", mRequest.origin().router()),
                         EventField.of("inFlight", server.inFlight()),
                         EventField.of("remainingMs", remainingMillis));
         ServerCall call = new ServerCall(mRequest, mContext, server, this);
@@ -197,7 +317,7 @@
     @Override
     public void onNotRun(TrackedServer server, int status) {
         mCall = null;
-        boolean retryable = mPossibleRuns == 0 && mSends < route().maxAttempts() + MAX_EXTRA_SENDS;
+        boolean retryable = mPossibleRuns == 0 && mSends < maxAttempts() + MAX_EXTRA_SENDS;
         if (retryable && mContext.retryBudget().tryAcquire(mRequest.service().name())) {
             placeAndSend();
         } else {
@@ -208,14 +328,15 @@
     @Override
     public void onHead(int status, HeaderFields headers) {
         mStatus = status;
-        if (status >= MIN_SERVER_ERROR_STATUS && retryAfterError(status)) {
+        boolean fromServer = mCall instanceof ServerCall;
+        if (status >= MIN_SERVER_ERROR_STATUS && fromServer && retryAfterError()) {
             return;
         }
         mAnswerBegun = true;
         if (NOT_RUN_STATUSES.contains(status)) {
             // The server does not state that it did not run the request, so the caller must not be
             // given a status that says so.
-            ServerCall call = mCall;
+            OpenCall call = mCall;
             mCall = null;
             if (call != null) {
                 call.cancel(SendResult.SERVER_ERROR);
@@ -228,12 +349,11 @@
         mResponse.begin(status, mContext.dialect().toCaller(headers));
     }
 
-    private boolean retryAfterError(int status) {
-        boolean retryable = route().mayRunAgain() && mPossibleRuns + 1 < route().maxAttempts();
-        if (!retryable || !mContext.retryBudget().tryAcquire(mRequest.service().name())) {
+    private boolean retryAfterError() {
+        if (!mayRetryAfterRun()) {
             return false;
         }
-        ServerCall call = mCall;
+        OpenCall call = mCall;
         mCall = null;
         mPossibleRuns++;
         if (call != null) {
@@ -282,19 +402,19 @@
     }
 
     private boolean mayRetry(boolean mayHaveRun) {
-        if (mSends >= route().maxAttempts() + MAX_EXTRA_SENDS) {
+        if (mSends >= maxAttempts() + MAX_EXTRA_SENDS) {
             return false;
         }
         if (!mayHaveRun) {
             return mPossibleRuns == 0 || route().mayRunAgain();
         }
         return route().mayRunAgain()
-                && mPossibleRuns < route().maxAttempts()
+                && mPossibleRuns < maxAttempts()
                 && mContext.retryBudget().tryAcquire(mRequest.service().name());
     }
 
     private void onTimeout() {
-        ServerCall call = mCall;
+        OpenCall call = mCall;
         mCall = null;
         if (call != null) {
             call.cancel(mAnswerBegun ? SendResult.CANCELLED : SendResult.TIMED_OUT);
@@ -313,28 +433,11 @@
     }
 
     private void refuse(RefusalCode code, String detail, long notRunRetryAfterMillis) {
-        boolean mayHaveRun = mPossibleRuns > 0;
-        RefusalCode truthfulCode = mayHaveRun ? codeOfUnknownOutcome(code) : codeOfNotRun(code);
-        long retryAfterMillis = mayHaveRun ? 0 : notRunRetryAfterMillis;
         Refusal refusal =
-                new Refusal(truthfulCode, detail, retryAfterMillis).withRunState(mayHaveRun);
+                TruthfulRefusals.of(code, detail, notRunRetryAfterMillis, mPossibleRuns > 0);
         end(
-                "refused-" + truthfulCode.label() + ": " + detail,
-                () -> refusal.sendTo(mResponse, mContext.dialect()::retryAfter));
-    }
-
-    private static RefusalCode codeOfUnknownOutcome(RefusalCode code) {
-        return switch (code) {
-            case DEADLINE_EXCEEDED, BACKEND_SILENT -> code;
-            default -> RefusalCode.BACKEND_LOST;
-        };
-    }
-
-    private static RefusalCode codeOfNotRun(RefusalCode code) {
-        return switch (code) {
-            case OVERLOADED, NOT_READY, DEADLINE_EXCEEDED, CRASHES_SERVERS -> code;
-            default -> RefusalCode.NO_BACKEND;
-        };
+                "refused-" + refusal.code().label() + ": " + detail,
+                () -> mResponse.refuse(refusal, mContext.dialect()::retryAfter));
     }
 
     private void end(String outcome, Runnable sendAnswer) {
@@ -369,7 +472,7 @@
 
     @Override
     public void onGone() {
-        ServerCall call = mCall;
+        OpenCall call = mCall;
         mCall = null;
         if (call != null) {
             call.cancel(SendResult.CANCELLED);
--- a/rhubarbward-core/src/main/java/io/rhubarbward/forward/ForwardingService.java
+++ b/rhubarbward-core/src/main/java/io/rhubarbward/forward/ForwardingService.java
@@ -2,6 +2,7 @@
 
 import io.rhubarbward.event.EventField;
 import io.rhubarbward.event.LogEvent;
+import io.rhubarbward.reach.ReachState;
 import io.rhubarbward.request.CallerListener;
 import io.rhubarbward.request.CallerRequest;
 import io.rhubarbward.request.CallerResponse;
@@ -10,6 +11,7 @@
 import io.vavr.control.Either;
 import java.time.Duration;
 import java.util.HashSet;
+import java.util.List;
 import java.util.Set;
 
 /**
@@ -37,7 +39,7 @@
     private static final String UNKNOWN_ROUTE_KIND = "none";
 
     /** Ignores the connection events of a request that has already been answered. */
-    private static final CallerListener NO_OP_LISTENER =
+    static final CallerListener NO_OP_LISTENER =
             new CallerListener() {
                 @Override
                 public void onWritable(boolean writable) {}
@@ -59,6 +61,10 @@
 
     /** Serves the request; the returned listener expects the events of the caller's connection. */
     public CallerListener serve(CallerRequest request, CallerResponse response) {
+        return serve(request, response, RequestOrigin.CALLER);
+    }
+
+    CallerListener serve(CallerRequest request, CallerResponse response, RequestOrigin origin) {
         Either<String, RequestMetadata> metadata = mContext.dialect().read(request);
         if (metadata.isLeft()) {
             return refuse(
@@ -73,7 +79,7 @@
                     response);
         }
         return mResolver
-                .resolve(request, metadata.get())
+                .resolve(request, metadata.get(), origin)
                 .fold(
                         refusal -> refuse(id, refusal, response),
                         resolved -> start(resolved, response));
@@ -90,12 +96,14 @@
                         EventField.of(
                                 "catalogAgeMs",
                                 mContext.freshness().catalogAgeMillis().getAsLong()));
-        refusal.sendTo(response, mContext.dialect()::retryAfter);
+        response.refuse(refusal, mContext.dialect()::retryAfter);
         return NO_OP_LISTENER;
     }
 
     private CallerListener start(ResolvedRequest request, CallerResponse response) {
-        mContext.retryBudget().recordRequest(request.service().name());
+        if (mContext.reach().state() != ReachState.CUT_OFF) {
+            mContext.retryBudget().recordRequest(request.service().name());
+        }
         ForwardedExchange exchange =
                 new ForwardedExchange(request, response, mContext, this::close);
         mOpenExchanges.add(exchange);
@@ -113,6 +121,13 @@
         mContext.metrics().setOpenRequests(mOpenExchanges.size());
     }
 
+    /** Moves open requests to other routers if this one has lost the way to the servers. */
+    public void onReachState(ReachState state) {
+        if (state == ReachState.CUT_OFF) {
+            List.copyOf(mOpenExchanges).forEach(ForwardedExchange::onCutOff);
+        }
+    }
+
     /** Refuses every new request from now on; open ones continue. */
     public void refuseNew() {
         mRefusesNew = true;
--- /dev/null
+++ b/rhubarbward-core/src/main/java/io/rhubarbward/forward/OpenCall.java
@@ -0,0 +1,15 @@
+package io.rhubarbward.forward;
+
+import io.rhubarbward.placement.SendResult;
+
+/** A call in progress, to a backend server or to another router. */
+interface OpenCall {
+    /** Tells whether the caller's connection can take more data. */
+    void onCallerWritable(boolean writable);
+
+    /** Cancels the call by closing its connection. */
+    void cancel(SendResult result);
+
+    /** Returns whether the other side may have got any part of the request. */
+    boolean mayHaveBeenSent();
+}
--- /dev/null
+++ b/rhubarbward-core/src/main/java/io/rhubarbward/forward/PeerCall.java
@@ -0,0 +1,150 @@
+package io.rhubarbward.forward;
+
+import io.rhubarbward.placement.SendResult;
+import io.rhubarbward.reach.ForwardingPeer;
+import io.rhubarbward.reach.PeerHeaders;
+import io.rhubarbward.reach.PeerRefusal;
+import io.rhubarbward.request.BackendCall;
+import io.rhubarbward.request.BackendFailure;
+import io.rhubarbward.request.BackendListener;
+import io.rhubarbward.request.BackendRequest;
+import io.rhubarbward.request.HeaderFields;
+import java.nio.ByteBuffer;
+import java.time.Duration;
+import java.util.Optional;
+import org.jspecify.annotations.Nullable;
+
+/** One attempt to have a request served by another router, which reaches the backend servers. */
+final class PeerCall implements BackendListener, OpenCall {
+    private final ResolvedRequest mRequest;
+    private final ForwardContext mContext;
+    private final ForwardingPeer mPeer;
+    private final Listener mListener;
+    private @Nullable BackendCall mCall;
+    private boolean mEnded;
+
+    PeerCall(
+            ResolvedRequest request,
+            ForwardContext context,
+            ForwardingPeer peer,
+            Listener listener) {
+        mRequest = request;
+        mContext = context;
+        mPeer = peer;
+        mListener = listener;
+    }
+
+    /** Receives the progress of a call and then at most one of its ends. */
+    interface Listener extends AnswerListener {
+        /** The other router refused the request itself; an end. */
+        void onPeerRefused(ForwardingPeer peer, PeerRefusal refusal);
+
+        /** The call failed; an end. */
+        void onPeerFailed(ForwardingPeer peer, SendResult result, boolean mayHaveRun);
+    }
+
+    void send(Duration remaining, int attemptsLeft) {
+        HeaderFields headers =
+                mContext.dialect()
+                        .toPeer(PeerHeaders.strip(mRequest.caller().headers()), remaining)
+                        .with(PeerHeaders.FORWARDED_BY, mContext.peers().self())
+                        .with(PeerHeaders.ATTEMPTS_LEFT, Integer.toString(attemptsLeft))
+                        .with(
+                                PeerHeaders.CATALOG_VERSION,
+                                Long.toString(mContext.peers().minCatalogVersion()));
+        mPeer.recordSend();
+        mCall =
+                mContext.backends()
+                        .send(
+                                new BackendRequest(
+                                        mPeer.endpoint(),
+                                        mRequest.caller().method(),
+                                        mRequest.caller().target(),
+                                        headers,
+                                        mRequest.caller().body()),
+                                this);
+        if (mEnded) {
+            mCall.cancel();
+        }
+    }
+
+    @Override
+    public void onCallerWritable(boolean writable) {
+        if (mCall != null && !mEnded) {
+            if (writable) {
+                mCall.resume();
+            } else {
+                mCall.pause();
+            }
+        }
+    }
+
+    @Override
+    public void cancel(SendResult result) {
+        if (end(result) && mCall != null) {
+            mCall.cancel();
+        }
+    }
+
+    @Override
+    public boolean mayHaveBeenSent() {
+        return mCall == null || mCall.mayHaveBeenSent();
+    }
+
+    @Override
+    public void onHead(int status, HeaderFields headers) {
+        if (mEnded) {
+            return;
+        }
+        Optional<PeerRefusal> refusal = headers.first(PeerHeaders.REFUSAL).map(PeerRefusal::decode);
+        if (refusal.isPresent()) {
+            if (end(SendResult.SHED)) {
+                mListener.onPeerRefused(mPeer, refusal.get());
+            }
+            return;
+        }
+        ResponseMetadata metadata = mContext.dialect().readAnswer(status, headers);
+        boolean answersThisAttempt =
+                metadata.attemptId().map(mRequest.metadata().attemptId()::equals).orElse(false);
+        if (answersThisAttempt && metadata.genuine()) {
+            mListener.onHead(status, headers);
+        } else if (end(SendResult.BROKEN)) {
+            if (mCall != null) {
+                mCall.cancel();
+            }
+            mListener.onPeerFailed(mPeer, SendResult.BROKEN, true);
+        }
+    }
+
+    @Override
+    public void onPart(ByteBuffer part) {
+        if (!mEnded) {
+            mListener.onPart(part);
+        }
+    }
+
+    @Override
+    public void onComplete() {
+        if (end(SendResult.ANSWERED)) {
+            mListener.onComplete();
+        }
+    }
+
+    @Override
+    public void onFailure(BackendFailure failure) {
+        SendResult result = failure.provesNotRun() ? SendResult.UNREACHABLE : SendResult.BROKEN;
+        if (end(result)) {
+            mListener.onPeerFailed(mPeer, result, !failure.provesNotRun());
+        }
+    }
+
+    private boolean end(SendResult result) {
+        if (mEnded) {
+            return false;
+        }
+        mEnded = true;
+        mPeer.recordEnd();
+        mContext.metrics().countForwarded(result.name());
+        return true;
+    }
+}
--- /dev/null
+++ b/rhubarbward-core/src/main/java/io/rhubarbward/forward/PeerGateway.java
@@ -0,0 +1,178 @@
+package io.rhubarbward.forward;
+
+import io.rhubarbward.reach.PeerHeaders;
+import io.rhubarbward.reach.PeerRefusal;
+import io.rhubarbward.reach.ReachState;
+import io.rhubarbward.request.CallerListener;
+import io.rhubarbward.request.CallerRequest;
+import io.rhubarbward.request.CallerResponse;
+import io.rhubarbward.request.HeaderFields;
+import io.rhubarbward.request.Refusal;
+import io.rhubarbward.request.RefusalCode;
+import io.rhubarbward.request.RunState;
+import io.vavr.control.Try;
+import java.nio.ByteBuffer;
+import java.util.Optional;
+import java.util.function.BooleanSupplier;
+import java.util.function.LongFunction;
+import java.util.function.LongSupplier;
+import java.util.function.Predicate;
+
+/**
+ * Serves requests that other routers forward since they reach no backend server themselves.
+ *
+ * <p>A forwarded request is served like a caller's, by this router's own catalogue, budgets and
+ * knowledge of the servers, but is never forwarded once more. This router declines while it reaches
+ * no server itself, stops, is behind with its work, or has an older catalogue.
+ */
+public final class PeerGateway {
+    /** Lag of the event loop from which this router takes no further requests of others. */
+    private static final long MAX_LAG_MILLIS = 200;
+
+    /** Requests of callers and routers together above which those of routers are declined. */
+    private static final int MAX_OPEN_REQUESTS = 1500;
+
+    /** Retry-after of a declined request, in which its router finds another one. */
+    private static final long DECLINED_RETRY_MILLIS = 400;
+
+    private static final int OK = 200;
+    private static final int SERVICE_UNAVAILABLE = 503;
+
+    private final ForwardingService mForwarding;
+    private final ForwardContext mContext;
+    private final BooleanSupplier mTakesRequests;
+    private final LongSupplier mCatalogVersion;
+    private final Predicate<String> mIsRouter;
+
+    /**
+     * Creates a gateway to the forwarding service.
+     *
+     * @param takesRequests whether this router knows the servers and is not stopping
+     * @param catalogVersion returns the version of the catalogue in force
+     * @param isRouter whether a VM name is that of a listed router
+     */
+    public PeerGateway(
+            ForwardingService forwarding,
+            ForwardContext context,
+            BooleanSupplier takesRequests,
+            LongSupplier catalogVersion,
+            Predicate<String> isRouter) {
+        mForwarding = forwarding;
+        mContext = context;
+        mTakesRequests = takesRequests;
+        mCatalogVersion = catalogVersion;
+        mIsRouter = isRouter;
+    }
+
+    /** Answers a query, or serves a forwarded request. */
+    public CallerListener serve(CallerRequest request, CallerResponse response) {
+        if (request.headers().first(PeerHeaders.QUERY_BY).isPresent()) {
+            return answerQuery(response);
+        }
+        PeerResponse peerResponse = new PeerResponse(response);
+        Optional<String> router =
+                request.headers().first(PeerHeaders.FORWARDED_BY).filter(mIsRouter);
+        if (router.isEmpty()) {
+            return refuse(
+                    peerResponse,
+                    Refusal.of(
+                            RefusalCode.MALFORMED_REQUEST,
+                            PeerHeaders.FORWARDED_BY + ": expected the name of a listed router"));
+        }
+        if (!willing() || number(request, PeerHeaders.CATALOG_VERSION) > version()) {
+            return refuse(
+                    peerResponse,
+                    new Refusal(
+                            RefusalCode.NOT_READY,
+                            "this router does not forward now",
+                            DECLINED_RETRY_MILLIS));
+        }
+        RequestOrigin origin =
+                new RequestOrigin(router.get(), (int) number(request, PeerHeaders.ATTEMPTS_LEFT));
+        return mForwarding.serve(
+                new CallerRequest(
+                        request.method(),
+                        request.target(),
+                        PeerHeaders.strip(request.headers()),
+                        request.body()),
+                peerResponse,
+                origin);
+    }
+
+    private CallerListener answerQuery(CallerResponse response) {
+        response.begin(
+                willing() ? OK : SERVICE_UNAVAILABLE,
+                HeaderFields.of("content-length", "0")
+                        .with(PeerHeaders.CATALOG_VERSION, Long.toString(version()))
+                        .with(
+                                PeerHeaders.OPEN_REQUESTS,
+                                Integer.toString(mForwarding.openRequests())));
+        response.finish();
+        return ForwardingService.NO_OP_LISTENER;
+    }
+
+    private CallerListener refuse(PeerResponse response, Refusal refusal) {
+        response.refuse(refusal, mContext.dialect()::retryAfter);
+        return ForwardingService.NO_OP_LISTENER;
+    }
+
+    private boolean willing() {
+        return mTakesRequests.getAsBoolean()
+                && mContext.reach().state() == ReachState.CONNECTED
+                && mContext.loopLagMillis().getAsLong() <= MAX_LAG_MILLIS
+                && mForwarding.openRequests() < MAX_OPEN_REQUESTS;
+    }
+
+    private long version() {
+        return mCatalogVersion.getAsLong();
+    }
+
+    private static long number(CallerRequest request, String header) {
+        return request.headers()
+                .first(header)
+                .flatMap(text -> Try.of(() -> Long.valueOf(text)).toJavaOptional())
+                .orElse(0L);
+    }
+
+    /** The response to another router; marks this router's own refusals. */
+    private record PeerResponse(CallerResponse delegate) implements CallerResponse {
+        @Override
+        public void begin(int status, HeaderFields headers) {
+            delegate.begin(status, PeerHeaders.strip(headers));
+        }
+
+        @Override
+        public void write(ByteBuffer part) {
+            delegate.write(part);
+        }
+
+        @Override
+        public void finish() {
+            delegate.finish();
+        }
+
+        @Override
+        public void abort() {
+            delegate.abort();
+        }
+
+        @Override
+        public void whenDelivered(Runnable action) {
+            delegate.whenDelivered(action);
+        }
+
+        @Override
+        public void refuse(Refusal refusal, LongFunction<HeaderFields> retryAfter) {
+            PeerRefusal marked =
+                    new PeerRefusal(
+                            refusal.code(),
+                            refusal.retryAfterMillis(),
+                            refusal.runState() != RunState.NOT_RUN);
+            delegate.begin(
+                    refusal.code().status(),
+                    HeaderFields.of("content-length", "0")
+                            .with(PeerHeaders.REFUSAL, marked.encode()));
+            delegate.finish();
+        }
+    }
+}
--- a/rhubarbward-core/src/main/java/io/rhubarbward/forward/RequestDialect.java
+++ b/rhubarbward-core/src/main/java/io/rhubarbward/forward/RequestDialect.java
@@ -3,6 +3,7 @@
 import io.rhubarbward.request.CallerRequest;
 import io.rhubarbward.request.HeaderFields;
 import io.vavr.control.Either;
+import java.time.Duration;
 
 /** Encodes and decodes the header fields of one platform; it makes no decisions. */
 public interface RequestDialect {
@@ -12,6 +13,14 @@
     /** Returns the header fields to send to a backend server. */
     HeaderFields toServer(HeaderFields fromCaller, BackendRequestMetadata metadata);
 
+    /**
+     * Returns the header fields of a caller's request to send to another router, which serves it in
+     * this one's place.
+     *
+     * @param remaining the time left until the request's deadline
+     */
+    HeaderFields toPeer(HeaderFields fromCaller, Duration remaining);
+
     /** Decodes the head of a backend server's answer. */
     ResponseMetadata readAnswer(int status, HeaderFields fromServer);
 
--- a/rhubarbward-core/src/main/java/io/rhubarbward/forward/RequestResolver.java
+++ b/rhubarbward-core/src/main/java/io/rhubarbward/forward/RequestResolver.java
@@ -25,35 +25,40 @@
         mContext = context;
     }
 
-    Either<Refusal, ResolvedRequest> resolve(CallerRequest request, RequestMetadata metadata) {
+    Either<Refusal, ResolvedRequest> resolve(
+            CallerRequest request, RequestMetadata metadata, RequestOrigin origin) {
         return mContext.catalog()
                 .current()
                 .<Either<Refusal, ResolvedRequest>>map(
-                        catalog -> resolve(request, metadata, catalog))
+                        catalog -> resolve(request, metadata, origin, catalog))
                 .orElseGet(() -> notReady("no configuration was read yet"));
     }
 
     private Either<Refusal, ResolvedRequest> resolve(
-            CallerRequest request, RequestMetadata metadata, Catalog catalog) {
+            CallerRequest request,
+            RequestMetadata metadata,
+            RequestOrigin origin,
+            Catalog catalog) {
         Optional<Route> route = catalog.route(metadata.host(), request.path());
         if (route.isEmpty()) {
             return unknown(RefusalCode.UNKNOWN_PATH, "no route serves " + metadata.host());
         }
         if (route.get().allowsAnonymous() || !catalog.hasApiKeys()) {
-            return accept(request, metadata, catalog, route.get(), null);
+            return accept(request, metadata, origin, catalog, route.get(), null);
         }
         if (!mContext.freshness().mayTrustKeys()) {
             return notReady("the configuration is not confirmed, so that no key can be trusted");
         }
         return metadata.key()
                 .flatMap(catalog::account)
-                .map(account -> accept(request, metadata, catalog, route.get(), account))
+                .map(account -> accept(request, metadata, origin, catalog, route.get(), account))
                 .orElseGet(() -> unknown(RefusalCode.UNAUTHENTICATED, "the key is not known"));
     }
 
     private Either<Refusal, ResolvedRequest> accept(
             CallerRequest request,
             RequestMetadata metadata,
+            RequestOrigin origin,
             Catalog catalog,
             Route route,
             @Nullable KeyedAccount account) {
@@ -63,7 +68,8 @@
                         profile ->
                                 Either.right(
                                         new ResolvedRequest(
-                                                request, metadata, route, profile, account)))
+                                                request, metadata, route, profile, account,
+                                                origin)))
                 .orElseGet(() -> notReady("service " + service + " is not configured"));
     }
 
--- a/rhubarbward-core/src/main/java/io/rhubarbward/forward/ResolvedRequest.java
+++ b/rhubarbward-core/src/main/java/io/rhubarbward/forward/ResolvedRequest.java
@@ -18,13 +18,20 @@
  * @param route the route that matches it
  * @param service the service chosen from the route's targets
  * @param account the account that the caller's key belongs to; null where no key is needed
+ * @param origin the router that forwarded the request; {@link RequestOrigin#CALLER} if none did
  */
 record ResolvedRequest(
         CallerRequest caller,
         RequestMetadata metadata,
         Route route,
         ServiceProfile service,
-        @Nullable KeyedAccount account) {
+        @Nullable KeyedAccount account,
+        RequestOrigin origin) {
+    /** Returns whether another router has forwarded the request to this one. */
+    boolean forwarded() {
+        return origin.forwarded();
+    }
+
     Optional<String> accountName() {
         return Optional.ofNullable(account).map(KeyedAccount::name);
     }
--- a/rhubarbward-core/src/main/java/io/rhubarbward/forward/ServerCall.java
+++ b/rhubarbward-core/src/main/java/io/rhubarbward/forward/ServerCall.java
@@ -19,7 +19,7 @@
  * <p>Records the result in the server table and the metrics. Events that arrive after the end are
  * ignored, so that a late answer does not reach the caller.
  */
-final class ServerCall implements BackendListener {
+final class ServerCall implements BackendListener, OpenCall {
     private static final int MIN_SERVER_ERROR_STATUS = 500;
     private static final long NO_FIRST_BYTE = -1;
 
@@ -58,25 +58,17 @@
     }
 
     /** Receives the progress of a call and then at most one of its ends. */
-    interface Listener {
+    interface Listener extends AnswerListener {
         /** The server declined the request and will not run it; an end. */
         void onNotRun(TrackedServer server, int status);
 
-        /** A genuine answer to this request begins. */
-        void onHead(int status, HeaderFields headers);
-
-        /** A part of the answer's body. */
-        void onPart(ByteBuffer part);
-
-        /** The answer is complete; an end. */
-        void onComplete();
-
         /** The call failed; an end. */
         void onFailed(TrackedServer server, SendResult result, boolean mayHaveRun);
     }
 
     void send(Duration remaining) {
         mContext.table().recordSend(mServer);
+        mContext.reach().onSent(this, mServer);
         BackendRequestMetadata metadata =
                 new BackendRequestMetadata(
                         mServer.server().name(),
@@ -103,7 +95,8 @@
         return mServer;
     }
 
-    void onCallerWritable(boolean writable) {
+    @Override
+    public void onCallerWritable(boolean writable) {
         if (mCall != null && !mEnded) {
             if (writable) {
                 mCall.resume();
@@ -113,8 +106,13 @@
         }
     }
 
-    /** Cancels the call by closing its connection to the server. */
-    void cancel(SendResult result) {
+    @Override
+    public boolean mayHaveBeenSent() {
+        return mCall == null || mCall.mayHaveBeenSent();
+    }
+
+    @Override
+    public void cancel(SendResult result) {
         if (end(result) && mCall != null) {
             if (result == SendResult.TIMED_OUT) {
                 mCall.expire();
@@ -129,6 +127,7 @@
         if (mEnded) {
             return;
         }
+        mContext.reach().onHeard(this);
         mStatus = status;
         mAnswerBegunMillis = mContext.timers().nowMillis();
         mFraming = new EventStreamFraming(headers);
@@ -178,6 +177,7 @@
     @Override
     public void onPart(ByteBuffer part) {
         if (!mEnded) {
+            mContext.reach().onHeard(this);
             long sinceSentMillis = mContext.timers().nowMillis() - mSentMillis;
             if (mFirstByteMillis == NO_FIRST_BYTE) {
                 mFirstByteMillis = sinceSentMillis;
@@ -243,8 +243,15 @@
                         EventField.of("parts", mRequest.sharedPartIds()));
         // A server that is shutting down ends its connections by itself.
         if (!mServer.leaving()) {
-            mContext.crashSuspects()
-                    .recordCrash(mRequest.traits(), mServer.incarnation(), answerMillis());
+            long answerMillis = answerMillis();
+            mContext.reach()
+                    .whenConfirmed(
+                            () ->
+                                    mContext.crashSuspects()
+                                            .recordCrash(
+                                                    mRequest.traits(),
+                                                    mServer.incarnation(),
+                                                    answerMillis));
         }
     }
 
@@ -271,14 +278,22 @@
         }
         mEnded = true;
         mContext.metrics().countSend(mRequest.service().name(), result.name());
-        mContext.table().recordResult(mServer, result, mRequest.service().coldStart());
+        SendResult heldAgainstServer =
+                mContext.reach().onEnded(this, mServer, result, () -> recordFailure(result));
+        mContext.table().recordResult(mServer, heldAgainstServer, mRequest.service().coldStart());
         if (mFirstByteMillis != NO_FIRST_BYTE && result == SendResult.ANSWERED) {
             time(mContext.timers().nowMillis() - mSentMillis);
         }
-        mContext.sendObserver().onEnded(mServer, mRequest.route(), result);
+        mContext.sendObserver().onEnded(mServer, mRequest.route(), heldAgainstServer);
         return true;
     }
 
+    /** Records a failure of a call that has ended before. */
+    private void recordFailure(SendResult result) {
+        mContext.table().recordFailure(mServer, result, mRequest.service().coldStart());
+        mContext.sendObserver().onEnded(mServer, mRequest.route(), result);
+    }
+
     /** Tells the observer the times of the answer, once. */
     private void time(long sinceSentMillis) {
         if (mTimed) {
--- a/rhubarbward-core/src/main/java/io/rhubarbward/node/FleetNodeSettings.java
+++ b/rhubarbward-core/src/main/java/io/rhubarbward/node/FleetNodeSettings.java
@@ -10,6 +10,7 @@
  * @param callers the address to listen on for callers
  * @param readiness the address to listen on for the balancer's readiness checks
  * @param peers the address to listen on for other routers
+ * @param forwarding the address to listen on for requests that other routers forward
  * @param store host and port of the platform's store
  * @param processorCapacity how many processor cores' work the VM can do; 0 if not known
  * @param bounds the limits that the fleet keeps
@@ -20,17 +21,19 @@
         InetSocketAddress callers,
         InetSocketAddress readiness,
         InetSocketAddress peers,
+        InetSocketAddress forwarding,
         String store,
         double processorCapacity,
         FleetBounds bounds) {
-    /** Returns these settings with another port for routers, such as the one that was bound. */
-    public FleetNodeSettings withPeersPort(int port) {
+    /** Returns these settings with other ports for routers, such as those that were bound. */
+    public FleetNodeSettings withPeerPorts(int peersPort, int forwardingPort) {
         return new FleetNodeSettings(
                 vm,
                 dataCentre,
                 callers,
                 readiness,
-                new InetSocketAddress(peers.getAddress(), port),
+                new InetSocketAddress(peers.getAddress(), peersPort),
+                new InetSocketAddress(forwarding.getAddress(), forwardingPort),
                 store,
                 processorCapacity,
                 bounds);
--- a/rhubarbward-core/src/main/java/io/rhubarbward/node/FleetPorts.java
+++ b/rhubarbward-core/src/main/java/io/rhubarbward/node/FleetPorts.java
@@ -9,6 +9,7 @@
 import io.rhubarbward.membership.PeerTransport;
 import io.rhubarbward.move.RolloutOrder;
 import io.rhubarbward.move.RolloutStatusWriter;
+import io.rhubarbward.reach.ConnectProbe;
 import io.rhubarbward.request.BackendClient;
 import io.rhubarbward.store.ObjectKind;
 import io.rhubarbward.timer.TimerService;
@@ -23,6 +24,7 @@
  * @param events the event log
  * @param metrics where metrics are registered
  * @param backends sends requests to backend servers
+ * @param connectProbe tries whether servers can be reached
  * @param dialect decodes and encodes the header fields of requests and answers
  * @param peers carries messages to and from other routers
  * @param store access to the platform's store
@@ -33,6 +35,7 @@
         EventLog events,
         PrometheusRegistry metrics,
         BackendClient backends,
+        ConnectProbe connectProbe,
         RequestDialect dialect,
         PeerTransport peers,
         Store store) {
--- a/rhubarbward-core/src/main/java/io/rhubarbward/node/FleetRouter.java
+++ b/rhubarbward-core/src/main/java/io/rhubarbward/node/FleetRouter.java
@@ -17,10 +17,14 @@
 import io.rhubarbward.forward.ForwardMetrics;
 import io.rhubarbward.forward.ForwardingService;
 import io.rhubarbward.forward.LocalRetryBudget;
+import io.rhubarbward.forward.PeerGateway;
 import io.rhubarbward.move.FleetRollouts;
 import io.rhubarbward.move.RolloutOrder;
 import io.rhubarbward.placement.PlacementPolicy;
 import io.rhubarbward.placement.ServerTable;
+import io.rhubarbward.reach.ForwardingPeers;
+import io.rhubarbward.reach.ReachState;
+import io.rhubarbward.reach.ServerReachability;
 import io.rhubarbward.relay.LoadExchange;
 import io.rhubarbward.relay.RelayMetrics;
 import io.rhubarbward.relay.StoreFollower;
@@ -87,7 +91,10 @@
     private final KindWatcher<ListedServer> mServerWatcher;
     private final KindWatcher<String> mEvacuationWatcher;
     private final KindWatcher<RouterPresence> mRouterWatcher;
+    private final ServerReachability mReach;
+    private final ForwardingPeers mForwardingPeers;
     private final ForwardingService mForwarding;
+    private final PeerGateway mPeerGateway;
     private final ClockJumpDetector mClockJumpDetector;
     private final EventLoopLag mLoopLag;
     private boolean mStopping;
@@ -147,7 +154,46 @@
                         mRollouts,
                         table,
                         ports.timers());
-        mForwarding = new ForwardingService(forwardContext(table));
+        mReach =
+                new ServerReachability(table, ports.connectProbe(), ports.timers(), ports.events());
+        mForwardingPeers =
+                new ForwardingPeers(
+                        settings.vm(),
+                        settings.dataCentre(),
+                        mRouters::routers,
+                        ports.backends(),
+                        this::catalogVersion,
+                        ports.timers(),
+                        ports.events());
+        ForwardContext context = forwardContext(table);
+        mForwarding = new ForwardingService(context);
+        mPeerGateway =
+                new PeerGateway(
+                        mForwarding,
+                        context,
+                        () -> primed() && !mStopping,
+                        this::catalogVersion,
+                        mRouters.names()::contains);
+        mReach.subscribe(mForwardingPeers::onReachState);
+        mReach.subscribe(
+                state -> context.metrics().setServersReachable(state != ReachState.CUT_OFF));
+        mReach.subscribe(mForwarding::onReachState);
+        mReach.subscribe(state -> evictIdleConnections(state, table));
+    }
+
+    /** Connections that were idle while the links were lost may be dead without a reset. */
+    private void evictIdleConnections(ReachState state, ServerTable table) {
+        if (state == ReachState.CUT_OFF) {
+            table.servers()
+                    .forEach(
+                            server ->
+                                    mPorts.backends()
+                                            .evictIdleConnections(server.server().address()));
+        }
+    }
+
+    private long catalogVersion() {
+        return mCatalog.current().map(Catalog::version).orElse(0L);
     }
 
     private <T> KindWatcher<T> watcher(
@@ -193,6 +239,8 @@
                 new LocalRetryBudget(mSettings.bounds().retries(), mPorts.timers(), limitSplitter),
                 mCrashSuspects,
                 mRollouts,
+                mReach,
+                mForwardingPeers,
                 mPorts.backends(),
                 mPorts.timers(),
                 mLoopLag::millis,
@@ -220,6 +268,7 @@
                         () -> {
                             mLoopLag.tick();
                             relistAfterClockJump();
+                            mReach.checkSilence();
                         });
     }
 
@@ -245,13 +294,17 @@
     }
 
     private RouterPresence ownPresence() {
-        InetSocketAddress peers = mSettings.peers();
         return new RouterPresence(
                 mSettings.dataCentre(),
-                peers.getHostString() + ":" + peers.getPort(),
+                hostAndPort(mSettings.peers()),
+                hostAndPort(mSettings.forwarding()),
                 mSettings.processorCapacity());
     }
 
+    private static String hostAndPort(InetSocketAddress address) {
+        return address.getHostString() + ":" + address.getPort();
+    }
+
     /**
      * Lists catalogue, servers and evacuations again if the wall clock and the monotonic clock have
      * moved apart, as after a suspension of the VM; returns whether they have.
@@ -278,6 +331,11 @@
         return mForwarding.serve(request, response);
     }
 
+    /** Serves a request that another router forwards, or answers whether this one would. */
+    public CallerListener serveForwarded(CallerRequest request, CallerResponse response) {
+        return mPeerGateway.serve(request, response);
+    }
+
     /** Returns the catalogue's limits for callers; empty until a catalogue was read. */
     public Optional<CallerLimits> callerLimits() {
         return mCatalog.current().map(Catalog::limits);
--- a/rhubarbward-core/src/main/java/io/rhubarbward/placement/ServerHealth.java
+++ b/rhubarbward-core/src/main/java/io/rhubarbward/placement/ServerHealth.java
@@ -27,12 +27,16 @@
     private int mConsecutiveSuspensions;
     private long mSuspendedUntilMillis = Long.MIN_VALUE;
     private long mAvoidedUntilMillis = Long.MIN_VALUE;
+    private long mFailedMillis = Long.MIN_VALUE;
 
     void record(SendResult result, long nowMillis) {
         if (result == SendResult.CANCELLED) {
             return;
         }
         mFailureRate += NEWEST_RESULT_WEIGHT * ((result.failure() ? 1 : 0) - mFailureRate);
+        if (result.failure()) {
+            mFailedMillis = nowMillis;
+        }
         if (result.mayHaveRestarted()) {
             long suspensionMillis = MIN_SUSPENSION_MILLIS << Math.min(mConsecutiveSuspensions, 3);
             mConsecutiveSuspensions++;
@@ -45,6 +49,16 @@
         }
     }
 
+    /** Starts afresh if the last failure was seen at the time or later. */
+    void forgetFailuresSince(long sinceMillis) {
+        if (mFailedMillis >= sinceMillis) {
+            mFailureRate = 0;
+            mConsecutiveSuspensions = 0;
+            mSuspendedUntilMillis = Long.MIN_VALUE;
+            mAvoidedUntilMillis = Long.MIN_VALUE;
+        }
+    }
+
     boolean suspended(long nowMillis) {
         return nowMillis < mSuspendedUntilMillis;
     }
--- a/rhubarbward-core/src/main/java/io/rhubarbward/placement/ServerTable.java
+++ b/rhubarbward-core/src/main/java/io/rhubarbward/placement/ServerTable.java
@@ -163,11 +163,22 @@
      *     of its service are never cold
      */
     public void recordResult(TrackedServer server, SendResult result, Duration coldStart) {
-        long now = mTimers.nowMillis();
-        boolean wasCold = server.cold(now);
-        server.recordResult(result, now);
+        boolean wasCold = server.cold(mTimers.nowMillis());
+        server.recordResult(result, mTimers.nowMillis());
+        treatAsColdAfter(server, result, coldStart, wasCold);
+    }
+
+    /** Records a failure of a request whose end has been recorded before. */
+    public void recordFailure(TrackedServer server, SendResult result, Duration coldStart) {
+        boolean wasCold = server.cold(mTimers.nowMillis());
+        server.recordHealth(result, mTimers.nowMillis());
+        treatAsColdAfter(server, result, coldStart, wasCold);
+    }
+
+    private void treatAsColdAfter(
+            TrackedServer server, SendResult result, Duration coldStart, boolean wasCold) {
         if (result.mayHaveRestarted() && !coldStart.isZero()) {
-            server.treatAsCold(now, coldStart);
+            server.treatAsCold(mTimers.nowMillis(), coldStart);
             if (!wasCold) {
                 mEvents.log(
                         LogEvent.ENGINE_COLD_AGAIN,
@@ -176,4 +187,12 @@
             }
         }
     }
+
+    /**
+     * Forgets what failures since the time made this router believe of the servers' health and cold
+     * starts, after it has turned out that they were due to its own links.
+     */
+    public void forgetFailuresSince(long sinceMillis) {
+        mServersById.values().forEach(server -> server.forgetFailuresSince(sinceMillis));
+    }
 }
--- a/rhubarbward-core/src/main/java/io/rhubarbward/placement/TrackedServer.java
+++ b/rhubarbward-core/src/main/java/io/rhubarbward/placement/TrackedServer.java
@@ -54,6 +54,12 @@
     private ListedServer mEntry;
     private boolean mUnlisted;
     private long mColdUntilMillis;
+
+    /** When this router began to treat the server as cold by itself, and until when it does. */
+    private long mTreatedAsColdMillis = NEVER_MILLIS;
+
+    private long mTreatedAsColdUntilMillis = NEVER_MILLIS;
+    private long mHeardMillis;
     private int mInFlight;
     private ServerLoad mReportedLoad;
     private long mReportedMillis = NEVER_MILLIS;
@@ -72,6 +78,7 @@
     void update(ListedServer entry, long nowMillis) {
         mEntry = entry;
         mColdUntilMillis = nowMillis + entry.coldRemaining().toMillis();
+        mTreatedAsColdUntilMillis = NEVER_MILLIS;
     }
 
     /** Returns the server's id, service, data centre, address and version. */
@@ -124,6 +131,16 @@
         mOthersUpdatedMillis = nowMillis;
     }
 
+    /** Records that a part of an answer of the server has arrived. */
+    public void recordHeard(long nowMillis) {
+        mHeardMillis = nowMillis;
+    }
+
+    /** Returns when a part of an answer of the server arrived last; 0 if none did. */
+    public long heardMillis() {
+        return mHeardMillis;
+    }
+
     /** Returns the exponentially weighted share of this router's requests that failed. */
     public double failureRate() {
         return mHealth.failureRate();
@@ -139,12 +156,22 @@
 
     /** Returns whether the server is slow since it has just started. */
     public boolean cold(long nowMillis) {
-        return nowMillis < mColdUntilMillis;
+        return nowMillis < Math.max(mColdUntilMillis, mTreatedAsColdUntilMillis);
     }
 
     /** Treats the server as cold for at least the given time from now. */
     void treatAsCold(long nowMillis, Duration coldStart) {
-        mColdUntilMillis = Math.max(mColdUntilMillis, nowMillis + coldStart.toMillis());
+        mTreatedAsColdMillis = nowMillis;
+        mTreatedAsColdUntilMillis =
+                Math.max(mTreatedAsColdUntilMillis, nowMillis + coldStart.toMillis());
+    }
+
+    /** Forgets what failures since the time made this router believe of the server. */
+    void forgetFailuresSince(long sinceMillis) {
+        mHealth.forgetFailuresSince(sinceMillis);
+        if (mTreatedAsColdMillis >= sinceMillis) {
+            mTreatedAsColdUntilMillis = NEVER_MILLIS;
+        }
     }
 
     int recentSends(long nowMillis) {
@@ -162,6 +189,11 @@
     public void recordResult(SendResult result, long nowMillis) {
         mInFlight--;
         mInFlightChangeSinceReport--;
+        recordHealth(result, nowMillis);
+    }
+
+    /** Records what a result says of the server's health. */
+    void recordHealth(SendResult result, long nowMillis) {
         mHealth.record(result, nowMillis);
     }
 
--- a/rhubarbward-core/src/main/java/io/rhubarbward/request/BackendCall.java
+++ b/rhubarbward-core/src/main/java/io/rhubarbward/request/BackendCall.java
@@ -23,4 +23,9 @@
     default boolean usesKeptConnection() {
         return false;
     }
+
+    /** Returns whether any part of the request may have been sent. */
+    default boolean mayHaveBeenSent() {
+        return true;
+    }
 }
--- a/rhubarbward-core/src/main/java/io/rhubarbward/request/CallerResponse.java
+++ b/rhubarbward-core/src/main/java/io/rhubarbward/request/CallerResponse.java
@@ -1,6 +1,7 @@
 package io.rhubarbward.request;
 
 import java.nio.ByteBuffer;
+import java.util.function.LongFunction;
 
 /**
  * Sends the answer to one caller.
@@ -29,4 +30,13 @@
     default void whenDelivered(Runnable action) {
         action.run();
     }
+
+    /**
+     * Sends a refusal as a complete answer.
+     *
+     * @param retryAfter gives the header fields for a delay in milliseconds
+     */
+    default void refuse(Refusal refusal, LongFunction<HeaderFields> retryAfter) {
+        refusal.sendTo(this, retryAfter);
+    }
 }
--- a/rhubarbward-core/src/test/java/io/rhubarbward/forward/ForwardFixture.java
+++ b/rhubarbward-core/src/test/java/io/rhubarbward/forward/ForwardFixture.java
@@ -5,9 +5,15 @@
 import io.rhubarbward.catalog.Route;
 import io.rhubarbward.crash.CrashSuspects;
 import io.rhubarbward.directory.FleetLimitSplitter;
+import io.rhubarbward.directory.RouterPresence;
 import io.rhubarbward.placement.PlacementPolicy;
+import io.rhubarbward.placement.SendResult;
 import io.rhubarbward.placement.ServerTable;
+import io.rhubarbward.placement.TrackedServer;
 import io.rhubarbward.placement.VersionChoice;
+import io.rhubarbward.reach.ForwardingPeers;
+import io.rhubarbward.reach.ReachState;
+import io.rhubarbward.reach.Reachability;
 import io.rhubarbward.request.CallerListener;
 import io.rhubarbward.request.CallerRequest;
 import io.rhubarbward.request.HeaderFields;
@@ -21,6 +27,8 @@
 import io.rhubarbward.timer.VirtualTimerService;
 import java.nio.ByteBuffer;
 import java.time.Duration;
+import java.util.List;
+import java.util.Map;
 import java.util.Set;
 
 /** A forwarding service with two plain servers, two engines and a fake backend client. */
@@ -37,6 +45,11 @@
     long mCatalogAgeMillis;
     boolean mClockJumped;
     long mLoopLagMillis;
+    ReachState mReachState = ReachState.CONNECTED;
+    final ForwardingPeers mPeers =
+            new ForwardingPeers(
+                    "front-1", "a", ForwardFixture::routers, mBackends, () -> 7, mTimers, mEvents);
+    final ForwardContext mContext;
     final ForwardingService mService;
 
     ForwardFixture(Route... routes) {
@@ -47,32 +60,86 @@
         mTable.onAdded(ListedServers.server("o-2", "orders", "b"));
         mTable.onAdded(ListedServers.server("e-1", "chat", "a"));
         mTable.onAdded(ListedServers.server("e-2", "chat", "b"));
-        mService =
-                new ForwardingService(
-                        new ForwardContext(
-                                new FakeRequestDialect(),
-                                mCatalog,
-                                new CatalogFreshness(
-                                        true,
-                                        Duration.ofSeconds(5),
-                                        () -> mCatalogAgeMillis,
-                                        () -> mClockJumped),
-                                new PlacementPolicy(
-                                        "a",
-                                        mTimers,
-                                        mTable,
-                                        limitSplitter,
-                                        name -> false,
-                                        VersionChoice.ANY),
-                                mTable,
-                                new LocalRetryBudget(RETRY_BOUND, mTimers, limitSplitter),
-                                mCrashSuspects,
-                                SendObserver.NONE,
-                                mBackends,
+        mContext =
+                new ForwardContext(
+                        new FakeRequestDialect(),
+                        mCatalog,
+                        new CatalogFreshness(
+                                true,
+                                Duration.ofSeconds(5),
+                                () -> mCatalogAgeMillis,
+                                () -> mClockJumped),
+                        new PlacementPolicy(
+                                "a",
                                 mTimers,
-                                () -> mLoopLagMillis,
-                                mEvents,
-                                new ForwardMetrics(new PrometheusRegistry())));
+                                mTable,
+                                limitSplitter,
+                                name -> false,
+                                VersionChoice.ANY),
+                        mTable,
+                        new LocalRetryBudget(RETRY_BOUND, mTimers, limitSplitter),
+                        mCrashSuspects,
+                        SendObserver.NONE,
+                        reachability(),
+                        mPeers,
+                        mBackends,
+                        mTimers,
+                        () -> mLoopLagMillis,
+                        mEvents,
+                        new ForwardMetrics(new PrometheusRegistry()));
+        mService = new ForwardingService(mContext);
+    }
+
+    private static Map<String, RouterPresence> routers() {
+        return Map.of(
+                "front-2", new RouterPresence("a", "front-2:1", "front-2:2", 1),
+                "front-3", new RouterPresence("b", "front-3:1", "front-3:2", 1),
+                "front-4", new RouterPresence("c", "front-4:1", 1));
+    }
+
+    /** Returns a reachability whose state the test sets. */
+    private Reachability reachability() {
+        return new Reachability() {
+            @Override
+            public ReachState state() {
+                return mReachState;
+            }
+
+            @Override
+            public void onSent(Object call, TrackedServer server) {}
+
+            @Override
+            public void onHeard(Object call) {}
+
+            @Override
+            public SendResult onEnded(
+                    Object call, TrackedServer server, SendResult result, Runnable ifServersFault) {
+                return result;
+            }
+
+            @Override
+            public void whenConfirmed(Runnable action) {
+                action.run();
+            }
+        };
+    }
+
+    /** Cuts this router off from the servers; the named routers answer that they forward. */
+    void cutOff(String... willing) {
+        mReachState = ReachState.CUT_OFF;
+        mPeers.onReachState(mReachState);
+        mBackends.sent().stream()
+                .filter(sent -> sent.request().headers().first("router-query-by").isPresent())
+                .toList()
+                .forEach(
+                        query ->
+                                query.head(
+                                                List.of(willing).contains(query.server())
+                                                        ? 200
+                                                        : 503,
+                                                HeaderFields.of("router-catalog-version", "9"))
+                                        .complete());
+        mService.onReachState(mReachState);
     }
 
     static HeaderFields headers(String id) {
--- a/rhubarbward-core/src/test/java/io/rhubarbward/testing/FakeBackends.java
+++ b/rhubarbward-core/src/test/java/io/rhubarbward/testing/FakeBackends.java
@@ -44,6 +44,7 @@
         private final boolean mKeptConnection;
         private boolean mCancelled;
         private boolean mPaused;
+        private boolean mConnecting;
 
         Sent(BackendRequest request, BackendListener listener, boolean keptConnection) {
             mRequest = request;
@@ -82,6 +83,17 @@
             mListener.onFailure(failure);
         }
 
+        /** Leaves the request at a connection that does not come about, so that it is not sent. */
+        public Sent connecting() {
+            mConnecting = true;
+            return this;
+        }
+
+        @Override
+        public boolean mayHaveBeenSent() {
+            return !mConnecting;
+        }
+
         public boolean cancelled() {
             return mCancelled;
         }
--- a/rhubarbward-core/src/test/java/io/rhubarbward/testing/FakeRequestDialect.java
+++ b/rhubarbward-core/src/test/java/io/rhubarbward/testing/FakeRequestDialect.java
@@ -57,6 +57,13 @@
                 .with("account", metadata.account().orElse("-"));
     }
 
+    @Override
+    public HeaderFields toPeer(HeaderFields fromCaller, Duration remaining) {
+        return fromCaller
+                .without(field -> field.name().equals("patience"))
+                .with("patience", Long.toString(remaining.toMillis()));
+    }
+
     @Override
     public ResponseMetadata readAnswer(int status, HeaderFields fromServer) {
         return new ResponseMetadata(
--- a/rhubarbward-core/src/test/java/io/rhubarbward/testing/RouterFleet.java
+++ b/rhubarbward-core/src/test/java/io/rhubarbward/testing/RouterFleet.java
@@ -16,6 +16,11 @@
 import io.rhubarbward.node.FleetNodeSettings;
 import io.rhubarbward.node.FleetPorts;
 import io.rhubarbward.node.FleetRouter;
+import io.rhubarbward.request.BackendCall;
+import io.rhubarbward.request.BackendFailure;
+import io.rhubarbward.request.BackendListener;
+import io.rhubarbward.request.BackendRequest;
+import io.rhubarbward.request.CallerListener;
 import io.rhubarbward.request.CallerRequest;
 import io.rhubarbward.request.HeaderFields;
 import io.rhubarbward.store.StoreRevision;
@@ -29,6 +34,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.concurrent.CompletableFuture;
@@ -43,6 +49,7 @@
     private static final String SERVERS = "servers";
     private static final String ROUTERS = "routers";
     private static final String ROLLOUTS = "rollouts";
+    private static final Duration PEER_CONNECT_TIMEOUT = Duration.ofMillis(400);
     private static final Duration START = Duration.ofSeconds(4);
 
     public final VirtualTimerService mTimers = new VirtualTimerService();
@@ -85,7 +92,12 @@
     }
 
     /** A caller's request and the answer to it. */
-    public record Sent(long atMillis, String router, String parts, RecordingResponse response) {}
+    public record Sent(
+            long atMillis,
+            String router,
+            String parts,
+            RecordingResponse response,
+            CallerListener connection) {}
 
     public void addServer(String name, String dataCentre, String version) {
         mDataCentreByServer.put(name, dataCentre);
@@ -208,10 +220,11 @@
                         .with("key", Catalogs.API_KEY)
                         .with("part", parts)
                         .with("patience", "12000");
-        Sent sent = new Sent(mTimers.nowMillis(), router.mName, parts, response);
-        mSent.add(sent);
         ByteBuffer bytes = StandardCharsets.UTF_8.encode(body);
-        router.mRouter.serve(new CallerRequest("POST", PATH, headers, bytes), response);
+        CallerListener connection =
+                router.mRouter.serve(new CallerRequest("POST", PATH, headers, bytes), response);
+        Sent sent = new Sent(mTimers.nowMillis(), router.mName, parts, response, connection);
+        mSent.add(sent);
         return sent;
     }
 
@@ -249,18 +262,48 @@
             mPeers.remove(mName);
             return new FleetRouter(
                     new FleetNodeSettings(
-                            mName, mDataCentre, address, address, address, "store", 1, bounds),
+                            mName,
+                            mDataCentre,
+                            address,
+                            address,
+                            address,
+                            InetSocketAddress.createUnresolved(mName, 2),
+                            "store",
+                            1,
+                            bounds),
                     new FleetPorts(
                             mTimers,
                             mRandom.split(),
                             mEvents,
                             new PrometheusRegistry(),
-                            mServers.clientOf(mName),
+                            this::send,
+                            mServers.probeOf(mName),
                             new FakeRequestDialect(),
                             transport(mPeers.endpoint(mName)),
                             store()));
         }
 
+        /** Sends a request to a server, or to another router by its name. */
+        private BackendCall send(BackendRequest request, BackendListener listener) {
+            Optional<Router> peer =
+                    mRouters.stream()
+                            .filter(router -> router.mName.equals(request.server().name()))
+                            .findFirst();
+            return peer.map(router -> sendToPeer(router, request, listener))
+                    .orElseGet(() -> mServers.clientOf(mName).send(request, listener));
+        }
+
+        private BackendCall sendToPeer(
+                Router peer, BackendRequest request, BackendListener listener) {
+            PeerLink link = new PeerLink(mTimers, listener);
+            if (peer.mRuns) {
+                link.send(request, peer.mTimers, peer.mRouter::serveForwarded);
+            } else {
+                link.fail(PEER_CONNECT_TIMEOUT, BackendFailure.NOT_CONNECTED);
+            }
+            return link;
+        }
+
         /** Delivers to a frozen VM once it thaws. */
         private PeerTransport transport(PeerTransport endpoint) {
             FreezableTimers timers = mTimers;
@@ -294,14 +337,25 @@
                     (router, presence) -> {
                         mAnnouncements++;
                         mStore.put(
-                                ROUTERS, router, presence.dataCentre() + ' ' + presence.address());
+                                ROUTERS,
+                                router,
+                                presence.dataCentre()
+                                        + ' '
+                                        + presence.address()
+                                        + ' '
+                                        + presence.forwardingAddress());
                         return CompletableFuture.completedStage(true);
                     });
         }
 
         private static Either<String, RouterPresence> decodePresence(String text) {
             String[] fields = text.split(" ");
-            return Either.right(new RouterPresence(fields[0], fields[1], 1));
+            return Either.right(new RouterPresence(fields[0], fields[1], fields[2], 1));
+        }
+
+        /** Begins a planned stop, in which callers are still served. */
+        public void beginStop() {
+            mRouter.beginStop();
         }
 
         private void start() {
--- a/rhubarbward-core/src/test/java/io/rhubarbward/testing/SimulatedServers.java
+++ b/rhubarbward-core/src/test/java/io/rhubarbward/testing/SimulatedServers.java
@@ -1,5 +1,6 @@
 package io.rhubarbward.testing;
 
+import io.rhubarbward.reach.ConnectProbe;
 import io.rhubarbward.request.BackendCall;
 import io.rhubarbward.request.BackendClient;
 import io.rhubarbward.request.BackendFailure;
@@ -26,6 +27,7 @@
     private static final Duration ANSWER_BEGINS = Duration.ofMillis(40);
     private static final int PARTS = 10;
     private static final String PART = "data: " + "x".repeat(52) + "\n\n";
+    private static final Duration CONNECT_TIMEOUT = Duration.ofMillis(400);
     private static final Duration DOWN_TIME = Duration.ofSeconds(3);
 
     private final VirtualTimerService mTimers;
@@ -33,6 +35,11 @@
     private final List<Arrival> mArrivals = new ArrayList<>();
     private final List<Crash> mCrashes = new ArrayList<>();
     private final BiConsumer<String, Long> mOnRestart;
+    private int mProbes;
+    private final Map<String, Integer> mIdleConnections = new HashMap<>();
+    private Predicate<String> mCutOffRouters = router -> false;
+    private Predicate<String> mCutOffServers = server -> true;
+    private LostLinks mLostLinks = LostLinks.HANG;
     private Predicate<BackendRequest> mDeadly = request -> false;
     private Function<String, Duration> mAnswerTime = server -> Duration.ofMillis(400);
     private Function<String, Integer> mStatus = server -> 200;
@@ -54,6 +61,16 @@
     /** The end of a server. */
     public record Crash(long atMillis, String server) {}
 
+    /** What becomes of connections whose link is lost. */
+    public enum LostLinks {
+        /** Open connections carry nothing more; new ones do not come about. */
+        HANG,
+        /** Open connections are reset; new ones too. */
+        RESET,
+        /** Open connections go on; new ones are refused. */
+        REFUSE
+    }
+
     private static final class Server {
         private final List<Call> mOpen = new ArrayList<>();
         private boolean mUp = true;
@@ -92,27 +109,95 @@
         return mCrashes;
     }
 
+    /** Cuts the links between the routers and all servers; an earlier cut ends. */
+    public void cutOff(Predicate<String> routers, LostLinks lostLinks) {
+        cutOff(routers, server -> true, lostLinks);
+    }
+
+    /** Cuts the links between the routers and the servers; an earlier cut ends. */
+    public void cutOff(Predicate<String> routers, Predicate<String> servers, LostLinks lostLinks) {
+        mCutOffRouters = routers;
+        mCutOffServers = servers;
+        mLostLinks = lostLinks;
+        if (lostLinks == LostLinks.RESET) {
+            mServers.forEach(
+                    (name, server) ->
+                            List.copyOf(server.mOpen).stream()
+                                    .filter(call -> isCut(call.mRouter, name))
+                                    .forEach(
+                                            call -> {
+                                                server.mOpen.remove(call);
+                                                call.fail(BackendFailure.CONNECTION_LOST);
+                                            }));
+            mIdleConnections.clear();
+        }
+    }
+
+    /** Closes the connections on which no request is open. */
+    public void dropIdleConnections() {
+        mIdleConnections.clear();
+    }
+
+    /** Restores all links. */
+    public void restoreLinks() {
+        cutOff(router -> false, LostLinks.HANG);
+    }
+
+    private boolean isCut(String router, String server) {
+        return mCutOffRouters.test(router) && mCutOffServers.test(server);
+    }
+
     /** Returns the client by which the router reaches the servers. */
     public BackendClient clientOf(String router) {
         return (request, listener) -> {
-            Call call = new Call(request, listener);
-            mTimers.after(Duration.ofMillis(1), () -> arrive(router, call));
+            String server = request.server().name();
+            boolean kept = mIdleConnections.merge(router + '>' + server, -1, Integer::sum) >= 0;
+            if (!kept) {
+                mIdleConnections.put(router + '>' + server, 0);
+            }
+            Call call = new Call(router, request, listener);
+            if (!isCut(router, server) || (kept && mLostLinks == LostLinks.REFUSE)) {
+                mTimers.after(Duration.ofMillis(1), () -> arrive(call));
+            } else if (!kept) {
+                call.mSent = false;
+                mTimers.after(
+                        mLostLinks == LostLinks.HANG ? CONNECT_TIMEOUT : Duration.ofMillis(1),
+                        () -> call.fail(BackendFailure.NOT_CONNECTED));
+            }
             return call;
         };
     }
 
+    /** Returns the probe by which the router tries whether it reaches a server. */
+    public ConnectProbe probeOf(String router) {
+        return (address, timeout, onResult) -> {
+            String server = address.split(":")[0];
+            boolean cut = isCut(router, server);
+            mProbes++;
+            mTimers.after(
+                    cut && mLostLinks == LostLinks.HANG ? timeout : Duration.ofMillis(1),
+                    () -> onResult.accept(!cut && server(server).mUp));
+        };
+    }
+
+    /** Returns how many connections were opened only to probe servers. */
+    public int probes() {
+        return mProbes;
+    }
+
     private Server server(String name) {
         return mServers.computeIfAbsent(name, key -> new Server());
     }
 
-    private void arrive(String router, Call call) {
+    private void arrive(Call call) {
         String name = call.mRequest.server().name();
         Server server = server(name);
         if (!server.mUp) {
             call.fail(BackendFailure.NOT_CONNECTED);
             return;
         }
-        mArrivals.add(new Arrival(mTimers.nowMillis(), router, name, call.mRequest.headers()));
+        mArrivals.add(
+                new Arrival(mTimers.nowMillis(), call.mRouter, name, call.mRequest.headers()));
         server.mOpen.add(call);
         mTimers.after(ANSWER_BEGINS, () -> beginAnswer(name, call));
     }
@@ -142,6 +227,9 @@
         }
         if (parts == 0) {
             server(name).mOpen.remove(call);
+            if (!call.silenced()) {
+                mIdleConnections.merge(call.mRouter + '>' + name, 1, Integer::sum);
+            }
             call.tell(BackendListener::onComplete);
             return;
         }
@@ -168,21 +256,39 @@
     }
 
     private final class Call implements BackendCall {
+        private final String mRouter;
         private final BackendRequest mRequest;
         private final BackendListener mListener;
         private boolean mCancelled;
+        private boolean mSent = true;
+        private boolean mSilenced;
 
-        Call(BackendRequest request, BackendListener listener) {
+        Call(String router, BackendRequest request, BackendListener listener) {
+            mRouter = router;
             mRequest = request;
             mListener = listener;
         }
 
         private void tell(Consumer<BackendListener> event) {
-            if (!mCancelled) {
+            if (!mCancelled && !silenced()) {
                 event.accept(mListener);
             }
         }
 
+        /** Returns whether the connection is or was cut without a sign. */
+        private boolean silenced() {
+            mSilenced |=
+                    mSent
+                            && mLostLinks == LostLinks.HANG
+                            && isCut(mRouter, mRequest.server().name());
+            return mSilenced;
+        }
+
+        @Override
+        public boolean mayHaveBeenSent() {
+            return mSent;
+        }
+
         private void fail(BackendFailure failure) {
             tell(listener -> listener.onFailure(failure));
         }
--- a/rhubarbward-daemon/src/main/java/io/rhubarbward/daemon/FleetRouterDaemon.java
+++ b/rhubarbward-daemon/src/main/java/io/rhubarbward/daemon/FleetRouterDaemon.java
@@ -10,6 +10,7 @@
 import io.rhubarbward.event.LogEvent;
 import io.rhubarbward.net.backend.AsyncBackendClient;
 import io.rhubarbward.net.backend.HttpClients;
+import io.rhubarbward.net.backend.NettyConnectProbe;
 import io.rhubarbward.net.http.HttpHandler;
 import io.rhubarbward.net.http.HttpLimits;
 import io.rhubarbward.net.http.HttpListener;
@@ -79,6 +80,7 @@
     private final ServerSocketChannel mCallerSocket;
     private @Nullable HttpListener mCallerListener;
     private final HttpListener mReadinessListener;
+    private final HttpListener mForwardingListener;
     private final HttpListener mMetricsListener;
     private volatile FleetNodeSettings mSettings;
     private volatile boolean mStopping;
@@ -99,15 +101,17 @@
         mPeers =
                 new ThriftPeerTransport(
                         settings.vm(), settings.peers(), mGroup, mTimers, events, metrics);
+        mForwardingListener = openInternal(settings.forwarding(), this::serveForwarded);
         mRouter =
                 new FleetRouter(
-                        settings.withPeersPort(mPeers.port()),
+                        settings.withPeerPorts(mPeers.port(), mForwardingListener.port()),
                         new FleetPorts(
                                 mTimers,
                                 new SplittableRandom(),
                                 events,
                                 metrics,
                                 new AsyncBackendClient(mClient, mTimers),
+                                new NettyConnectProbe(mGroup, mTimers),
                                 PlatformAdapter.dialect(),
                                 mPeers,
                                 PlatformAdapter.store(mClient, () -> mSettings.store(), mTimers)));
@@ -122,6 +126,10 @@
         return HttpListener.open(mGroup, address, mTimers, () -> HttpLimits.INTERNAL, handler);
     }
 
+    private CallerListener serveForwarded(CallerRequest request, CallerResponse response) {
+        return mRouter.serveForwarded(request, response);
+    }
+
     private CallerListener answerReadiness(CallerRequest request, CallerResponse response) {
         boolean ready = ready();
         return JsonResponses.send(
@@ -259,6 +267,7 @@
             mCallerListener.close();
         }
         mReadinessListener.close();
+        mForwardingListener.close();
         mMetricsListener.close();
         mPeers.close();
         try {
--- a/rhubarbward-daemon/src/main/java/io/rhubarbward/daemon/LocalFleet.java
+++ b/rhubarbward-daemon/src/main/java/io/rhubarbward/daemon/LocalFleet.java
@@ -65,6 +65,7 @@
                         DemoPorts.loopback(0),
                         DemoPorts.loopback(0),
                         DemoPorts.loopback(0),
+                        DemoPorts.loopback(0),
                         mStore.address(),
                         0,
                         new FleetBounds(
--- a/rhubarbward-net/src/main/java/io/rhubarbward/net/backend/BackendExchange.java
+++ b/rhubarbward-net/src/main/java/io/rhubarbward/net/backend/BackendExchange.java
@@ -120,6 +120,11 @@
         return mKeptConnection;
     }
 
+    @Override
+    public boolean mayHaveBeenSent() {
+        return mRequestSent;
+    }
+
     @Override
     public void cancel() {
         mCancelled = true;
