--- a/rhubarbward-core/src/main/java/io/rhubarbward/node/FleetRouter.java
+++ b/rhubarbward-core/src/main/java/io/rhubarbward/node/FleetRouter.java
@@ -143,28 +143,10 @@
                         this::relistAfterClockJump);
         RelayMetrics.register(ports.metrics(), mStoreFollower, watchers);
         mCrashSuspects = new CrashSuspects(ports.timers(), ports.events());
-        mLoadExchange =
-                new LoadExchange(
-                        settings.vm(),
-                        settings.dataCentre(),
-                        mRouters::routers,
-                        mStoreFollower::aggregator,
-                        ports.peers(),
-                        mCrashSuspects,
-                        mRollouts,
-                        table,
-                        ports.timers());
+        mLoadExchange = loadExchange(table);
         mReach =
                 new ServerReachability(table, ports.connectProbe(), ports.timers(), ports.events());
-        mForwardingPeers =
-                new ForwardingPeers(
-                        settings.vm(),
-                        settings.dataCentre(),
-                        mRouters::routers,
-                        ports.backends(),
-                        this::catalogVersion,
-                        ports.timers(),
-                        ports.events());
+        mForwardingPeers = forwardingPeers();
         ForwardContext context = forwardContext(table);
         mForwarding = new ForwardingService(context);
         mPeerGateway =
@@ -174,9 +156,36 @@
                         () -> primed() && !mStopping,
                         this::catalogVersion,
                         mRouters.names()::contains);
+        subscribeToReachability(table, context.metrics());
+    }
+
+    private LoadExchange loadExchange(ServerTable table) {
+        return new LoadExchange(
+                mSettings.vm(),
+                mSettings.dataCentre(),
+                mRouters::routers,
+                mStoreFollower::aggregator,
+                mPorts.peers(),
+                mCrashSuspects,
+                mRollouts,
+                table,
+                mPorts.timers());
+    }
+
+    private ForwardingPeers forwardingPeers() {
+        return new ForwardingPeers(
+                mSettings.vm(),
+                mSettings.dataCentre(),
+                mRouters::routers,
+                mPorts.backends(),
+                this::catalogVersion,
+                mPorts.timers(),
+                mPorts.events());
+    }
+
+    private void subscribeToReachability(ServerTable table, ForwardMetrics metrics) {
         mReach.subscribe(mForwardingPeers::onReachState);
-        mReach.subscribe(
-                state -> context.metrics().setServersReachable(state != ReachState.CUT_OFF));
+        mReach.subscribe(state -> metrics.setServersReachable(state != ReachState.CUT_OFF));
         mReach.subscribe(mForwarding::onReachState);
         mReach.subscribe(state -> evictIdleConnections(state, table));
     }
--- a/rhubarbward-core/src/main/java/io/rhubarbward/reach/package-info.java
+++ b/rhubarbward-core/src/main/java/io/rhubarbward/reach/package-info.java
@@ -1,7 +1,4 @@
-/**
- * Detects that this router has lost the way to the backend servers, and finds other routers that
- * can forward its requests meanwhile.
- */
+/** Detects that this router reaches no backend server, and finds routers that forward for it. */
 @NullMarked
 package io.rhubarbward.reach;
 
