Send nothing new to servers that say in an answer that they leave

Cause: the field was decoded nowhere; only the directory's entry told that a server leaves. That the entry overruled the answer was ruled out by reading: nothing of the answer was kept.

The statement now counts for the incarnation that made it, also when its entry lapses and comes back, and ends with the next incarnation.

--- a/rhubarbward-core/src/main/java/io/rhubarbward/event/LogEvent.java
+++ b/rhubarbward-core/src/main/java/io/rhubarbward/event/LogEvent.java
@@ -68,6 +68,7 @@
     BACKEND_UNREACHABLE(1507, INFO),
     SERVERS_UNREACHABLE(1508, WARNING),
     SERVERS_REACHABLE(1509, INFO),
+    BACKEND_SAYS_LEAVING(1510, INFO),
 
     // 1600: routing (no events yet).
 
--- a/rhubarbward-core/src/main/java/io/rhubarbward/forward/ResponseMetadata.java
+++ b/rhubarbward-core/src/main/java/io/rhubarbward/forward/ResponseMetadata.java
@@ -11,6 +11,7 @@
  * @param notRun whether the server states that it did not run the request
  * @param genuine whether the answer has the server's signature, where one is required, and is not
  *     re-encoded
+ * @param leaving whether the server says that it shuts down and must get no new requests
  * @param limitPerSecond how many requests a second the server takes from all routers together;
  *     empty if it states no limit, NaN if it states one that makes no sense
  * @param load the load that the server reports
@@ -19,5 +20,6 @@
         Optional<String> attemptId,
         boolean notRun,
         boolean genuine,
+        boolean leaving,
         OptionalDouble limitPerSecond,
         Optional<ServerLoad> load) {}
--- a/rhubarbward-core/src/main/java/io/rhubarbward/forward/ServerCall.java
+++ b/rhubarbward-core/src/main/java/io/rhubarbward/forward/ServerCall.java
@@ -138,7 +138,7 @@
         }
         metadata.load().ifPresent(load -> mServer.recordLoad(load, mContext.timers().nowMillis()));
         if (status != ForwardedExchange.MISDIRECTED_STATUS) {
-            mContext.table().recordLimit(mServer, metadata.limitPerSecond());
+            recordStatements(metadata);
         }
         if (metadata.notRun()) {
             SendResult result =
@@ -155,6 +155,14 @@
         }
     }
 
+    /** Records what the server says of itself; a misdirected answer is one of another server. */
+    private void recordStatements(ResponseMetadata metadata) {
+        mContext.table().recordLimit(mServer, metadata.limitPerSecond());
+        if (metadata.leaving()) {
+            mContext.table().recordLeaving(mServer);
+        }
+    }
+
     /**
      * Returns whether the answer names this attempt. A statement that it did not run need not name
      * it, unless the connection was used before: then it may be one of an earlier attempt.
--- a/rhubarbward-core/src/main/java/io/rhubarbward/node/FleetRouter.java
+++ b/rhubarbward-core/src/main/java/io/rhubarbward/node/FleetRouter.java
@@ -335,6 +335,11 @@
         return mStoreFollower.followers();
     }
 
+    /** Returns whether some request is suspected of crashing backend servers. */
+    public boolean suspectsCrashes() {
+        return !mCrashSuspects.empty();
+    }
+
     /** Serves a caller's request. */
     public CallerListener serve(CallerRequest request, CallerResponse response) {
         return mForwarding.serve(request, response);
--- a/rhubarbward-core/src/main/java/io/rhubarbward/placement/ServerTable.java
+++ b/rhubarbward-core/src/main/java/io/rhubarbward/placement/ServerTable.java
@@ -17,10 +17,14 @@
 
 /** The backend servers in the directory, each with its tracked load and health. */
 public final class ServerTable implements DirectoryListener {
+    /** How long the statements of a server are kept that is no longer listed. */
+    private static final Duration STATEMENT_RETENTION = Duration.ofMinutes(2);
+
     private final TimerService mTimers;
     private final EventLog mEvents;
     private final Map<String, TrackedServer> mServersById = new HashMap<>();
     private final Map<String, List<TrackedServer>> mServersByService = new HashMap<>();
+    private final Map<Long, ServerStatements> mStatementsByIncarnation = new HashMap<>();
     private final List<Consumer<TrackedServer>> mRemovalSubscribers = new ArrayList<>();
     private final List<Runnable> mSendSubscribers = new ArrayList<>();
     private boolean mOthersKnowLimits;
@@ -48,7 +52,10 @@
 
     @Override
     public void onAdded(ListedServer entry) {
-        TrackedServer server = new TrackedServer(entry, mTimers.nowMillis());
+        ServerStatements statements =
+                mStatementsByIncarnation.computeIfAbsent(
+                        TrackedServer.incarnation(entry), incarnation -> new ServerStatements());
+        TrackedServer server = new TrackedServer(entry, statements, mTimers.nowMillis());
         mServersById.put(entry.id(), server);
         mServersByService
                 .computeIfAbsent(entry.server().service(), service -> new ArrayList<>())
@@ -69,10 +76,29 @@
             mServersByService
                     .getOrDefault(entry.server().service(), new ArrayList<>())
                     .remove(removed);
+            mTimers.after(STATEMENT_RETENTION, () -> forgetStatementsUnlessListed(removed));
             mRemovalSubscribers.forEach(subscriber -> subscriber.accept(removed));
         }
     }
 
+    private void forgetStatementsUnlessListed(TrackedServer removed) {
+        TrackedServer listed = mServersById.get(removed.server().name());
+        if (listed == null || listed.incarnation() != removed.incarnation()) {
+            mStatementsByIncarnation.remove(removed.incarnation());
+        }
+    }
+
+    /** Records that an answer of the server says that it shuts down. */
+    public void recordLeaving(TrackedServer server) {
+        if (server.sayLeaving()) {
+            mEvents.log(
+                    LogEvent.BACKEND_SAYS_LEAVING,
+                    EventField.of("server", server.server().name()),
+                    EventField.of("service", server.server().service()),
+                    EventField.of("listedAs", server.entry().draining() ? "draining" : "ready"));
+        }
+    }
+
     /**
      * Updates the number of requests in flight from all other routers together.
      *
--- a/rhubarbward-core/src/main/java/io/rhubarbward/placement/TrackedServer.java
+++ b/rhubarbward-core/src/main/java/io/rhubarbward/placement/TrackedServer.java
@@ -50,6 +50,7 @@
     private final SlidingWindowCounter mLimitWindowSends =
             new SlidingWindowCounter(LIMIT_WINDOW_MILLIS);
     private final StatedLimit mLimit = new StatedLimit();
+    private final ServerStatements mStatements;
     private final int mHash;
     private ListedServer mEntry;
     private boolean mUnlisted;
@@ -68,8 +69,9 @@
     private int mLimitWindowSendsFromOthers;
     private long mOthersUpdatedMillis = NEVER_MILLIS;
 
-    TrackedServer(ListedServer entry, long nowMillis) {
+    TrackedServer(ListedServer entry, ServerStatements statements, long nowMillis) {
         mHash = hash(entry.id());
+        mStatements = statements;
         mEntry = entry;
         mColdUntilMillis = nowMillis + entry.coldRemaining().toMillis();
         mReportedLoad = new ServerLoad(0, 0, entry.slots());
@@ -98,7 +100,12 @@
 
     /** Returns a hash that names this incarnation of the server, the same at every router. */
     public long incarnation() {
-        return RendezvousHash.hash(mEntry.id() + '/' + mEntry.startedAtMillis());
+        return incarnation(mEntry);
+    }
+
+    /** Returns the {@link #incarnation()} of the server with the entry. */
+    static long incarnation(ListedServer entry) {
+        return RendezvousHash.hash(entry.id() + '/' + entry.startedAtMillis());
     }
 
     /** Returns the server's directory entry. */
@@ -113,7 +120,14 @@
 
     /** Returns whether the server shuts down by plan or has left: it may end its connections. */
     public boolean leaving() {
-        return mUnlisted || mEntry.draining();
+        return mUnlisted || mEntry.draining() || mStatements.leaving();
+    }
+
+    /**
+     * Records that the server says in an answer that it shuts down; returns whether that is new.
+     */
+    boolean sayLeaving() {
+        return mStatements.sayLeaving();
     }
 
     /** Returns the number of this router's requests that are in flight to the server. */
@@ -147,7 +161,7 @@
     }
 
     boolean usable(long nowMillis) {
-        return !mEntry.draining() && !mHealth.suspended(nowMillis);
+        return !leaving() && !mHealth.suspended(nowMillis);
     }
 
     boolean avoided(long nowMillis) {
--- a/rhubarbward-core/src/test/java/io/rhubarbward/testing/FakeRequestDialect.java
+++ b/rhubarbward-core/src/test/java/io/rhubarbward/testing/FakeRequestDialect.java
@@ -70,6 +70,7 @@
                 fromServer.first("id"),
                 fromServer.first("not-run").isPresent(),
                 fromServer.first("forged").isEmpty(),
+                fromServer.first("leaving").isPresent(),
                 fromServer.first("limit").stream().mapToDouble(Double::parseDouble).findFirst(),
                 fromServer.first("load").map(load -> new ServerLoad(Integer.parseInt(load), 0, 8)));
     }
--- a/rhubarbward-core/src/test/java/io/rhubarbward/testing/RouterFleet.java
+++ b/rhubarbward-core/src/test/java/io/rhubarbward/testing/RouterFleet.java
@@ -105,6 +105,11 @@
         list(name, 1L);
     }
 
+    /** Removes the server's entry from the store; the server runs on. */
+    public void removeServer(String name) {
+        mStore.delete(SERVERS, name);
+    }
+
     public String versionOf(String server) {
         return mVersionByServer.getOrDefault(server, "");
     }
@@ -176,6 +181,9 @@
 
     private static Either<String, ListedServer> decodeServer(String name, String text) {
         String[] fields = text.split(" ");
+        if (fields.length < 3) {
+            return Either.left("expected a data centre, a start time and a version");
+        }
         return Either.right(
                 new ListedServer(
                         new BackendServer(
@@ -353,6 +361,11 @@
             return Either.right(new RouterPresence(fields[0], fields[1], fields[2], 1));
         }
 
+        /** Returns whether the router suspects any request of crashing servers. */
+        public boolean suspectsCrashes() {
+            return mRouter.suspectsCrashes();
+        }
+
         /** Begins a planned stop, in which callers are still served. */
         public void beginStop() {
             mRouter.beginStop();
