Send brittle servers no more than they can run at once

Cause: the statement was read nowhere, and a declined request held no router back. Brittle servers now get no more than their slots, fewer requests the fuller they are, and each router pauses after one was declined. With the statement kept for each server alone, 30 routers still made 8 fall, since restarted servers had not answered yet; it now holds for the service.

--- a/rhubarbward-core/src/main/java/io/rhubarbward/event/LogEvent.java
+++ b/rhubarbward-core/src/main/java/io/rhubarbward/event/LogEvent.java
@@ -70,6 +70,7 @@
     SERVERS_REACHABLE(1509, INFO),
     BACKEND_SAYS_LEAVING(1510, INFO),
     BACKEND_RESTS(1511, INFO),
+    BACKEND_BRITTLE_CHANGED(1512, INFO),
 
     // 1600: routing (no events yet).
 
--- a/rhubarbward-core/src/main/java/io/rhubarbward/forward/ResponseMetadata.java
+++ b/rhubarbward-core/src/main/java/io/rhubarbward/forward/ResponseMetadata.java
@@ -17,6 +17,8 @@
  *     one and says so
  * @param limitPerSecond how many requests a second the server takes from all routers together;
  *     empty if it states no limit, NaN if it states one that makes no sense
+ * @param brittlePerSecond how many requests a second the server can decline for want of room
+ *     without falling over; empty if it does not say, NaN if what it says makes no sense
  * @param load the load that the server reports
  */
 public record ResponseMetadata(
@@ -26,4 +28,5 @@
         boolean leaving,
         Optional<Duration> rest,
         OptionalDouble limitPerSecond,
+        OptionalDouble brittlePerSecond,
         Optional<ServerLoad> load) {}
--- a/rhubarbward-core/src/main/java/io/rhubarbward/forward/ServerCall.java
+++ b/rhubarbward-core/src/main/java/io/rhubarbward/forward/ServerCall.java
@@ -162,6 +162,7 @@
     /** Records what the server says of itself; a misdirected answer is one of another server. */
     private void recordStatements(ResponseMetadata metadata) {
         mContext.table().recordLimit(mServer, metadata.limitPerSecond());
+        mContext.table().recordBrittle(mServer, metadata.brittlePerSecond());
         if (metadata.leaving()) {
             mContext.table().recordLeaving(mServer);
         }
--- a/rhubarbward-core/src/main/java/io/rhubarbward/placement/PlacementPolicy.java
+++ b/rhubarbward-core/src/main/java/io/rhubarbward/placement/PlacementPolicy.java
@@ -63,6 +63,15 @@
     /** Load per slot from which a server gets no further requests. */
     private static final double MAX_LOAD_PER_SLOT = 1.5;
 
+    /** Part of a brittle server's slots left from which only some requests go there. */
+    private static final double BRITTLE_TAPER = 0.4;
+
+    /** Part of the requests that a brittle server can decline that routers let it decline. */
+    private static final double BRITTLE_USED_DECLINES = 0.5;
+
+    /** Longest pause after a brittle server has declined a request. */
+    private static final double MAX_BRITTLE_PAUSE_MILLIS = 10_000;
+
     /** Factor by which the load of a server in another data centre is weighted. */
     private static final double REMOTE_LOAD_FACTOR = 1.3;
 
@@ -126,7 +135,14 @@
         if (withinLimit.isEmpty()) {
             return new Placement.None(Placement.Cause.LIMITED, listed.size());
         }
-        List<TrackedServer> eligible = preferNotAvoided(withinLimit, now);
+        List<TrackedServer> withRoom =
+                withinLimit.stream()
+                        .filter(server -> hasRoomIfBrittle(server, query, now))
+                        .toList();
+        if (withRoom.isEmpty()) {
+            return new Placement.None(Placement.Cause.FULL, listed.size());
+        }
+        List<TrackedServer> eligible = preferNotAvoided(withRoom, now);
         return profile.engine()
                 ? placeAtEngine(listed, eligible, query, now)
                 : placeAtPlainServer(eligible, now);
@@ -180,6 +196,29 @@
         return left > 0 && orderAtLimit(server, query) < left / LIMIT_TAPER;
     }
 
+    /**
+     * Returns whether the server may get the request without declining too many.
+     *
+     * <p>Servers that are brittle get no more than they can run at once, by what all routers have
+     * in flight; the fuller one is, the fewer requests go there, since routers learn of each
+     * other's requests a little later. After a server has declined a request all the same, this
+     * router pauses, so that with all routers it declines less than it can bear.
+     */
+    private boolean hasRoomIfBrittle(TrackedServer server, PlacementQuery query, long now) {
+        OptionalDouble declines = mTable.brittlePerSecond(query.service());
+        if (declines.isEmpty()) {
+            return true;
+        }
+        int routers = mLimitSplitter.routerCount();
+        double pauseMillis =
+                MILLIS_PER_SECOND * routers / (declines.getAsDouble() * BRITTLE_USED_DECLINES);
+        if (server.millisSinceShed(now) < Math.min(MAX_BRITTLE_PAUSE_MILLIS, pauseMillis)) {
+            return false;
+        }
+        double left = 1 - (server.estimatedLoad(now, routers) + 1) / server.slots();
+        return left >= 0 && query.unitHash() <= left / BRITTLE_TAPER;
+    }
+
     /** Returns where the request stands among those to the server, from 0 for the first to 1. */
     private static double orderAtLimit(TrackedServer server, PlacementQuery query) {
         return query.affinityKey()
--- a/rhubarbward-core/src/main/java/io/rhubarbward/placement/ServerTable.java
+++ b/rhubarbward-core/src/main/java/io/rhubarbward/placement/ServerTable.java
@@ -24,6 +24,7 @@
     private final EventLog mEvents;
     private final Map<String, TrackedServer> mServersById = new HashMap<>();
     private final Map<String, List<TrackedServer>> mServersByService = new HashMap<>();
+    private final Map<String, BrittleService> mBrittleServices = new HashMap<>();
     private final Map<Long, ServerStatements> mStatementsByIncarnation = new HashMap<>();
     private final List<Consumer<TrackedServer>> mRemovalSubscribers = new ArrayList<>();
     private final List<Runnable> mSendSubscribers = new ArrayList<>();
@@ -99,6 +100,42 @@
         }
     }
 
+    /**
+     * Records how many requests a second a server can decline without falling over.
+     *
+     * @param perSecond empty if its answer does not say, NaN if what it says makes no sense
+     */
+    public void recordBrittle(TrackedServer server, OptionalDouble perSecond) {
+        if (perSecond.isEmpty() && mBrittleServices.isEmpty()) {
+            return;
+        }
+        String service = server.server().service();
+        OptionalDouble before = brittlePerSecond(service);
+        BrittleService brittle =
+                mBrittleServices.computeIfAbsent(service, name -> new BrittleService());
+        perSecond.ifPresent(declines -> brittle.state(declines, mTimers.nowMillis()));
+        OptionalDouble after = brittlePerSecond(service);
+        if (!after.equals(before)) {
+            mEvents.log(
+                    LogEvent.BACKEND_BRITTLE_CHANGED,
+                    EventField.of("service", service),
+                    EventField.of("server", server.server().name()),
+                    EventField.of("declinesPerSecond", text(after)),
+                    EventField.of("before", text(before)));
+        }
+    }
+
+    /**
+     * Returns how many requests a second each server of the service can decline; empty if its
+     * servers are not brittle.
+     */
+    OptionalDouble brittlePerSecond(String service) {
+        BrittleService brittle = mBrittleServices.get(service);
+        return brittle == null
+                ? OptionalDouble.empty()
+                : brittle.declinesPerSecond(mTimers.nowMillis());
+    }
+
     /** Records that a server that declined a request wants no other one for a time. */
     public void recordRest(TrackedServer server, Duration rest) {
         server.askForRest(rest, mTimers.nowMillis());
--- a/rhubarbward-core/src/main/java/io/rhubarbward/placement/TrackedServer.java
+++ b/rhubarbward-core/src/main/java/io/rhubarbward/placement/TrackedServer.java
@@ -61,6 +61,7 @@
 
     private long mTreatedAsColdUntilMillis = NEVER_MILLIS;
     private long mHeardMillis;
+    private long mShedMillis = NEVER_MILLIS;
     private int mInFlight;
     private ServerLoad mReportedLoad;
     private long mReportedMillis = NEVER_MILLIS;
@@ -218,6 +219,9 @@
 
     /** Records what a result says of the server's health. */
     void recordHealth(SendResult result, long nowMillis) {
+        if (result == SendResult.SHED) {
+            mShedMillis = nowMillis;
+        }
         mHealth.record(result, nowMillis);
     }
 
@@ -233,6 +237,11 @@
         return mLimit.perSecond();
     }
 
+    /** Returns the time since the server last declined a request for want of room. */
+    long millisSinceShed(long nowMillis) {
+        return nowMillis - mShedMillis;
+    }
+
     void recordLimit(OptionalDouble stated, long nowMillis) {
         mLimit.hear(stated, nowMillis);
     }
--- a/rhubarbward-core/src/test/java/io/rhubarbward/testing/FakeRequestDialect.java
+++ b/rhubarbward-core/src/test/java/io/rhubarbward/testing/FakeRequestDialect.java
@@ -73,6 +73,7 @@
                 fromServer.first("leaving").isPresent(),
                 fromServer.first("rest").map(Long::valueOf).map(Duration::ofMillis),
                 fromServer.first("limit").stream().mapToDouble(Double::parseDouble).findFirst(),
+                fromServer.first("brittle").stream().mapToDouble(Double::parseDouble).findFirst(),
                 fromServer.first("load").map(load -> new ServerLoad(Integer.parseInt(load), 0, 8)));
     }
 
--- a/rhubarbward-core/src/test/java/io/rhubarbward/testing/RouterFleet.java
+++ b/rhubarbward-core/src/test/java/io/rhubarbward/testing/RouterFleet.java
@@ -59,6 +59,7 @@
     public final List<Router> mRouters = new ArrayList<>();
     public final List<Sent> mSent = new ArrayList<>();
     public final SplittableRandom mRandom;
+    private final int mSlots;
     private int mAnnouncements;
     private final Map<String, String> mDataCentreByServer = new HashMap<>();
     private final Map<String, String> mVersionByServer = new HashMap<>();
@@ -74,6 +75,12 @@
 
     /** Starts routers and servers in equal numbers a data centre. */
     public RouterFleet(long seed, int routers, int servers) {
+        this(seed, routers, servers, 64);
+    }
+
+    /** Starts routers, and servers that each say that they run so many requests concurrently. */
+    public RouterFleet(long seed, int routers, int servers, int slots) {
+        mSlots = slots;
         mRandom = new SplittableRandom(seed);
         mStore.put(CATALOGS, "main", "");
         IntStream.range(0, servers)
@@ -179,7 +186,7 @@
         return unchanged;
     }
 
-    private static Either<String, ListedServer> decodeServer(String name, String text) {
+    private Either<String, ListedServer> decodeServer(String name, String text) {
         String[] fields = text.split(" ");
         if (fields.length < 3) {
             return Either.left("expected a data centre, a start time and a version");
@@ -193,7 +200,7 @@
                                 name + ":1",
                                 fields[2],
                                 BackendServer.Fencing.IGNORES),
-                        64,
+                        mSlots,
                         false,
                         Duration.ZERO,
                         0,
@@ -335,7 +342,7 @@
             return new FleetPorts.Store(
                     mStore.kind(mName, CATALOGS, (name, text) -> Either.right(mCatalog)),
                     "main",
-                    mStore.kind(mName, SERVERS, RouterFleet::decodeServer),
+                    mStore.kind(mName, SERVERS, RouterFleet.this::decodeServer),
                     mStore.kind(mName, "evacuations", (name, text) -> Either.right(name)),
                     mStore.kind(mName, ROUTERS, (name, text) -> decodePresence(text)),
                     mStore.kind(mName, ROLLOUTS, RouterFleet::decodeRollout),
--- a/rhubarbward-core/src/test/java/io/rhubarbward/testing/SimulatedServers.java
+++ b/rhubarbward-core/src/test/java/io/rhubarbward/testing/SimulatedServers.java
@@ -36,6 +36,8 @@
     private final List<Crash> mCrashes = new ArrayList<>();
     private final BiConsumer<String, Long> mOnRestart;
     private int mProbes;
+    private int mRoom = Integer.MAX_VALUE;
+    private int mMostDeclined = Integer.MAX_VALUE;
     private Consumer<String> mOnAnswer = server -> {};
     private final Map<String, Integer> mIdleConnections = new HashMap<>();
     private Predicate<String> mCutOffRouters = router -> false;
@@ -74,6 +76,7 @@
 
     private static final class Server {
         private final List<Call> mOpen = new ArrayList<>();
+        private final List<Long> mDeclinedMillis = new ArrayList<>();
         private boolean mUp = true;
     }
 
@@ -97,6 +100,34 @@
         mAnswerFields = fields;
     }
 
+    /**
+     * Makes the servers brittle: one declines what it has no room for, and falls over when it has
+     * to decline more than a number of requests in a second.
+     *
+     * @param room how many requests each server takes at the same time
+     * @param mostDeclined how many requests a second each server can decline
+     */
+    public void makeBrittle(int room, int mostDeclined) {
+        mRoom = room;
+        mMostDeclined = mostDeclined;
+        mAnswerFields = server -> HeaderFields.of("brittle", Integer.toString(mostDeclined));
+    }
+
+    private void decline(String name, Call call) {
+        Server server = server(name);
+        server.mDeclinedMillis.removeIf(at -> at <= mTimers.nowMillis() - 1000);
+        server.mDeclinedMillis.add(mTimers.nowMillis());
+        HeaderFields head =
+                HeaderFields.of("id", call.mRequest.headers().first("id").orElse(""))
+                        .with("not-run", "1")
+                        .and(mAnswerFields.apply(name));
+        call.tell(listener -> listener.onHead(503, head));
+        if (server.mDeclinedMillis.size() > mMostDeclined) {
+            server.mDeclinedMillis.clear();
+            crash(name);
+        }
+    }
+
     /** Calls the observer with the server of each request, once its answer has been chosen. */
     public void onAnswer(Consumer<String> observer) {
         mOnAnswer = observer;
@@ -204,6 +235,10 @@
         }
         mArrivals.add(
                 new Arrival(mTimers.nowMillis(), call.mRouter, name, call.mRequest.headers()));
+        if (server.mOpen.size() >= mRoom) {
+            decline(name, call);
+            return;
+        }
         server.mOpen.add(call);
         mTimers.after(ANSWER_BEGINS, () -> beginAnswer(name, call));
     }
