Bear odd entries of other writers in the platform's store

Report of another operator: one odd entry among those of the replicas, and the machines that read the list ended or stopped following it. It can happen here: an entry that is nested more than 1,000 levels deep, has a number of more than 1,000 digits, or bytes that are no JSON made the whole page unreadable for good; 30 digits were taken for some other number, 1e400 for the longest duration, and port 99999 for an address.

An address that makes the client library throw fails its own request only.

Not examined: the VM list and the store of the product's own path (PlatformWire).

--- a/rhubarbward-core/src/main/java/io/rhubarbward/config/BackendServer.java
+++ b/rhubarbward-core/src/main/java/io/rhubarbward/config/BackendServer.java
@@ -2,6 +2,7 @@
 
 import com.fasterxml.jackson.annotation.JsonProperty;
 import java.net.URI;
+import java.net.URISyntaxException;
 
 /**
  * A backend server, which runs the requests of one service.
@@ -20,12 +21,25 @@
         String address,
         String version,
         Fencing fencing) {
+    private static final int MAX_PORT = 65_535;
+
     public BackendServer {
         SettingCheck.require(
-                "address",
-                address,
-                URI.create("http://" + address).getPort() > 0,
-                "host:port, such as 10.0.0.7:8000");
+                "address", address, isAddress(address), "host:port, such as 10.0.0.7:8000");
+    }
+
+    /** Returns whether the text is a host and a port to which a connection can be opened. */
+    public static boolean isAddress(String text) {
+        try {
+            URI uri = new URI("http://" + text);
+            return uri.getHost() != null
+                    && uri.getPort() > 0
+                    && uri.getPort() <= MAX_PORT
+                    && uri.getRawAuthority().equals(text)
+                    && uri.getUserInfo() == null;
+        } catch (URISyntaxException e) {
+            return false;
+        }
     }
 
     /** What a backend server does with a role order that carries an outdated fencing number. */
--- a/rhubarbward-net/src/main/java/io/rhubarbward/net/backend/AsyncBackendClient.java
+++ b/rhubarbward-net/src/main/java/io/rhubarbward/net/backend/AsyncBackendClient.java
@@ -54,8 +54,8 @@
             exchange.attach(
                     mClient.executeRequest(
                             builder.setUri(uri(address, request.target())).build(), exchange));
-        } catch (IllegalArgumentException e) {
-            // The target is invalid, so that nothing has been sent.
+        } catch (IllegalArgumentException | IndexOutOfBoundsException e) {
+            // The target or the address is invalid, so that nothing has been sent.
             exchange.onThrowable(e);
         }
         return exchange;
