Answer what is open at the end of a stop, and take no late orders

A plain request that may run only once is now refused (503 draining, to come back in 0.2 s) if its limit, or the time its caller waits, goes beyond the end of the stop. What is open at the end is answered: 502, or 503 if no part of it was sent; an answer that has begun is cut. Streams are still taken while the balancer sends them: few last that long, and a refusal costs all of them a new connection.

--- a/rhubarbward-core/src/main/java/io/rhubarbward/forward/ForwardedExchange.java
+++ b/rhubarbward-core/src/main/java/io/rhubarbward/forward/ForwardedExchange.java
@@ -96,7 +96,8 @@
         mDeadlineMillis = mArrivedMillis + timeout(request).toMillis();
     }
 
-    private static Duration timeout(ResolvedRequest request) {
+    /** Returns how long the request may take at most. */
+    static Duration timeout(ResolvedRequest request) {
         Duration routeTimeout = request.route().timeout();
         return request.metadata()
                 .callerTimeout()
@@ -429,6 +430,23 @@
         }
     }
 
+    /** Ends the request now, since the process ends. */
+    void onStopEnds() {
+        OpenCall call = mCall;
+        mCall = null;
+        if (call != null) {
+            if (call.mayHaveBeenSent()) {
+                mPossibleRuns++;
+            }
+            call.cancel(SendResult.CANCELLED);
+        }
+        if (mAnswerBegun) {
+            end("cut-stop", mResponse::abort);
+        } else {
+            refuse(RefusalCode.BACKEND_LOST, "this router stops before the answer has come");
+        }
+    }
+
     /** Refuses the request, with a code that says "not run" only if no server may have run it. */
     private void refuse(RefusalCode code, String detail) {
         refuse(code, detail, RETRY_AFTER_MILLIS);
--- a/rhubarbward-core/src/main/java/io/rhubarbward/forward/ForwardingService.java
+++ b/rhubarbward-core/src/main/java/io/rhubarbward/forward/ForwardingService.java
@@ -52,6 +52,7 @@
     private final RequestResolver mResolver;
     private final Set<ForwardedExchange> mOpenExchanges = new HashSet<>();
     private boolean mRefusesNew;
+    private long mStopEndsMillis = Long.MAX_VALUE;
 
     /** Creates a service with these dependencies. */
     public ForwardingService(ForwardContext context) {
@@ -72,17 +73,20 @@
         }
         String id = metadata.get().attemptId();
         if (mRefusesNew) {
-            return refuse(
-                    id,
-                    new Refusal(
-                            RefusalCode.DRAINING, "this router is stopping", DRAINING_RETRY_MILLIS),
-                    response);
+            return refuse(id, stopping(), response);
         }
         return mResolver
                 .resolve(request, metadata.get(), origin)
                 .fold(
                         refusal -> refuse(id, refusal, response),
-                        resolved -> start(resolved, response));
+                        resolved ->
+                                mayOutlastStop(resolved)
+                                        ? refuse(id, stopping(), response)
+                                        : start(resolved, response));
+    }
+
+    private static Refusal stopping() {
+        return new Refusal(RefusalCode.DRAINING, "this router is stopping", DRAINING_RETRY_MILLIS);
     }
 
     private CallerListener refuse(String id, Refusal refusal, CallerResponse response) {
@@ -133,6 +137,28 @@
         mRefusesNew = true;
     }
 
+    /**
+     * Prepares for the end of the process.
+     *
+     * @param endMillis when open requests must have ended
+     */
+    public void beginStop(long endMillis) {
+        mStopEndsMillis = endMillis;
+    }
+
+    /** Ends all open requests, since the process ends; those without an answer get one. */
+    public void endOpen() {
+        List.copyOf(mOpenExchanges).forEach(ForwardedExchange::onStopEnds);
+    }
+
+    /** Returns whether the request may run only once and could still run when the process ends. */
+    private boolean mayOutlastStop(ResolvedRequest request) {
+        return !request.route().mayRunAgain()
+                && !request.route().streams()
+                && mContext.timers().nowMillis() + ForwardedExchange.timeout(request).toMillis()
+                        > mStopEndsMillis;
+    }
+
     /** Returns the number of requests that are being served. */
     public int openRequests() {
         return mOpenExchanges.size();
--- a/rhubarbward-core/src/main/java/io/rhubarbward/node/FleetRouter.java
+++ b/rhubarbward-core/src/main/java/io/rhubarbward/node/FleetRouter.java
@@ -374,9 +374,15 @@
                                 < mSettings.bounds().revocation().toMillis());
     }
 
-    /** Makes the router not ready; new requests are still served. */
-    public void beginStop() {
+    /**
+     * Makes the router not ready; new requests are still served, except for those that may run only
+     * once and could outlast the process.
+     *
+     * @param left the time until {@link #endOpenRequests}
+     */
+    public void beginStop(Duration left) {
         mStopping = true;
+        mForwarding.beginStop(mPorts.timers().nowMillis() + left.toMillis());
         mStoreFollower.stopRelaying();
         mPorts.events().log(LogEvent.ROUTER_DRAINING, EventField.of("open", openRequests()));
     }
@@ -386,6 +392,11 @@
         mForwarding.refuseNew();
     }
 
+    /** Ends the open requests, each with an answer if none has begun. */
+    public void endOpenRequests() {
+        mForwarding.endOpen();
+    }
+
     /** Returns the number of requests that are being served. */
     public int openRequests() {
         return mForwarding.openRequests();
--- a/rhubarbward-core/src/test/java/io/rhubarbward/testing/RouterFleet.java
+++ b/rhubarbward-core/src/test/java/io/rhubarbward/testing/RouterFleet.java
@@ -375,7 +375,7 @@
 
         /** Begins a planned stop, in which callers are still served. */
         public void beginStop() {
-            mRouter.beginStop();
+            mRouter.beginStop(Duration.ofSeconds(7));
         }
 
         private void start() {
--- a/rhubarbward-daemon/src/main/java/io/rhubarbward/daemon/FleetRouterDaemon.java
+++ b/rhubarbward-daemon/src/main/java/io/rhubarbward/daemon/FleetRouterDaemon.java
@@ -229,7 +229,7 @@
         mStopping = true;
         mTimers.execute(
                 () -> {
-                    mRouter.beginStop();
+                    mRouter.beginStop(mSettings.bounds().grace().minus(EXIT_MARGIN));
                     if (mCallerListener != null) {
                         mCallerListener.disableKeepAlive();
                     }
@@ -256,6 +256,7 @@
         mEvents.log(
                 open == 0 ? LogEvent.ROUTER_STOPPED : LogEvent.DRAIN_CUT_REQUESTS,
                 EventField.of("cut", open));
+        mRouter.endOpenRequests();
         // Leaves time to send the last answers and log lines before the process exits.
         mTimers.after(STOP_CHECK_PERIOD, () -> mStopped.complete(open));
     }
