--- a/rhubarbward-core/src/main/java/io/rhubarbward/forward/ForwardedExchange.java
+++ b/rhubarbward-core/src/main/java/io/rhubarbward/forward/ForwardedExchange.java
@@ -11,7 +11,6 @@
 import io.rhubarbward.placement.TrackedServer;
 import io.rhubarbward.reach.ForwardingPeer;
 import io.rhubarbward.reach.PeerRefusal;
-import io.rhubarbward.reach.ReachState;
 import io.rhubarbward.request.CallerListener;
 import io.rhubarbward.request.CallerResponse;
 import io.rhubarbward.request.HeaderFields;
@@ -46,9 +45,6 @@
      */
     private static final int MAX_EXTRA_SENDS = 2;
 
-    /** Other routers that one request may be forwarded to, one after the other. */
-    private static final int MAX_PEERS = 3;
-
     /** Remaining time below which sending is pointless: servers stop at the deadline. */
     private static final long MIN_REMAINING_MILLIS = 20;
 
@@ -58,23 +54,17 @@
     /** The same as a part of the caller's time, if that is shorter. */
     private static final long MAX_UNREAD_PART = 3;
 
-    /** Retry-after of a request that did not run. */
-    private static final long RETRY_AFTER_MILLIS = 400;
-
-    /** The same while servers state limits, which hold for seconds. */
-    private static final long LIMITED_RETRY_AFTER_MILLIS = 1000;
-
     private final ResolvedRequest mRequest;
     private final CallerResponse mResponse;
     private final ForwardContext mContext;
     private final Consumer<ForwardedExchange> mOnEnd;
     private final Set<String> mTriedServers = new HashSet<>();
+    private final PeerForwarder mPeerForwarder;
     private final long mLagMillis;
     private final long mArrivedMillis;
     private final long mDeadlineMillis;
     private TimerService.Subscription mDeadlineTimer = () -> {};
     private @Nullable OpenCall mCall;
-    private final Set<String> mTriedPeers = new HashSet<>();
     private int mSends;
     private int mPossibleRuns;
     private boolean mAnswerBegun;
@@ -91,18 +81,10 @@
         mResponse = response;
         mContext = context;
         mOnEnd = onEnd;
+        mPeerForwarder = new PeerForwarder(request, context, this);
         mLagMillis = context.loopLagMillis().getAsLong();
         mArrivedMillis = context.timers().nowMillis() - mLagMillis;
-        mDeadlineMillis = mArrivedMillis + timeout(request).toMillis();
-    }
-
-    /** Returns how long the request may take at most. */
-    static Duration timeout(ResolvedRequest request) {
-        Duration routeTimeout = request.route().timeout();
-        return request.metadata()
-                .callerTimeout()
-                .filter(callerTimeout -> callerTimeout.compareTo(routeTimeout) < 0)
-                .orElse(routeTimeout);
+        mDeadlineMillis = mArrivedMillis + request.timeout().toMillis();
     }
 
     void start() {
@@ -135,8 +117,16 @@
         if (refuseIfBlocked()) {
             return;
         }
-        if (!mRequest.forwarded() && mContext.reach().state() == ReachState.CUT_OFF) {
-            forwardOrRefuse("this router reaches no backend server", remainingMillis);
+        if (mPeerForwarder.onlyWay()) {
+            mPeerForwarder
+                    .call()
+                    .ifPresentOrElse(
+                            call -> forward(call, remainingMillis),
+                            () ->
+                                    refuse(
+                                            RefusalCode.NO_BACKEND,
+                                            "neither this router nor another one that it asked"
+                                                    + " reaches a backend server"));
             return;
         }
         if (mSends > 0 && forwardIfInDoubt(remainingMillis)) {
@@ -163,38 +153,24 @@
 
     /** Forwards the request if this router's links are in doubt; returns whether it did. */
     private boolean forwardIfInDoubt(long remainingMillis) {
-        boolean inDoubt = !mRequest.forwarded() && mContext.reach().state().doubtful();
-        Optional<ForwardingPeer> peer =
-                inDoubt ? mContext.peers().choose(mTriedPeers) : Optional.empty();
-        peer.ifPresent(found -> forward(found, remainingMillis));
-        return peer.isPresent();
-    }
-
-    private void forwardOrRefuse(String reason, long remainingMillis) {
-        Optional<ForwardingPeer> peer =
-                mTriedPeers.size() < MAX_PEERS
-                        ? mContext.peers().choose(mTriedPeers)
-                        : Optional.empty();
-        peer.ifPresentOrElse(
-                found -> forward(found, remainingMillis),
-                () -> refuse(RefusalCode.NO_BACKEND, reason + ", and no other router is known to"));
+        Optional<PeerCall> call = mPeerForwarder.callIfInDoubt();
+        call.ifPresent(found -> forward(found, remainingMillis));
+        return call.isPresent();
     }
 
-    private void forward(ForwardingPeer peer, long remainingMillis) {
+    private void forward(PeerCall call, long remainingMillis) {
         if (mRequest.account() != null && !mContext.freshness().mayTrustKeys()) {
             refuse(RefusalCode.NOT_READY, "the configuration is no longer confirmed");
             return;
         }
-        mTriedPeers.add(peer.name());
         mContext.events()
                 .log(
                         LogEvent.REQUEST_FORWARDED,
                         EventField.of("id", mRequest.metadata().attemptId()),
                         EventField.of("route", route().name()),
-                        EventField.of("router", peer.name()),
+                        EventField.of("router", call.peer().name()),
                         EventField.of("reach", mContext.reach().state()),
                         EventField.of("remainingMs", remainingMillis));
-        PeerCall call = new PeerCall(mRequest, mContext, peer, this);
         mCall = call;
         call.send(Duration.ofMillis(remainingMillis), maxAttempts() - mPossibleRuns);
     }
@@ -278,19 +254,10 @@
     }
 
     private void refuseUnplaced(Placement.None none) {
-        RefusalCode code =
-                switch (none.cause()) {
-                    case FULL, LIMITED, RESTING -> RefusalCode.OVERLOADED;
-                    case NONE_LISTED, NONE_USABLE, COLD -> RefusalCode.NO_BACKEND;
-                };
         refuse(
-                code,
+                TruthfulRefusals.codeOf(none.cause()),
                 none.cause() + " among " + none.candidates() + " of " + mRequest.service().name(),
-                switch (none.cause()) {
-                    case LIMITED -> LIMITED_RETRY_AFTER_MILLIS;
-                    case RESTING -> Math.max(RETRY_AFTER_MILLIS, none.restMillis());
-                    case FULL, NONE_LISTED, NONE_USABLE, COLD -> RETRY_AFTER_MILLIS;
-                });
+                TruthfulRefusals.retryAfterMillis(none));
     }
 
     private void send(Placement.Chosen chosen, long remainingMillis) {
@@ -449,7 +416,7 @@
 
     /** Refuses the request, with a code that says "not run" only if no server may have run it. */
     private void refuse(RefusalCode code, String detail) {
-        refuse(code, detail, RETRY_AFTER_MILLIS);
+        refuse(code, detail, TruthfulRefusals.RETRY_AFTER_MILLIS);
     }
 
     private void refuse(RefusalCode code, String detail, long notRunRetryAfterMillis) {
--- a/rhubarbward-core/src/main/java/io/rhubarbward/forward/ForwardingService.java
+++ b/rhubarbward-core/src/main/java/io/rhubarbward/forward/ForwardingService.java
@@ -155,8 +155,7 @@
     private boolean mayOutlastStop(ResolvedRequest request) {
         return !request.route().mayRunAgain()
                 && !request.route().streams()
-                && mContext.timers().nowMillis() + ForwardedExchange.timeout(request).toMillis()
-                        > mStopEndsMillis;
+                && mContext.timers().nowMillis() + request.timeout().toMillis() > mStopEndsMillis;
     }
 
     /** Returns the number of requests that are being served. */
--- a/rhubarbward-core/src/main/java/io/rhubarbward/forward/PeerCall.java
+++ b/rhubarbward-core/src/main/java/io/rhubarbward/forward/PeerCall.java
@@ -43,6 +43,16 @@
         void onPeerFailed(ForwardingPeer peer, SendResult result, boolean mayHaveRun);
     }
 
+    ForwardingPeer peer() {
+        return mPeer;
+    }
+
+    /**
+     * Sends the request.
+     *
+     * @param remaining the time left until its deadline
+     * @param attemptsLeft the number of servers that may still run it
+     */
     void send(Duration remaining, int attemptsLeft) {
         HeaderFields headers =
                 mContext.dialect()
--- a/rhubarbward-core/src/main/java/io/rhubarbward/forward/ResolvedRequest.java
+++ b/rhubarbward-core/src/main/java/io/rhubarbward/forward/ResolvedRequest.java
@@ -5,6 +5,7 @@
 import io.rhubarbward.catalog.ServiceProfile;
 import io.rhubarbward.crash.RequestTraits;
 import io.rhubarbward.request.CallerRequest;
+import java.time.Duration;
 import java.util.List;
 import java.util.Optional;
 import java.util.OptionalInt;
@@ -32,6 +33,13 @@
         return origin.forwarded();
     }
 
+    /** Returns how long the request may take at most. */
+    Duration timeout() {
+        return metadata.callerTimeout()
+                .filter(callerTimeout -> callerTimeout.compareTo(route.timeout()) < 0)
+                .orElse(route.timeout());
+    }
+
     Optional<String> accountName() {
         return Optional.ofNullable(account).map(KeyedAccount::name);
     }
--- a/rhubarbward-core/src/main/java/io/rhubarbward/forward/TruthfulRefusals.java
+++ b/rhubarbward-core/src/main/java/io/rhubarbward/forward/TruthfulRefusals.java
@@ -1,12 +1,36 @@
 package io.rhubarbward.forward;
 
+import io.rhubarbward.placement.Placement;
 import io.rhubarbward.request.Refusal;
 import io.rhubarbward.request.RefusalCode;
 
 /** Builds refusals that say "not run" only if no server may have run the request. */
 final class TruthfulRefusals {
+    /** Retry-after of a request that did not run. */
+    static final long RETRY_AFTER_MILLIS = 400;
+
+    /** The same while servers state limits, which hold for seconds. */
+    private static final long LIMITED_RETRY_AFTER_MILLIS = 1000;
+
     private TruthfulRefusals() {}
 
+    /** Returns the code of a request for which there is no server. */
+    static RefusalCode codeOf(Placement.Cause cause) {
+        return switch (cause) {
+            case FULL, LIMITED, RESTING -> RefusalCode.OVERLOADED;
+            case NONE_LISTED, NONE_USABLE, COLD -> RefusalCode.NO_BACKEND;
+        };
+    }
+
+    /** Returns when a retry of a request for which there is no server may succeed. */
+    static long retryAfterMillis(Placement.None none) {
+        return switch (none.cause()) {
+            case LIMITED -> LIMITED_RETRY_AFTER_MILLIS;
+            case RESTING -> Math.max(RETRY_AFTER_MILLIS, none.restMillis());
+            case FULL, NONE_LISTED, NONE_USABLE, COLD -> RETRY_AFTER_MILLIS;
+        };
+    }
+
     /**
      * Returns a refusal of a request.
      *
