Suspect the links less often where answers are slow

A router that waits for the answers of slow servers and hears nothing for 0.3 s probes up to 12 servers, once a second as long as that goes on: a cost while nothing is wrong. The time of silence that makes a router suspicious now doubles with each suspicion that silence raised, up to 5 s, and starts anew after a cut or a minute.

--- a/rhubarbward-core/src/main/java/io/rhubarbward/reach/ServerReachability.java
+++ b/rhubarbward-core/src/main/java/io/rhubarbward/reach/ServerReachability.java
@@ -45,8 +45,16 @@
     /** Time in which the failures of two servers make the router suspect its links. */
     private static final long EVIDENCE_MILLIS = 1000;
 
-    /** Time without any sign of a server, while answers are due, that makes a router suspicious. */
-    private static final long SILENCE_MILLIS = 300;
+    /**
+     * Time without any sign of a server, while answers are due, that makes a router suspicious;
+     * doubles with each suspicion that proves wrong, as servers may just be slow to answer.
+     */
+    private static final long MIN_SILENCE_MILLIS = 300;
+
+    private static final long MAX_SILENCE_MILLIS = 5000;
+
+    /** Time after which the shortest silence counts again. */
+    private static final long SILENCE_RESET_MILLIS = 60_000;
 
     /** Shortest time between two suspicions. */
     private static final long MIN_SUSPICION_INTERVAL_MILLIS = 1000;
@@ -75,6 +83,7 @@
     private long mDoubtedFromMillis = NEVER_MILLIS;
 
     private long mDoubtEndedMillis = NEVER_MILLIS;
+    private long mSilenceMillis = MIN_SILENCE_MILLIS;
     private int mNextProbe;
     private int mOpenProbes;
     private int mRound;
@@ -90,8 +99,8 @@
             mSentMillis = sentMillis;
         }
 
-        boolean overdue(long nowMillis) {
-            return !mHeard && nowMillis - mSentMillis >= SILENCE_MILLIS;
+        boolean silent(long sinceMillis) {
+            return !mHeard && mSentMillis <= sinceMillis;
         }
     }
 
@@ -176,17 +185,22 @@
     /** Suspects the links if answers are due and no server was heard for a while. */
     public void checkSilence() {
         long now = mTimers.nowMillis();
-        if (mState.doubtful() || now - mHeardMillis < SILENCE_MILLIS) {
+        if (now - mSuspectedMillis > SILENCE_RESET_MILLIS) {
+            mSilenceMillis = MIN_SILENCE_MILLIS;
+        }
+        long sinceMillis = now - mSilenceMillis;
+        if (mState.doubtful() || mHeardMillis > sinceMillis) {
             return;
         }
         long silentServers =
                 mOpenCalls.values().stream()
-                        .filter(open -> open.overdue(now))
+                        .filter(open -> open.silent(sinceMillis))
                         .map(open -> open.mServer)
                         .distinct()
                         .count();
         if (silentServers > 1) {
-            suspect(now, now - SILENCE_MILLIS);
+            suspect(now, sinceMillis);
+            mSilenceMillis = Math.min(MAX_SILENCE_MILLIS, 2 * mSilenceMillis);
         }
     }
 
@@ -287,6 +301,7 @@
                 EventField.of("listed", mTable.servers().size()));
         mTable.forgetFailuresSince(mDoubtedFromMillis);
         mAwaitingVerdict.clear();
+        mSilenceMillis = MIN_SILENCE_MILLIS;
         change(ReachState.CUT_OFF);
     }
 
--- a/rhubarbward-core/src/test/java/io/rhubarbward/node/StrandedRouterTest.java
+++ b/rhubarbward-core/src/test/java/io/rhubarbward/node/StrandedRouterTest.java
@@ -8,6 +8,7 @@
 import io.rhubarbward.testing.RouterFleet.Router;
 import io.rhubarbward.testing.RouterFleet.Sent;
 import io.rhubarbward.testing.SimulatedServers.LostLinks;
+import java.time.Duration;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -292,7 +293,7 @@
         Router router = router(fleet, "r-2");
         IntStream.range(0, 5).forEach(i -> fleet.send(router, "sys-1,doc-" + i));
         fleet.advance(3000);
-        fleet.mServers.answerTime(server -> java.time.Duration.ofSeconds(8));
+        fleet.mServers.answerTime(server -> Duration.ofSeconds(8));
         Sent sent = fleet.send(router, "sys-1,doc-9");
         fleet.advance(200);
         assertThat(sent.response().status()).isEqualTo(200);
@@ -315,6 +316,22 @@
         assertThat(fleet.mServers.probes()).isEqualTo(before);
     }
 
+    // Servers that are slow to answer are not out of reach, and not probed again and again.
+    @Test
+    void slowAnswersMakeARouterSuspiciousLessAndLess() {
+        RouterFleet fleet = fleet(50, 3);
+        fleet.mServers.answerBegins(Duration.ofMillis(1500));
+        int before = fleet.mServers.probes();
+        for (int round = 0; round < 15; round++) {
+            IntStream.range(0, 6).forEach(i -> fleet.send(router(fleet, "r-0"), "doc-" + i));
+            fleet.advance(2000);
+        }
+        int suspicions = 4;
+        assertThat(fleet.mServers.probes() - before).isAtMost(SERVERS * suspicions);
+        assertThat(router(fleet, "r-0").mEvents.logged())
+                .doesNotContain(LogEvent.SERVERS_UNREACHABLE);
+    }
+
     // The deadline passes on less what was used, and each attempt runs at most once.
     @Test
     void theDeadlineAndTheAttemptGoWithARequestThroughAnotherRouter() {
--- a/rhubarbward-core/src/test/java/io/rhubarbward/testing/SimulatedServers.java
+++ b/rhubarbward-core/src/test/java/io/rhubarbward/testing/SimulatedServers.java
@@ -24,7 +24,6 @@
  * during certain requests, and are up again under a new incarnation after a while.
  */
 public final class SimulatedServers {
-    private static final Duration ANSWER_BEGINS = Duration.ofMillis(40);
     private static final int PARTS = 10;
     private static final String PART = "data: " + "x".repeat(52) + "\n\n";
     private static final Duration CONNECT_TIMEOUT = Duration.ofMillis(400);
@@ -36,6 +35,7 @@
     private final List<Crash> mCrashes = new ArrayList<>();
     private final BiConsumer<String, Long> mOnRestart;
     private int mProbes;
+    private Duration mAnswerBegins = Duration.ofMillis(40);
     private int mRoom = Integer.MAX_VALUE;
     private int mMostDeclined = Integer.MAX_VALUE;
     private Consumer<String> mOnAnswer = server -> {};
@@ -90,6 +90,11 @@
         mAnswerTime = answerTime;
     }
 
+    /** Sets the time until answers begin. */
+    public void answerBegins(Duration answerBegins) {
+        mAnswerBegins = answerBegins;
+    }
+
     /** Sets the status that each server answers with. */
     public void status(Function<String, Integer> status) {
         mStatus = status;
@@ -240,7 +245,7 @@
             return;
         }
         server.mOpen.add(call);
-        mTimers.after(ANSWER_BEGINS, () -> beginAnswer(name, call));
+        mTimers.after(mAnswerBegins, () -> beginAnswer(name, call));
     }
 
     private void beginAnswer(String name, Call call) {
