Suspect no request when connections are found dead after a cut

Connections that carried nothing during a cut may be reset once it is over, when the router believes its links again: each loss was then taken for a crash of the server by the request's prompt parts, at all routers alike. The new case of StrandedRouterTest failed before: parts were suspected after one cut of 1.2 s.

A call that was sent before the end of a cut is evidence of nothing.

--- a/rhubarbward-core/src/main/java/io/rhubarbward/forward/ServerCall.java
+++ b/rhubarbward-core/src/main/java/io/rhubarbward/forward/ServerCall.java
@@ -260,6 +260,7 @@
             long answerMillis = answerMillis();
             mContext.reach()
                     .whenConfirmed(
+                            mSentMillis,
                             () ->
                                     mContext.crashSuspects()
                                             .recordCrash(
--- a/rhubarbward-core/src/main/java/io/rhubarbward/reach/Reachability.java
+++ b/rhubarbward-core/src/main/java/io/rhubarbward/reach/Reachability.java
@@ -34,7 +34,7 @@
                 }
 
                 @Override
-                public void whenConfirmed(Runnable action) {
+                public void whenConfirmed(long sentMillis, Runnable action) {
                     action.run();
                 }
             };
@@ -64,8 +64,10 @@
             Object call, TrackedServer server, SendResult result, Runnable ifServersFault);
 
     /**
-     * Runs the action soon if the failure that has just been seen was not due to this router's own
-     * links, and never otherwise.
+     * Runs the action soon if the failure of a call that has just ended was not due to this
+     * router's own links, and never otherwise.
+     *
+     * @param sentMillis when the call was sent
      */
-    void whenConfirmed(Runnable action);
+    void whenConfirmed(long sentMillis, Runnable action);
 }
--- a/rhubarbward-core/src/main/java/io/rhubarbward/reach/ServerReachability.java
+++ b/rhubarbward-core/src/main/java/io/rhubarbward/reach/ServerReachability.java
@@ -329,7 +329,10 @@
     }
 
     @Override
-    public void whenConfirmed(Runnable action) {
+    public void whenConfirmed(long sentMillis, Runnable action) {
+        if (sentMillis <= mDoubtEndedMillis) {
+            return;
+        }
         mTimers.after(
                 CONFIRMATION_DELAY,
                 () -> {
--- a/rhubarbward-core/src/test/java/io/rhubarbward/forward/ForwardFixture.java
+++ b/rhubarbward-core/src/test/java/io/rhubarbward/forward/ForwardFixture.java
@@ -118,7 +118,7 @@
             }
 
             @Override
-            public void whenConfirmed(Runnable action) {
+            public void whenConfirmed(long sentMillis, Runnable action) {
                 action.run();
             }
         };
--- a/rhubarbward-core/src/test/java/io/rhubarbward/node/StrandedRouterTest.java
+++ b/rhubarbward-core/src/test/java/io/rhubarbward/node/StrandedRouterTest.java
@@ -271,6 +271,17 @@
                                 .doesNotContain(LogEvent.REQUEST_TRAIT_BLOCKED));
     }
 
+    // Guards against prompt parts that are blamed since connections are found dead after a cut.
+    @Test
+    void connectionsThatEndAfterACutMakeNoRequestSuspect() {
+        RouterFleet fleet = fleet(51, 9);
+        fleet.mServers.cutOff(names(6)::contains, LostLinks.HANG);
+        play(fleet, 1200);
+        fleet.mServers.restoreLinks();
+        play(fleet, 1000);
+        fleet.mRouters.forEach(router -> assertThat(router.suspectsCrashes()).isFalse());
+    }
+
     @Test
     void aRouterThatStartsDuringTheCutIsServedThroughOthers() {
         RouterFleet fleet = fleet(46, 9);
--- a/rhubarbward-core/src/test/java/io/rhubarbward/testing/SimulatedServers.java
+++ b/rhubarbward-core/src/test/java/io/rhubarbward/testing/SimulatedServers.java
@@ -18,6 +18,7 @@
 import java.util.function.Consumer;
 import java.util.function.Function;
 import java.util.function.Predicate;
+import java.util.stream.Stream;
 
 /**
  * Backend servers in virtual time that all routers of a test share. They answer in two steps, crash
@@ -27,12 +28,17 @@
     private static final int PARTS = 10;
     private static final String PART = "data: " + "x".repeat(52) + "\n\n";
     private static final Duration CONNECT_TIMEOUT = Duration.ofMillis(400);
+    private static final Duration DEAD_CONNECTION_TIME = Duration.ofMillis(500);
     private static final Duration DOWN_TIME = Duration.ofSeconds(3);
 
     private final VirtualTimerService mTimers;
     private final Map<String, Server> mServers = new HashMap<>();
     private final List<Arrival> mArrivals = new ArrayList<>();
     private final List<Crash> mCrashes = new ArrayList<>();
+
+    /** Calls on connections that carry nothing more, which did not reach their servers. */
+    private final List<Call> mHanging = new ArrayList<>();
+
     private final BiConsumer<String, Long> mOnRestart;
     private int mProbes;
     private Duration mAnswerBegins = Duration.ofMillis(40);
@@ -180,9 +186,18 @@
         mIdleConnections.clear();
     }
 
-    /** Restores all links. */
+    /** Restores all links; connections that carried nothing meanwhile turn out to be dead. */
     public void restoreLinks() {
+        List<Call> silenced =
+                mServers.values().stream()
+                        .flatMap(server -> server.mOpen.stream())
+                        .filter(Call::silenced)
+                        .toList();
         cutOff(router -> false, LostLinks.HANG);
+        silenced.forEach(call -> server(call.mRequest.server().name()).mOpen.remove(call));
+        List<Call> dead = Stream.concat(silenced.stream(), mHanging.stream()).toList();
+        mHanging.clear();
+        mTimers.after(DEAD_CONNECTION_TIME, () -> dead.forEach(Call::failSilenced));
     }
 
     private boolean isCut(String router, String server) {
@@ -205,6 +220,8 @@
                 mTimers.after(
                         mLostLinks == LostLinks.HANG ? CONNECT_TIMEOUT : Duration.ofMillis(1),
                         () -> call.fail(BackendFailure.NOT_CONNECTED));
+            } else {
+                mHanging.add(call);
             }
             return call;
         };
@@ -337,6 +354,11 @@
             return mSent;
         }
 
+        private void failSilenced() {
+            mSilenced = false;
+            fail(BackendFailure.CONNECTION_LOST);
+        }
+
         private void fail(BackendFailure failure) {
             tell(listener -> listener.onFailure(failure));
         }
