Ask routers of other data centres for help from the beginning

A cut-off router asked all routers of its own data centre first, four in each 0.2 s: in a large fleet whose data centre is cut off, seconds went by before one that helps was found. Found in review.

--- a/rhubarbward-core/src/main/java/io/rhubarbward/reach/ForwardingPeers.java
+++ b/rhubarbward-core/src/main/java/io/rhubarbward/reach/ForwardingPeers.java
@@ -26,13 +26,15 @@
 import java.util.TreeSet;
 import java.util.function.LongSupplier;
 import java.util.function.Supplier;
+import java.util.stream.Collectors;
+import java.util.stream.IntStream;
 import java.util.stream.Stream;
 
 /**
  * The other routers through which this one forwards requests while it reaches no backend server.
  *
- * <p>From the first suspicion on, this router asks a few others whether they would forward, those
- * of its own data centre first, and each router in an order of its own, so that not all choose the
+ * <p>From the first suspicion on, this router asks a few others whether they would forward, of its
+ * own data centre and of others, and each router in an order of its own, so that not all choose the
  * same. It goes on until enough are found, and asks those again so that it knows when one stops, is
  * cut off too, or answers no more. While this router reaches its servers, nothing is asked.
  */
@@ -175,17 +177,33 @@
         }
     }
 
-    /** Returns the routers that may be asked, those of this data centre first. */
+    /**
+     * Returns the routers that may be asked, by turns one of this data centre and one of another: a
+     * whole data centre may be cut off.
+     */
     private List<Map.Entry<String, RouterPresence>> candidates() {
         List<Map.Entry<String, RouterPresence>> others =
                 mRouters.get().entrySet().stream()
                         .filter(router -> !router.getKey().equals(mSelf))
                         .filter(router -> !router.getValue().forwardingAddress().isEmpty())
                         .toList();
-        return RendezvousHash.order("forward/" + mSelf, others, Map.Entry::getKey).stream()
-                .sorted(
-                        Comparator.comparing(
-                                router -> !router.getValue().dataCentre().equals(mDataCentre)))
+        Map<Boolean, List<Map.Entry<String, RouterPresence>>> byLocal =
+                RendezvousHash.order("forward/" + mSelf, others, Map.Entry::getKey).stream()
+                        .collect(
+                                Collectors.partitioningBy(
+                                        router ->
+                                                router.getValue()
+                                                        .dataCentre()
+                                                        .equals(mDataCentre)));
+        List<Map.Entry<String, RouterPresence>> local = byLocal.getOrDefault(true, List.of());
+        List<Map.Entry<String, RouterPresence>> remote = byLocal.getOrDefault(false, List.of());
+        return IntStream.range(0, Math.max(local.size(), remote.size()))
+                .boxed()
+                .flatMap(
+                        index ->
+                                Stream.of(local, remote)
+                                        .filter(routers -> index < routers.size())
+                                        .map(routers -> routers.get(index)))
                 .toList();
     }
 
--- a/rhubarbward-core/src/test/java/io/rhubarbward/node/StrandedRouterTest.java
+++ b/rhubarbward-core/src/test/java/io/rhubarbward/node/StrandedRouterTest.java
@@ -282,6 +282,24 @@
         fleet.mRouters.forEach(router -> assertThat(router.suspectsCrashes()).isFalse());
     }
 
+    // A whole data centre of a large fleet: its routers must not ask all others of it first.
+    @Test
+    void routersOfOtherDataCentresAreAskedFromTheBeginning() {
+        RouterFleet fleet = fleet(52, 90);
+        Set<String> stranded =
+                IntStream.range(0, 90)
+                        .filter(index -> index % 3 == 0)
+                        .mapToObj(index -> "r-" + index)
+                        .collect(java.util.stream.Collectors.toSet());
+        fleet.mServers.cutOff(stranded::contains, LostLinks.RESET);
+        play(fleet, 1500, 300);
+        long settledMillis = fleet.mTimers.nowMillis();
+        play(fleet, 2000, 300);
+        fleet.advance(2000);
+        assertThat(servedShare(fleet, stranded::contains, settledMillis, settledMillis + 2000))
+                .isAtLeast(0.9);
+    }
+
     @Test
     void aRouterThatStartsDuringTheCutIsServedThroughOthers() {
         RouterFleet fleet = fleet(46, 9);
