Leave room for the routers' fields in the head of a forwarded request

A caller's request whose head has the largest size that the configuration allows was refused with 431 by the router that it was forwarded through, which its own router passed on as 502. Found in review: the listener for forwarded requests had fixed limits. It now takes 2 KB more than callers may send, and the configuration's limits otherwise. The new case of FleetRouterDaemonTest got 431 before.

A router that is not listed yet is declined as not ready, so that it asks another one.

--- a/rhubarbward-core/src/main/java/io/rhubarbward/forward/PeerGateway.java
+++ b/rhubarbward-core/src/main/java/io/rhubarbward/forward/PeerGateway.java
@@ -72,19 +72,13 @@
         PeerResponse peerResponse = new PeerResponse(response);
         Optional<String> router =
                 request.headers().first(PeerHeaders.FORWARDED_BY).filter(mIsRouter);
-        if (router.isEmpty()) {
-            return refuse(
-                    peerResponse,
-                    Refusal.of(
-                            RefusalCode.MALFORMED_REQUEST,
-                            PeerHeaders.FORWARDED_BY + ": expected the name of a listed router"));
-        }
-        if (!willing() || number(request, PeerHeaders.CATALOG_VERSION) > version()) {
+        boolean current = number(request, PeerHeaders.CATALOG_VERSION) <= version();
+        if (router.isEmpty() || !current || !willing()) {
             return refuse(
                     peerResponse,
                     new Refusal(
                             RefusalCode.NOT_READY,
-                            "this router does not forward now",
+                            "this router does not forward, or not for this one",
                             DECLINED_RETRY_MILLIS));
         }
         RequestOrigin origin =
--- a/rhubarbward-daemon/src/main/java/io/rhubarbward/daemon/FleetRouterDaemon.java
+++ b/rhubarbward-daemon/src/main/java/io/rhubarbward/daemon/FleetRouterDaemon.java
@@ -67,6 +67,9 @@
     /** How long a request may take to arrive: longer than callers wait for an answer. */
     private static final int REQUEST_READ_TIMEOUT_MILLIS = 15_000;
 
+    /** Size of the header fields that routers add to a request that they forward. */
+    private static final int FORWARDING_HEAD_BYTES = 2048;
+
     private static final int OK = 200;
     private static final int SERVICE_UNAVAILABLE = 503;
 
@@ -101,7 +104,13 @@
         mPeers =
                 new ThriftPeerTransport(
                         settings.vm(), settings.peers(), mGroup, mTimers, events, metrics);
-        mForwardingListener = openInternal(settings.forwarding(), this::serveForwarded);
+        mForwardingListener =
+                HttpListener.open(
+                        mGroup,
+                        settings.forwarding(),
+                        mTimers,
+                        this::forwardingLimits,
+                        this::serveForwarded);
         mRouter =
                 new FleetRouter(
                         settings.withPeerPorts(mPeers.port(), mForwardingListener.port()),
@@ -186,6 +195,11 @@
         return CompletableFuture.supplyAsync(mRouter::relayFollowers, mTimers);
     }
 
+    /** Returns the port at which other routers forward requests. */
+    int forwardingPort() {
+        return mForwardingListener.port();
+    }
+
     /** Returns the port at which the balancer asks whether the router is ready. */
     public int readinessPort() {
         return mReadinessListener.port();
@@ -197,6 +211,16 @@
                 .orElse(HttpLimits.INTERNAL);
     }
 
+    /** Leaves room for the fields that a router adds to a caller's request. */
+    private HttpLimits forwardingLimits() {
+        HttpLimits limits = httpLimits();
+        return new HttpLimits(
+                limits.maxHeadBytes() + FORWARDING_HEAD_BYTES,
+                limits.maxBodyBytes(),
+                limits.requestReadMillis(),
+                limits.idleMillis());
+    }
+
     private static HttpLimits httpLimits(CallerLimits limits) {
         return new HttpLimits(
                 limits.maxHeadBytes(),
--- a/rhubarbward-daemon/src/test/java/io/rhubarbward/daemon/FleetRouterDaemonTest.java
+++ b/rhubarbward-daemon/src/test/java/io/rhubarbward/daemon/FleetRouterDaemonTest.java
@@ -8,6 +8,9 @@
 import io.rhubarbward.request.CallerRequest;
 import java.io.IOException;
 import java.io.UncheckedIOException;
+import java.net.HttpURLConnection;
+import java.net.URI;
+import java.net.URL;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CountDownLatch;
 import org.junit.jupiter.api.Test;
@@ -125,4 +128,36 @@
             assertThat(stopped.get()).isEqualTo(0);
         }
     }
+
+    private static HttpURLConnection forward(LocalFleet fleet, int fillerBytes) throws IOException {
+        URL url =
+                URI.create("http://127.0.0.1:" + fleet.router().forwardingPort() + "/plain/1")
+                        .toURL();
+        HttpURLConnection connection = (HttpURLConnection) url.openConnection();
+        connection.setRequestMethod("POST");
+        connection.setRequestProperty("Rhubarbward-Attempt-Id", "r-1");
+        connection.setRequestProperty("Authorization", "Bearer sample-key");
+        connection.setRequestProperty("Filler", "x".repeat(fillerBytes));
+        connection.setRequestProperty("router-forwarded-by", "front-1");
+        connection.setRequestProperty("router-attempts-left", "1");
+        connection.setRequestProperty("router-catalog-version", "0".repeat(700));
+        return connection;
+    }
+
+    /** A caller's head of the largest size must not be refused on its way through a router. */
+    @Test
+    void aForwardedRequestMayHaveAHeadOfTheCallersLargestSize() throws IOException {
+        try (LocalFleet fleet = LocalFleet.start(EventLog.none())) {
+            fleet.awaitReady();
+            HttpURLConnection answer = forward(fleet, 15_500);
+            while (answer.getResponseCode() == 503) {
+                // The router does not know yet that it is listed.
+                answer = forward(fleet, 15_500);
+            }
+            assertThat(answer.getResponseCode()).isEqualTo(200);
+            assertThat(answer.getHeaderField("Rhubarbward-Attempt-Id")).isEqualTo("r-1");
+            CallerRequest run = fleet.ordersReplica().handledRequests().get(0);
+            assertThat(run.headers().first("router-forwarded-by")).isEmpty();
+        }
+    }
 }
