--- a/rhubarbward-core/src/main/java/io/rhubarbward/node/FleetRouter.java
+++ b/rhubarbward-core/src/main/java/io/rhubarbward/node/FleetRouter.java
@@ -71,6 +71,12 @@
     /** How often the clocks are compared, in addition to the comparison at each send. */
     private static final Duration CLOCK_CHECK_PERIOD = Duration.ofMillis(200);
 
+    /** Lateness of the event loop from which it is logged. */
+    private static final long MIN_LOGGED_LAG_MILLIS = 200;
+
+    /** Shortest time between two log lines about it. */
+    private static final Duration LAG_LOG_INTERVAL = Duration.ofSeconds(1);
+
     /** Delay before a failed write of this router's entry is retried. */
     private static final Duration ANNOUNCE_RETRY_DELAY = Duration.ofMillis(700);
 
@@ -97,6 +103,7 @@
     private final PeerGateway mPeerGateway;
     private final ClockJumpDetector mClockJumpDetector;
     private final EventLoopLag mLoopLag;
+    private long mLagLoggedMillis = Long.MIN_VALUE / 2;
     private boolean mStopping;
 
     /** Creates the components; nothing runs until {@link #start}. */
@@ -275,12 +282,27 @@
                 .every(
                         CLOCK_CHECK_PERIOD,
                         () -> {
+                            logIfLate();
                             mLoopLag.tick();
                             relistAfterClockJump();
                             mReach.checkSilence();
                         });
     }
 
+    private void logIfLate() {
+        long lateMillis = mLoopLag.millis();
+        long now = mPorts.timers().nowMillis();
+        if (lateMillis >= MIN_LOGGED_LAG_MILLIS
+                && now - mLagLoggedMillis >= LAG_LOG_INTERVAL.toMillis()) {
+            mLagLoggedMillis = now;
+            mPorts.events()
+                    .log(
+                            LogEvent.EVENT_LOOP_LATE,
+                            EventField.of("lateMs", lateMillis),
+                            EventField.of("open", openRequests()));
+        }
+    }
+
     private void announce() {
         mPorts.store()
                 .presenceWriter()
--- a/rhubarbward-net/src/main/java/io/rhubarbward/net/peer/ThriftPeerTransport.java
+++ b/rhubarbward-net/src/main/java/io/rhubarbward/net/peer/ThriftPeerTransport.java
@@ -51,12 +51,14 @@
 public final class ThriftPeerTransport implements PeerTransport, AutoCloseable {
     private static final int MAX_FRAME_BYTES = 2_000_000;
     private static final int CONNECT_TIMEOUT_MILLIS = 1000;
+    private static final double NANOS_PER_SECOND = 1e9;
 
     private final String mOwnVm;
     private final EventLoopGroup mGroup;
     private final TimerService mTimers;
     private final EventLog mEvents;
     private final Counter mBytesCounter;
+    private final Counter mHandlingSeconds;
     private final Channel mServerChannel;
     private final ChannelGroup mConnections = new DefaultChannelGroup(GlobalEventExecutor.INSTANCE);
     private final PeerFrameCodec mFrameCodec = new PeerFrameCodec();
@@ -86,6 +88,13 @@
                         .help("Bytes sent to and received from peers, by kind of message.")
                         .labelNames("direction", "kind")
                         .register(metrics);
+        mHandlingSeconds =
+                Counter.builder()
+                        .withoutExemplars()
+                        .name("rhubarbward_peer_handling_seconds_total")
+                        .help("Time of the event loop for messages from peers, by kind.")
+                        .labelNames("kind")
+                        .register(metrics);
         mTrafficMonitor =
                 new PeerTrafficMonitor(
                         () -> mBudgetBytesPerSecond.getAsInt(), timers, events, metrics);
@@ -222,12 +231,16 @@
     }
 
     private void receive(Receiver connection, byte[] frame) {
+        long startNanos = System.nanoTime();
         mFrameCodec
                 .decode(frame)
                 .peek(
                         received ->
                                 received.forEach(
-                                        message -> deliver(connection, message, frame.length)))
+                                        message -> {
+                                            deliver(connection, message, frame.length);
+                                            recordTime(message, startNanos);
+                                        }))
                 .peekLeft(e -> mEvents.log(LogEvent.PEER_MESSAGE_UNREADABLE, e));
     }
 
@@ -240,12 +253,22 @@
                 .forEach(handler -> handler.accept(sender, received.message()));
     }
 
+    private void recordTime(PeerFrameCodec.Received received, long startNanos) {
+        mHandlingSeconds
+                .labelValues(kind(received.message()))
+                .inc((System.nanoTime() - startNanos) / NANOS_PER_SECOND);
+    }
+
     private void count(String direction, PeerMessage message, int frameBytes) {
         int bytes = frameBytes + PeerFrameCodec.LENGTH_BYTES;
-        mBytesCounter.labelValues(direction, message.getClass().getSimpleName()).inc(bytes);
+        mBytesCounter.labelValues(direction, kind(message)).inc(bytes);
         mTrafficMonitor.recordBytes(bytes);
     }
 
+    private static String kind(PeerMessage message) {
+        return message.getClass().getSimpleName();
+    }
+
     @Override
     public void close() {
         mServerChannel.close().syncUninterruptibly();
