Let routers settle on the requests that are suspected of crashing servers

Four routers of 88, the aggregators, used all their processor time, read requests more than a second late and sent them on after their callers had left.

Cause: routers keep 256 traits of lost requests. With more, each router drops the weakest ones, but one that was dropped counted as new when another router told of it, and was passed on. So aggregators sent each other the same suspects without end, every 10 ms, to all routers of their data centres. Each message took tens of milliseconds, as the weakest trait was searched anew for each one dropped. Answers to sound requests were passed on by aggregators at the same pace.

Ruled out: the requests' own cost, as routers that add nothing up used a tenth of their processors.

--- a/rhubarbward-core/src/main/java/io/rhubarbward/crash/CrashSuspect.java
+++ b/rhubarbward-core/src/main/java/io/rhubarbward/crash/CrashSuspect.java
@@ -82,7 +82,7 @@
     }
 
     /** Returns a hash of the observations, without the times, which may differ by the clocks. */
-    long digest() {
+    public long digest() {
         return RendezvousHash.hash(
                 crashes.keySet().stream()
                         .sorted()
--- a/rhubarbward-core/src/main/java/io/rhubarbward/crash/CrashSuspects.java
+++ b/rhubarbward-core/src/main/java/io/rhubarbward/crash/CrashSuspects.java
@@ -14,8 +14,10 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
+import java.util.Optional;
 import java.util.Set;
 import java.util.stream.Collectors;
+import org.jspecify.annotations.Nullable;
 
 /**
  * Finds the traits of requests that crash backend servers, and blocks requests that have one.
@@ -70,6 +72,12 @@
 
     private static final int MAX_SUSPECTS = 256;
 
+    /** Puts the traits first that are dropped first. */
+    private static final Comparator<CrashSuspect> BY_EVIDENCE =
+            Comparator.<CrashSuspect>comparingInt(suspect -> suspect.crashes().size())
+                    .thenComparingLong(CrashSuspect::newestCrashMillis)
+                    .thenComparingLong(CrashSuspect::trait);
+
     private static final Duration FORGET_PERIOD = Duration.ofMinutes(1);
 
     private final TimerService mTimers;
@@ -77,6 +85,10 @@
     private final Map<Long, CrashSuspect> mSuspects = new HashMap<>();
     private final List<Subscriber> mSubscribers = new ArrayList<>();
     private Set<Long> mBlamed = Set.of();
+
+    /** The suspect with the most evidence that was dropped for want of room. */
+    private @Nullable CrashSuspect mStrongestDropped;
+
     private long mDigest;
 
     /** Grows with each crash that is recorded for a trait. */
@@ -162,18 +174,25 @@
     public List<CrashSuspect> merge(Collection<CrashSuspect> observed) {
         long now = mTimers.epochMillis();
         int crashesBefore = mKnownCrashes;
-        List<CrashSuspect> changed =
+        List<Long> changedTraits =
                 observed.stream()
                         .map(suspect -> suspect.notAfter(now))
                         .filter(suspect -> !forgotten(suspect, now))
                         .filter(this::put)
-                        .map(suspect -> mSuspects.getOrDefault(suspect.trait(), suspect))
+                        .map(CrashSuspect::trait)
+                        .toList();
+        evict();
+        // Suspects that were dropped at once are no news: every router would pass them on again.
+        List<CrashSuspect> changed =
+                changedTraits.stream()
+                        .distinct()
+                        .map(mSuspects::get)
+                        .filter(Objects::nonNull)
                         .toList();
         boolean blamedAnswered =
                 changed.stream().anyMatch(suspect -> mBlamed.contains(suspect.trait()));
         // Answers alone never add to the evidence against a trait that is not blamed.
         if (mKnownCrashes != crashesBefore || blamedAnswered) {
-            evict();
             updateBlamed();
         }
         return changed;
@@ -184,6 +203,7 @@
                 mSuspects.values().stream().filter(suspect -> forgotten(suspect, now)).toList();
         if (!forgotten.isEmpty()) {
             forgotten.forEach(this::remove);
+            mStrongestDropped = null;
             updateBlamed();
         }
     }
@@ -199,6 +219,9 @@
 
     private boolean put(CrashSuspect observed) {
         CrashSuspect known = mSuspects.get(observed.trait());
+        if (known == null && weakerThanDropped(observed)) {
+            return false;
+        }
         CrashSuspect merged = known == null ? observed : known.mergedWith(observed);
         boolean changed =
                 known == null
@@ -217,15 +240,29 @@
 
     /** Drops the traits with the least evidence, the same ones at every router. */
     private void evict() {
-        Comparator<CrashSuspect> byEvidence =
-                Comparator.<CrashSuspect>comparingInt(suspect -> suspect.crashes().size())
-                        .thenComparingLong(CrashSuspect::newestCrashMillis)
-                        .thenComparingLong(CrashSuspect::trait);
-        while (mSuspects.size() > MAX_SUSPECTS) {
-            mSuspects.values().stream().min(byEvidence).ifPresent(this::remove);
+        if (mSuspects.size() <= MAX_SUSPECTS) {
+            return;
+        }
+        List<CrashSuspect> dropped =
+                mSuspects.values().stream()
+                        .sorted(BY_EVIDENCE)
+                        .limit(mSuspects.size() - MAX_SUSPECTS)
+                        .toList();
+        dropped.forEach(this::remove);
+        CrashSuspect strongest = dropped.get(dropped.size() - 1);
+        if (!weakerThanDropped(strongest)) {
+            mStrongestDropped = strongest;
         }
     }
 
+    /**
+     * Returns whether a suspect with at least this evidence was dropped. One that returns is not
+     * kept, even if routers that have not dropped it yet keep telling of it.
+     */
+    private boolean weakerThanDropped(CrashSuspect suspect) {
+        return mStrongestDropped != null && BY_EVIDENCE.compare(suspect, mStrongestDropped) <= 0;
+    }
+
     private void updateBlamed() {
         Set<Long> blamed = new HashSet<>();
         Set<Long> explainedServers = new HashSet<>();
@@ -339,6 +376,11 @@
                 .orElse(0);
     }
 
+    /** Returns what is known of the trait. */
+    public Optional<CrashSuspect> find(long trait) {
+        return Optional.ofNullable(mSuspects.get(trait));
+    }
+
     /** Returns all suspects, for a router that lacks some. */
     public List<CrashSuspect> all() {
         return List.copyOf(mSuspects.values());
--- a/rhubarbward-core/src/main/java/io/rhubarbward/relay/SuspectExchange.java
+++ b/rhubarbward-core/src/main/java/io/rhubarbward/relay/SuspectExchange.java
@@ -14,6 +14,7 @@
 import java.util.Objects;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.Function;
 import java.util.function.Supplier;
 import java.util.stream.Collectors;
 import java.util.stream.Stream;
@@ -69,7 +70,7 @@
     }
 
     void start() {
-        mTransport.subscribe(SuspectNews.class, (sender, news) -> onNews(news));
+        mTransport.subscribe(SuspectNews.class, this::onNews);
         mSuspects.subscribe(
                 (changed, crashed) ->
                         sendAfter(crashed ? SEND_DELAY : ANSWERS_SEND_DELAY, changed));
@@ -79,13 +80,38 @@
         return mSuspects.digest();
     }
 
-    private void onNews(SuspectNews news) {
+    private void onNews(String sender, SuspectNews news) {
+        Map<Long, CrashSuspect> known =
+                news.suspects().stream()
+                        .flatMap(suspect -> mSuspects.find(suspect.trait()).stream())
+                        .collect(Collectors.toMap(CrashSuspect::trait, Function.identity()));
         List<CrashSuspect> changed = mSuspects.merge(news.suspects());
-        if (!changed.isEmpty()) {
-            sendAfter(SEND_DELAY, changed);
+        List<CrashSuspect> toSend =
+                fromAggregator(sender) ? unknownTo(news.suspects(), changed) : changed;
+        if (!toSend.isEmpty()) {
+            boolean crashed =
+                    toSend.stream().anyMatch(suspect -> hasNewCrash(suspect, known));
+            sendAfter(crashed ? SEND_DELAY : ANSWERS_SEND_DELAY, toSend);
         }
     }
 
+    private static boolean hasNewCrash(CrashSuspect suspect, Map<Long, CrashSuspect> known) {
+        CrashSuspect before = known.get(suspect.trait());
+        return before == null || !before.crashes().keySet().equals(suspect.crashes().keySet());
+    }
+
+    private boolean fromAggregator(String sender) {
+        return mAggregatorPeer.get().filter(peer -> peer.vm().equals(sender)).isPresent();
+    }
+
+    /** Returns the suspects of which this router knows more than was told. */
+    private static List<CrashSuspect> unknownTo(
+            List<CrashSuspect> told, List<CrashSuspect> changed) {
+        Set<Long> digests =
+                told.stream().map(CrashSuspect::digest).collect(Collectors.toSet());
+        return changed.stream().filter(suspect -> !digests.contains(suspect.digest())).toList();
+    }
+
     private void sendAfter(Duration delay, List<CrashSuspect> changed) {
         long dueMillis = mTimers.nowMillis() + delay.toMillis();
         if (mUnsent.isEmpty() || dueMillis < mSendDueMillis) {
