Send no request on whose caller is known to have left

Cause: when the event loop is behind, a request and the close after it wait in the same socket. Netty reads once, the request was served at once, and the close was found in the next iteration. Nothing asked before a retry either.

Change: a caller's socket is read until it is empty, which costs one more system call a request; the request is served after what was read with it; before each send, first ones, retries and detours alike, the exchange asks whether the caller is present (CallerResponse.callerPresent).

--- a/rhubarbward-core/src/main/java/io/rhubarbward/forward/ForwardedExchange.java
+++ b/rhubarbward-core/src/main/java/io/rhubarbward/forward/ForwardedExchange.java
@@ -109,6 +109,10 @@
     }
 
     private void placeAndSend() {
+        if (!mResponse.callerPresent()) {
+            onGone();
+            return;
+        }
         long remainingMillis = mDeadlineMillis - mContext.timers().nowMillis();
         if (remainingMillis < MIN_REMAINING_MILLIS) {
             refuse(RefusalCode.DEADLINE_EXCEEDED, "no time is left");
--- a/rhubarbward-core/src/main/java/io/rhubarbward/forward/PeerGateway.java
+++ b/rhubarbward-core/src/main/java/io/rhubarbward/forward/PeerGateway.java
@@ -155,6 +155,11 @@
             delegate.whenDelivered(action);
         }
 
+        @Override
+        public boolean callerPresent() {
+            return delegate.callerPresent();
+        }
+
         @Override
         public void refuse(Refusal refusal, LongFunction<HeaderFields> retryAfter) {
             PeerRefusal marked =
--- a/rhubarbward-core/src/main/java/io/rhubarbward/relay/SuspectExchange.java
+++ b/rhubarbward-core/src/main/java/io/rhubarbward/relay/SuspectExchange.java
@@ -89,8 +89,7 @@
         List<CrashSuspect> toSend =
                 fromAggregator(sender) ? unknownTo(news.suspects(), changed) : changed;
         if (!toSend.isEmpty()) {
-            boolean crashed =
-                    toSend.stream().anyMatch(suspect -> hasNewCrash(suspect, known));
+            boolean crashed = toSend.stream().anyMatch(suspect -> hasNewCrash(suspect, known));
             sendAfter(crashed ? SEND_DELAY : ANSWERS_SEND_DELAY, toSend);
         }
     }
@@ -107,8 +106,7 @@
     /** Returns the suspects of which this router knows more than was told. */
     private static List<CrashSuspect> unknownTo(
             List<CrashSuspect> told, List<CrashSuspect> changed) {
-        Set<Long> digests =
-                told.stream().map(CrashSuspect::digest).collect(Collectors.toSet());
+        Set<Long> digests = told.stream().map(CrashSuspect::digest).collect(Collectors.toSet());
         return changed.stream().filter(suspect -> !digests.contains(suspect.digest())).toList();
     }
 
--- a/rhubarbward-core/src/main/java/io/rhubarbward/request/CallerResponse.java
+++ b/rhubarbward-core/src/main/java/io/rhubarbward/request/CallerResponse.java
@@ -39,4 +39,12 @@
     default void refuse(Refusal refusal, LongFunction<HeaderFields> retryAfter) {
         refusal.sendTo(this, retryAfter);
     }
+
+    /**
+     * Returns whether the caller still waits for the answer, as far as is known. A caller that has
+     * left may be known here before {@link CallerListener#onGone} is called.
+     */
+    default boolean callerPresent() {
+        return true;
+    }
 }
--- a/rhubarbward-core/src/test/java/io/rhubarbward/forward/ForwardFixture.java
+++ b/rhubarbward-core/src/test/java/io/rhubarbward/forward/ForwardFixture.java
@@ -153,8 +153,18 @@
         return send(path, headers("r-1"));
     }
 
-    PendingRequest send(String path, HeaderFields headers) {
+    /** Sends a request whose caller has left, of which its listener is not told yet. */
+    PendingRequest sendOfCallerThatLeft(String path) {
         RecordingResponse response = new RecordingResponse();
+        response.callerLeaves();
+        return send(path, headers("r-1"), response);
+    }
+
+    PendingRequest send(String path, HeaderFields headers) {
+        return send(path, headers, new RecordingResponse());
+    }
+
+    private PendingRequest send(String path, HeaderFields headers, RecordingResponse response) {
         CallerListener listener =
                 mService.serve(
                         new CallerRequest("POST", path, headers, ByteBuffer.allocate(0)), response);
--- a/rhubarbward-core/src/test/java/io/rhubarbward/forward/StalledLoopTest.java
+++ b/rhubarbward-core/src/test/java/io/rhubarbward/forward/StalledLoopTest.java
@@ -4,6 +4,7 @@
 
 import io.rhubarbward.catalog.RouteKind;
 import io.rhubarbward.forward.ForwardFixture.PendingRequest;
+import io.rhubarbward.request.BackendFailure;
 import io.rhubarbward.testing.Catalogs;
 import io.rhubarbward.timer.EventLoopLag;
 import io.rhubarbward.timer.VirtualTimerService;
@@ -56,6 +57,24 @@
         assertThat(mFixture.mService.openRequests()).isEqualTo(0);
     }
 
+    // Guards against incident 36: requests were sent on although their callers' close had arrived.
+    @Test
+    void aRequestOfACallerThatIsKnownToHaveLeftIsNotSent() {
+        PendingRequest request = mFixture.sendOfCallerThatLeft("/order/7");
+        assertThat(sends()).isEqualTo(0);
+        assertThat(mFixture.mService.openRequests()).isEqualTo(0);
+        assertThat(request.response().status()).isEqualTo(0);
+    }
+
+    @Test
+    void aRequestOfACallerThatLeavesDuringAFailedAttemptIsNotSentAgain() {
+        PendingRequest request = mFixture.send("/status/7");
+        request.response().callerLeaves();
+        mFixture.mBackends.last().fail(BackendFailure.NOT_CONNECTED);
+        assertThat(sends()).isEqualTo(1);
+        assertThat(mFixture.mService.openRequests()).isEqualTo(0);
+    }
+
     @Test
     void aRequestOfACallerThatStayedIsSentInTheNextPass() {
         mFixture.mLoopLagMillis = 300;
--- a/rhubarbward-core/src/test/java/io/rhubarbward/testing/RecordingResponse.java
+++ b/rhubarbward-core/src/test/java/io/rhubarbward/testing/RecordingResponse.java
@@ -13,6 +13,7 @@
     private boolean mFinished;
     private boolean mAborted;
     private boolean mStalled;
+    private boolean mCallerLeft;
     private Runnable mOnDelivered = () -> {};
 
     @Override
@@ -51,6 +52,16 @@
         }
     }
 
+    @Override
+    public boolean callerPresent() {
+        return !mCallerLeft;
+    }
+
+    /** Simulates a close of the caller's connection of which the exchange is not told yet. */
+    public void callerLeaves() {
+        mCallerLeft = true;
+    }
+
     /** Simulates a caller that does not read: delivery is complete only after {@link #deliver}. */
     public void stallDelivery() {
         mStalled = true;
--- a/rhubarbward-net/src/main/java/io/rhubarbward/net/http/CallerConnection.java
+++ b/rhubarbward-net/src/main/java/io/rhubarbward/net/http/CallerConnection.java
@@ -154,7 +154,8 @@
                             mRequestHead.protocolVersion(),
                             HttpUtil.isKeepAlive(mRequestHead));
             discardRequest();
-            mTimers.execute(() -> serve(request, response));
+            // A close that arrived with the request is processed first.
+            context.executor().execute(() -> mTimers.execute(() -> serve(request, response)));
         }
     }
 
--- a/rhubarbward-net/src/main/java/io/rhubarbward/net/http/HttpListener.java
+++ b/rhubarbward-net/src/main/java/io/rhubarbward/net/http/HttpListener.java
@@ -1,6 +1,7 @@
 package io.rhubarbward.net.http;
 
 import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.AdaptiveRecvByteBufAllocator;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
@@ -36,6 +37,9 @@
     /** Accept backlog, large enough that a burst of connections loses no SYN packets. */
     private static final int MAX_PENDING_CONNECTIONS = 1024;
 
+    /** Reads from one connection in one iteration of the event loop: Netty's default. */
+    private static final int MAX_READS = 16;
+
     private final Channel mServerChannel;
     private final ChannelGroup mConnections;
     private final AtomicBoolean mKeepAliveDisabled;
@@ -83,6 +87,13 @@
                         .channelFactory(() -> new NioServerSocketChannel(socket))
                         .childOption(ChannelOption.TCP_NODELAY, true)
                         .childOption(ChannelOption.SO_KEEPALIVE, true)
+                        // Reads until the socket is empty, so that a close is seen with the
+                        // request that it follows.
+                        .childOption(
+                                ChannelOption.RCVBUF_ALLOCATOR,
+                                new AdaptiveRecvByteBufAllocator()
+                                        .respectMaybeMoreData(false)
+                                        .maxMessagesPerRead(MAX_READS))
                         .childHandler(
                                 new ChannelInitializer<SocketChannel>() {
                                     @Override
--- a/rhubarbward-net/src/main/java/io/rhubarbward/net/http/NettyResponse.java
+++ b/rhubarbward-net/src/main/java/io/rhubarbward/net/http/NettyResponse.java
@@ -139,6 +139,11 @@
         }
     }
 
+    @Override
+    public boolean callerPresent() {
+        return mChannel.isActive();
+    }
+
     @Override
     public void whenDelivered(Runnable action) {
         ChannelFuture last = mLastWrite != null ? mLastWrite : mChannel.closeFuture();
