Notice a caller that leaves while its next request waits

Cause: reading stopped with the first pipelined message, and without reading a close is not seen.

Change: up to 16 messages are read ahead before reading stops.

--- a/rhubarbward-net/src/main/java/io/rhubarbward/net/http/CallerConnection.java
+++ b/rhubarbward-net/src/main/java/io/rhubarbward/net/http/CallerConnection.java
@@ -36,10 +36,13 @@
  * One caller's connection: collects a whole request, passes it to the handler, and processes the
  * next request once the response is written.
  *
- * <p>Pipelined messages that arrive before the response is written are queued, and reading from the
- * socket is paused while the queue is not empty.
+ * <p>Pipelined messages that arrive before the response is written are queued. Reading from the
+ * socket is paused only while the queue is full: without reading, a close is not noticed.
  */
 final class CallerConnection extends SimpleChannelInboundHandler<HttpObject> {
+    /** Parts of requests that are read ahead, each of at most 8 KB. */
+    private static final int MAX_PIPELINED_MESSAGES = 16;
+
     private final TimerService mTimers;
     private final HttpLimits mLimits;
     private final HttpHandler mHandler;
@@ -95,7 +98,9 @@
     protected void channelRead0(ChannelHandlerContext context, HttpObject message) {
         if (mResponse != null) {
             mPipelined.add(ReferenceCountUtil.retain(message));
-            context.channel().config().setAutoRead(false);
+            if (mPipelined.size() >= MAX_PIPELINED_MESSAGES) {
+                context.channel().config().setAutoRead(false);
+            }
             return;
         }
         process(context, message);
--- a/rhubarbward-net/src/test/java/io/rhubarbward/net/http/DepartedCallerTest.java
+++ b/rhubarbward-net/src/test/java/io/rhubarbward/net/http/DepartedCallerTest.java
@@ -112,6 +112,16 @@
                 .inOrder();
     }
 
+    // While a caller's next request waits, its close must still be seen.
+    @Test
+    void aCallerThatHasSentItsNextRequestIsNoticedWhenItLeaves() throws Exception {
+        try (Socket caller = connect()) {
+            request(caller, "/open", "/next");
+            awaitOrFail(mOpenServed);
+        }
+        awaitOrFail(mOpenGone);
+    }
+
     private static void awaitOrFail(CountDownLatch latch) {
         try {
             assertThat(latch.await(TIMEOUT_SECONDS, TimeUnit.SECONDS)).isTrue();
