Charge servers and routers no delay of this router's event loop

Cause: timers run after the sockets that were ready when the iteration of the event loop began. A limit that is set while the loop reads and passes in the same long iteration ends what has come about meanwhile.

Change: TimerService.afterReading runs a limit on the time of others after one more iteration. It is used for connection attempts (no longer AsyncHttpClient's own limit), probes, queries to other routers, the check for silent servers, and deadlines, so that an answer that has arrived is delivered.

--- a/rhubarbward-core/src/main/java/io/rhubarbward/forward/ForwardedExchange.java
+++ b/rhubarbward-core/src/main/java/io/rhubarbward/forward/ForwardedExchange.java
@@ -99,7 +99,7 @@
         }
         mDeadlineTimer =
                 mContext.timers()
-                        .after(
+                        .afterReading(
                                 Duration.ofMillis(
                                         Math.max(
                                                 0,
--- a/rhubarbward-core/src/main/java/io/rhubarbward/node/FleetRouter.java
+++ b/rhubarbward-core/src/main/java/io/rhubarbward/node/FleetRouter.java
@@ -285,7 +285,7 @@
                             logIfLate();
                             mLoopLag.tick();
                             relistAfterClockJump();
-                            mReach.checkSilence();
+                            mPorts.timers().afterReading(Duration.ZERO, mReach::checkSilence);
                         });
     }
 
--- a/rhubarbward-core/src/main/java/io/rhubarbward/reach/ForwardingPeers.java
+++ b/rhubarbward-core/src/main/java/io/rhubarbward/reach/ForwardingPeers.java
@@ -243,7 +243,7 @@
                                         .with(PeerHeaders.QUERY_BY, mSelf),
                                 ByteBuffer.allocate(0)),
                         query);
-        query.mExpiry = mTimers.after(QUERY_TIMEOUT, () -> query.expire(call));
+        query.mExpiry = mTimers.afterReading(QUERY_TIMEOUT, () -> query.expire(call));
     }
 
     /** A query that is open at a router. */
--- a/rhubarbward-core/src/main/java/io/rhubarbward/timer/TimerService.java
+++ b/rhubarbward-core/src/main/java/io/rhubarbward/timer/TimerService.java
@@ -24,6 +24,14 @@
     /** Runs the action once, after the delay. */
     Subscription after(Duration delay, Runnable action);
 
+    /**
+     * Runs the action once, after the delay and after what has arrived until then was read: for
+     * limits on the time that others take, which must not charge them with this process's delays.
+     */
+    default Subscription afterReading(Duration delay, Runnable action) {
+        return after(delay, action);
+    }
+
     /** Runs the action repeatedly, first after one period, until cancelled. */
     Subscription every(Duration period, Runnable action);
 
--- a/rhubarbward-daemon/src/main/java/io/rhubarbward/daemon/RouterDaemon.java
+++ b/rhubarbward-daemon/src/main/java/io/rhubarbward/daemon/RouterDaemon.java
@@ -103,7 +103,7 @@
                 mEvents,
                 new HttpObjectStore(mControlHttp, settings.platform(), mTimers),
                 new HttpVmList(mControlHttp, settings.platform(), mTimers),
-                new AsyncBackendClient(mBackendHttp, mTimers),
+                new AsyncBackendClient(mBackendHttp, mTimers, HttpClients.CONNECT_TIMEOUT),
                 new HttpEngineClient(mControlHttp, mTimers),
                 new HttpEngineOrders(mControlHttp, mTimers),
                 mPeers,
--- a/rhubarbward-net/src/main/java/io/rhubarbward/net/backend/AsyncBackendClient.java
+++ b/rhubarbward-net/src/main/java/io/rhubarbward/net/backend/AsyncBackendClient.java
@@ -5,6 +5,7 @@
 import io.rhubarbward.request.BackendListener;
 import io.rhubarbward.request.BackendRequest;
 import io.rhubarbward.timer.TimerService;
+import java.time.Duration;
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.regex.Pattern;
@@ -21,12 +22,19 @@
 
     private final AsyncHttpClient mClient;
     private final TimerService mTimers;
+    private final Duration mConnectTimeout;
     private final Map<String, Integer> mGenerationByAddress = new ConcurrentHashMap<>();
 
-    /** Creates a client that calls its listeners on the timer service's thread. */
-    public AsyncBackendClient(AsyncHttpClient client, TimerService timers) {
+    /**
+     * Creates a client that calls its listeners on the timer service's thread.
+     *
+     * @param connectTimeout how long to wait for a connection
+     */
+    public AsyncBackendClient(
+            AsyncHttpClient client, TimerService timers, Duration connectTimeout) {
         mClient = client;
         mTimers = timers;
+        mConnectTimeout = connectTimeout;
     }
 
     @Override
@@ -49,7 +57,8 @@
             builder.setBody(request.body());
         }
         BackendExchange exchange =
-                new BackendExchange(listener, mTimers, () -> retireConnections(partition));
+                new BackendExchange(
+                        listener, mTimers, mConnectTimeout, () -> retireConnections(partition));
         try {
             exchange.attach(
                     mClient.executeRequest(
--- a/rhubarbward-net/src/main/java/io/rhubarbward/net/backend/BackendExchange.java
+++ b/rhubarbward-net/src/main/java/io/rhubarbward/net/backend/BackendExchange.java
@@ -10,6 +10,7 @@
 import io.rhubarbward.timer.TimerService;
 import java.net.InetSocketAddress;
 import java.nio.ByteBuffer;
+import java.time.Duration;
 import org.asynchttpclient.AsyncHandler;
 import org.asynchttpclient.HttpResponseBodyPart;
 import org.asynchttpclient.HttpResponseStatus;
@@ -21,7 +22,9 @@
 final class BackendExchange implements AsyncHandler<Boolean>, BackendCall {
     private final BackendListener mListener;
     private final TimerService mTimers;
+    private final Duration mConnectTimeout;
     private final Runnable mOnExpired;
+    private volatile TimerService.Subscription mConnectLimit = () -> {};
     private volatile boolean mCancelled;
     private volatile @Nullable ListenableFuture<Boolean> mFuture;
     private volatile @Nullable Channel mChannel;
@@ -32,11 +35,17 @@
     /**
      * Creates an exchange that is not yet attached to its future.
      *
+     * @param connectTimeout how long to wait for a new connection
      * @param onExpired stops the reuse of the idle connections to the same address
      */
-    BackendExchange(BackendListener listener, TimerService timers, Runnable onExpired) {
+    BackendExchange(
+            BackendListener listener,
+            TimerService timers,
+            Duration connectTimeout,
+            Runnable onExpired) {
         mListener = listener;
         mTimers = timers;
+        mConnectTimeout = connectTimeout;
         mOnExpired = onExpired;
     }
 
@@ -48,9 +57,22 @@
         }
     }
 
+    @Override
+    public void onTcpConnectAttempt(InetSocketAddress address) {
+        mConnectLimit = mTimers.afterReading(mConnectTimeout, this::onConnectTimeout);
+    }
+
+    private void onConnectTimeout() {
+        ListenableFuture<Boolean> future = mFuture;
+        if (mChannel == null && future != null) {
+            future.cancel(true);
+        }
+    }
+
     @Override
     public void onTcpConnectSuccess(InetSocketAddress address, Channel connection) {
         mChannel = connection;
+        mConnectLimit.cancel();
     }
 
     @Override
@@ -100,6 +122,7 @@
 
     @Override
     public void onThrowable(Throwable cause) {
+        mConnectLimit.cancel();
         BackendFailure failure =
                 mRequestSent ? BackendFailure.CONNECTION_LOST : BackendFailure.NOT_CONNECTED;
         mTimers.execute(() -> mListener.onFailure(failure));
--- a/rhubarbward-net/src/main/java/io/rhubarbward/net/backend/HttpClients.java
+++ b/rhubarbward-net/src/main/java/io/rhubarbward/net/backend/HttpClients.java
@@ -13,12 +13,15 @@
 /** Creates HTTP clients that never retry a request or follow a redirect. */
 public final class HttpClients {
     private static final Duration NO_TIMEOUT = Duration.ofMillis(-1);
-    private static final Duration CONNECT_TIMEOUT = Duration.ofSeconds(2);
+
+    /** How long connecting takes at most. */
+    public static final Duration CONNECT_TIMEOUT = Duration.ofSeconds(2);
+
     private static final Duration POOLED_IDLE_TIMEOUT = Duration.ofSeconds(15);
     private static final Duration MAX_CONNECTION_AGE = Duration.ofMinutes(5);
 
     /** Short, so that connecting to a dead backend server does not use up a request's deadline. */
-    private static final Duration SHORT_CONNECT_TIMEOUT = Duration.ofMillis(400);
+    public static final Duration SHORT_CONNECT_TIMEOUT = Duration.ofMillis(400);
 
     private HttpClients() {}
 
@@ -40,7 +43,7 @@
                 baseConfig()
                         .setEventLoopGroup(loop)
                         .setNettyTimer(timer)
-                        .setConnectTimeout(SHORT_CONNECT_TIMEOUT)
+                        .setConnectTimeout(CONNECT_TIMEOUT)
                         .setUserAgent(null)
                         .setCookieStore(null)
                         .setSslEngineFactory(HttpClients::rejectTls)
--- a/rhubarbward-net/src/main/java/io/rhubarbward/net/backend/NettyConnectProbe.java
+++ b/rhubarbward-net/src/main/java/io/rhubarbward/net/backend/NettyConnectProbe.java
@@ -16,6 +16,8 @@
 
 /** Probes addresses with TCP connections. */
 public final class NettyConnectProbe implements ConnectProbe {
+    private static final int NO_TIMEOUT = 0;
+
     private final EventLoopGroup mGroup;
     private final TimerService mTimers;
 
@@ -32,12 +34,15 @@
                 new Bootstrap()
                         .group(mGroup)
                         .channel(NioSocketChannel.class)
-                        .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) timeout.toMillis())
+                        .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, NO_TIMEOUT)
                         .handler(new ChannelInboundHandlerAdapter())
                         .connect(new InetSocketAddress(target.getHost(), target.getPort()));
+        TimerService.Subscription limit =
+                mTimers.afterReading(timeout, () -> connecting.channel().close());
         connecting.addListener(
                 (ChannelFutureListener)
                         connected -> {
+                            limit.cancel();
                             boolean success = connected.isSuccess();
                             connected.channel().close();
                             mTimers.execute(() -> onResult.accept(success));
--- a/rhubarbward-net/src/test/java/io/rhubarbward/net/backend/AsyncBackendClientTest.java
+++ b/rhubarbward-net/src/test/java/io/rhubarbward/net/backend/AsyncBackendClientTest.java
@@ -30,7 +30,8 @@
     private final SystemTimerService mTimers =
             new SystemTimerService("client-test", EventLog.none());
     private final AsyncHttpClient mHttp = HttpClients.open("client-test");
-    private final AsyncBackendClient mClient = new AsyncBackendClient(mHttp, mTimers);
+    private final AsyncBackendClient mClient =
+            new AsyncBackendClient(mHttp, mTimers, HttpClients.CONNECT_TIMEOUT);
 
     AsyncBackendClientTest() throws IOException {}
 
--- a/rhubarbward-net/src/test/java/io/rhubarbward/net/backend/BrokenAnswerTest.java
+++ b/rhubarbward-net/src/test/java/io/rhubarbward/net/backend/BrokenAnswerTest.java
@@ -39,7 +39,8 @@
     private final NioEventLoopGroup mGroup = new NioEventLoopGroup(1);
     private final HashedWheelTimer mWheel = new HashedWheelTimer();
     private final AsyncHttpClient mHttp = HttpClients.openOnEventLoop(mGroup, mWheel, ID_HEADER);
-    private final AsyncBackendClient mClient = new AsyncBackendClient(mHttp, mTimers);
+    private final AsyncBackendClient mClient =
+            new AsyncBackendClient(mHttp, mTimers, HttpClients.CONNECT_TIMEOUT);
 
     BrokenAnswerTest() throws IOException {}
 
