Bound by the event loop's iterations how long requests waited unread

Cause: the lag was the lateness of a tick of 200 ms. The tick runs at the end of a long iteration, right before the requests that arrived during it are read, so that the lag was 0 then.

Change: UnreadTime takes the time since the iteration before asked for ready sockets, unless the loop has waited in between; the larger of both figures counts. The tick still shows processes that were frozen.

What is not bounded: the first request on a connection that waited to be accepted (one iteration more), and a process that is frozen while it waits.

--- a/rhubarbward-core/src/main/java/io/rhubarbward/node/FleetRouter.java
+++ b/rhubarbward-core/src/main/java/io/rhubarbward/node/FleetRouter.java
@@ -259,11 +259,16 @@
                 mForwardingPeers,
                 mPorts.backends(),
                 mPorts.timers(),
-                mLoopLag::millis,
+                this::loopLagMillis,
                 mPorts.events(),
                 new ForwardMetrics(mPorts.metrics()));
     }
 
+    /** Returns how long a request that is read now may have waited. */
+    private long loopLagMillis() {
+        return Math.max(mLoopLag.millis(), mPorts.timers().unreadMillis());
+    }
+
     /** Lists this router in the store and starts to follow the store and the other routers. */
     public void start() {
         mPorts.events()
--- a/rhubarbward-core/src/main/java/io/rhubarbward/timer/TimerService.java
+++ b/rhubarbward-core/src/main/java/io/rhubarbward/timer/TimerService.java
@@ -21,6 +21,14 @@
     /** Returns the wall clock in Unix milliseconds, which may jump. */
     long epochMillis();
 
+    /**
+     * Returns for how long, in milliseconds, what is read from sockets now may have waited there; 0
+     * if that is not known.
+     */
+    default long unreadMillis() {
+        return 0;
+    }
+
     /** Runs the action once, after the delay. */
     Subscription after(Duration delay, Runnable action);
 
--- a/rhubarbward-daemon/src/main/java/io/rhubarbward/daemon/FleetRouterDaemon.java
+++ b/rhubarbward-daemon/src/main/java/io/rhubarbward/daemon/FleetRouterDaemon.java
@@ -1,8 +1,6 @@
 package io.rhubarbward.daemon;
 
 import io.netty.channel.EventLoopGroup;
-import io.netty.channel.nio.NioEventLoopGroup;
-import io.netty.util.concurrent.DefaultThreadFactory;
 import io.prometheus.metrics.model.registry.PrometheusRegistry;
 import io.rhubarbward.catalog.CallerLimits;
 import io.rhubarbward.event.EventField;
@@ -17,6 +15,7 @@
 import io.rhubarbward.net.http.JsonResponses;
 import io.rhubarbward.net.loop.EventLoopTimer;
 import io.rhubarbward.net.loop.EventLoopTimerService;
+import io.rhubarbward.net.loop.TimedEventLoops;
 import io.rhubarbward.net.peer.ThriftPeerTransport;
 import io.rhubarbward.node.FleetNodeSettings;
 import io.rhubarbward.node.FleetPorts;
@@ -25,6 +24,7 @@
 import io.rhubarbward.request.CallerListener;
 import io.rhubarbward.request.CallerRequest;
 import io.rhubarbward.request.CallerResponse;
+import io.rhubarbward.timer.UnreadTime;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.nio.channels.ServerSocketChannel;
@@ -74,8 +74,8 @@
     private static final int SERVICE_UNAVAILABLE = 503;
 
     private final EventLog mEvents;
-    private final EventLoopGroup mGroup =
-            new NioEventLoopGroup(1, new DefaultThreadFactory("router"));
+    private final UnreadTime mUnread = new UnreadTime(System.nanoTime());
+    private final EventLoopGroup mGroup = TimedEventLoops.open("router", mUnread);
     private final AsyncHttpClient mClient;
     private final EventLoopTimerService mTimers;
     private final ThriftPeerTransport mPeers;
@@ -97,7 +97,7 @@
         mCallerSocket = callers;
         mSettings = settings;
         mEvents = events;
-        mTimers = new EventLoopTimerService(mGroup.next(), events);
+        mTimers = new EventLoopTimerService(mGroup.next(), mUnread, events);
         EventLoopTimer timer = new EventLoopTimer(mGroup.next(), events);
         PrometheusRegistry metrics = new PrometheusRegistry();
         mClient = HttpClients.openOnEventLoop(mGroup, timer, PlatformAdapter.ANSWER_ID_HEADER);
--- a/rhubarbward-net/src/main/java/io/rhubarbward/net/loop/EventLoopTimerService.java
+++ b/rhubarbward-net/src/main/java/io/rhubarbward/net/loop/EventLoopTimerService.java
@@ -5,6 +5,7 @@
 import io.rhubarbward.event.EventLog;
 import io.rhubarbward.event.LogEvent;
 import io.rhubarbward.timer.TimerService;
+import io.rhubarbward.timer.UnreadTime;
 import java.time.Duration;
 import java.util.concurrent.RejectedExecutionException;
 import java.util.concurrent.TimeUnit;
@@ -21,14 +22,30 @@
     private static final Duration ONE_ITERATION = Duration.ofMillis(1);
 
     private final EventLoop mEventLoop;
+    private final UnreadTime mUnread;
     private final EventLog mEvents;
 
     /** Creates a timer service whose actions run on the event loop. */
     public EventLoopTimerService(EventLoop eventLoop, EventLog events) {
+        this(eventLoop, new UnreadTime(System.nanoTime()), events);
+    }
+
+    /**
+     * The same for a loop of {@link TimedEventLoops}.
+     *
+     * @param unread is told of the loop's iterations
+     */
+    public EventLoopTimerService(EventLoop eventLoop, UnreadTime unread, EventLog events) {
         mEventLoop = eventLoop;
+        mUnread = unread;
         mEvents = events;
     }
 
+    @Override
+    public long unreadMillis() {
+        return TimeUnit.NANOSECONDS.toMillis(mUnread.nanos(System.nanoTime()));
+    }
+
     @Override
     public long nowMillis() {
         return TimeUnit.NANOSECONDS.toMillis(System.nanoTime());
@@ -81,6 +98,7 @@
     }
 
     private void runAndLogFailure(Runnable action) {
+        mUnread.onWork(System.nanoTime());
         try {
             action.run();
         } catch (RuntimeException e) {
