Reset the connections of calls that are cancelled

Cause: a call whose caller had left was ended by a plain close. What the kernel still holds, as on a link that loses packets or is cut, arrives when the link is back, the request first and the close after it: the server runs a request whose caller left long ago. In the users' record the request of 15.11 s reached its server in the millisecond in which its run was cut; a link that held it back would look the same, but so does a late router.

Change: SO_LINGER 0 before the close, so that held bytes are dropped.

--- a/rhubarbward-net/src/main/java/io/rhubarbward/net/backend/BackendExchange.java
+++ b/rhubarbward-net/src/main/java/io/rhubarbward/net/backend/BackendExchange.java
@@ -1,6 +1,7 @@
 package io.rhubarbward.net.backend;
 
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelOption;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.rhubarbward.request.BackendCall;
 import io.rhubarbward.request.BackendFailure;
@@ -152,11 +153,20 @@
     public void cancel() {
         mCancelled = true;
         ListenableFuture<Boolean> future = mFuture;
-        if (future != null) {
+        if (future != null && !future.isDone()) {
+            resetOnClose();
             future.cancel(true);
         }
     }
 
+    /** A plain close would be delivered after the request, however long that is held up. */
+    private void resetOnClose() {
+        Channel channel = mChannel;
+        if (channel != null && channel.isOpen()) {
+            channel.config().setOption(ChannelOption.SO_LINGER, 0);
+        }
+    }
+
     @Override
     public void expire() {
         cancel();
