--- a/rhubarbward-daemon/src/main/java/io/rhubarbward/daemon/FleetRouterDaemon.java
+++ b/rhubarbward-daemon/src/main/java/io/rhubarbward/daemon/FleetRouterDaemon.java
@@ -119,7 +119,8 @@
                                 new SplittableRandom(),
                                 events,
                                 metrics,
-                                new AsyncBackendClient(mClient, mTimers, HttpClients.SHORT_CONNECT_TIMEOUT),
+                                new AsyncBackendClient(
+                                        mClient, mTimers, HttpClients.SHORT_CONNECT_TIMEOUT),
                                 new NettyConnectProbe(mGroup, mTimers),
                                 PlatformAdapter.dialect(),
                                 mPeers,
--- a/rhubarbward-standin/src/main/java/io/rhubarbward/standin/fleet/StoreStandin.java
+++ b/rhubarbward-standin/src/main/java/io/rhubarbward/standin/fleet/StoreStandin.java
@@ -24,6 +24,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.TreeMap;
+import java.util.concurrent.CompletableFuture;
 
 /**
  * A simulated metadata store of the platform: keeps objects by kind and name in memory and serves
@@ -39,6 +40,10 @@
     private static final int OK = 200;
     private static final int NOT_FOUND = 404;
     private static final int CONFLICT = 409;
+
+    /** Path segments of a call for one object: its kind and its name. */
+    private static final int NAMED_OBJECT = 2;
+
     private static final int GONE = 410;
     private static final int UNAVAILABLE = 503;
 
@@ -130,6 +135,16 @@
         mTimers.execute(() -> putObject(kind, name, object));
     }
 
+    /** Completes with the object's content as JSON, or with "" if there is no such object. */
+    public CompletableFuture<String> spec(String kind, String name) {
+        return CompletableFuture.supplyAsync(
+                () ->
+                        Optional.ofNullable(objects(kind).get(name))
+                                .map(object -> object.path("spec").toString())
+                                .orElse(""),
+                mTimers);
+    }
+
     /** Deletes an object; does nothing if there is no such object. */
     public void delete(String kind, String name) {
         mTimers.execute(
@@ -173,6 +188,9 @@
         if (request.method().equals("POST")) {
             return create(path[0], parseBody(request), response);
         }
+        if (request.method().equals("PUT") && path.length == NAMED_OBJECT) {
+            return replace(path[0], path[1], parseBody(request), response);
+        }
         if (query.containsKey("watch")) {
             return watch(path[0], query, response);
         }
@@ -211,6 +229,21 @@
         return reply(response, OK, object);
     }
 
+    private CallerListener replace(
+            String kind, String name, JsonNode body, CallerResponse response) {
+        ObjectNode known = objects(kind).get(name);
+        if (known == null) {
+            return reply(response, NOT_FOUND, Map.of());
+        }
+        if (known.path("spec").equals(body.path("spec"))) {
+            return reply(response, OK, known);
+        }
+        ObjectNode object = known.deepCopy();
+        object.set("spec", body.path("spec"));
+        putObject(kind, name, object);
+        return reply(response, OK, object);
+    }
+
     private CallerListener watch(String kind, Map<String, String> query, CallerResponse response) {
         long afterRevision = Long.parseLong(query.get("watch"));
         if (afterRevision < mCompactedRevision || afterRevision > mRevision) {
