Show that a graceful stop cuts answers that are not delivered

Rule LOST: around planned work, here a SIGTERM, a process has read a whole request, has passed it on, and the connection ends without a complete answer.

A stopping router counts a request as done when the last part of its answer is queued. It ends 2.9 s after SIGTERM with megabytes of three answers in its memory, which their clients on slow links never get.

--- a/review/standins/Cases.java
+++ b/review/standins/Cases.java
@@ -151,6 +151,7 @@
     public static void main(String[] arguments) throws IOException {
         CASES.put("revoke", new RevokeLastKeys());
         CASES.put("endless", new EndlessBody());
+        CASES.put("slow", new SlowReader());
         boolean trouble = !"0".equals(System.getenv("TROUBLE"));
         Path root = Path.of(arguments[2]);
         World world = new World(root, Path.of(arguments[1]), trouble);
