Show that silent idle connections to the store delay evacuations

Rule EVAC: a request reaches a replica in a zone later than evacuationMs after its evacuation was acknowledged, from a machine in touch.

Watches of evacuations wait for 12 s, and a connection that has gone silent is noticed 1.5 s after that. An evacuation in between is not seen until then, although new connections to the store work and the configuration is read.

--- a/review/standins/Cases.java
+++ b/review/standins/Cases.java
@@ -152,6 +152,7 @@
         CASES.put("revoke", new RevokeLastKeys());
         CASES.put("endless", new EndlessBody());
         CASES.put("slow", new SlowReader());
+        CASES.put("silent", new SilentWatch());
         boolean trouble = !"0".equals(System.getenv("TROUBLE"));
         Path root = Path.of(arguments[2]);
         World world = new World(root, Path.of(arguments[1]), trouble);
