Show that simultaneous crashes do not block a crashing prompt part

Rule BUDGET: more than three requests with a part that crashes replicas reach replicas, sent by machines in touch later than contactMs after the fifth crash.

Crashes within 100 ms count as one, whatever the replicas that crashed, so that three batches of ten such requests crash the replicas before the part is blocked.

--- a/review/standins/Cases.java
+++ b/review/standins/Cases.java
@@ -153,6 +153,7 @@
         CASES.put("endless", new EndlessBody());
         CASES.put("slow", new SlowReader());
         CASES.put("silent", new SilentWatch());
+        CASES.put("crash", new CrashingPart());
         boolean trouble = !"0".equals(System.getenv("TROUBLE"));
         Path root = Path.of(arguments[2]);
         World world = new World(root, Path.of(arguments[1]), trouble);
