Write every request of the cases into their records

Case 2 asks on a plain route: a client of a stream would have left after two seconds without an event.

--- a/review/standins/Cases.java
+++ b/review/standins/Cases.java
@@ -13,7 +13,7 @@
 import java.util.Map;
 import java.util.stream.Stream;
 
-/** Runs one case: {@code Cases NAME CASE_FOLDER REPOSITORY}. */
+/** Runs one case: {@code Cases NAME REPOSITORY RECORD TROUBLE}, without trouble if that is 0. */
 final class Cases {
     static final String HOST = "ficu95.example";
     private static final int HELD = 0;
@@ -40,12 +40,11 @@
         private final Store mStore;
         private int mRouters;
 
-        World(Path root, Path caseFolder, boolean trouble) throws IOException {
+        World(Path root, Path record, boolean trouble) throws IOException {
             mRoot = root;
             mTrouble = trouble;
             mFolder = Files.createTempDirectory("rhubarbward-review");
-            mRecord =
-                    new PrintWriter(Files.newBufferedWriter(caseFolder.resolve("record.txt")));
+            mRecord = new PrintWriter(Files.newBufferedWriter(record));
             mStore = add(new Store("127.0.0.1"));
         }
 
@@ -154,9 +153,10 @@
         CASES.put("slow", new SlowReader());
         CASES.put("silent", new SilentWatch());
         CASES.put("crash", new CrashingPart());
-        boolean trouble = !"0".equals(System.getenv("TROUBLE"));
-        Path root = Path.of(arguments[2]);
-        World world = new World(root, Path.of(arguments[1]), trouble);
+        Path root = Path.of(arguments[1]);
+        Path record = Path.of(arguments[2]);
+        World world = new World(root, record, !arguments[3].equals("0"));
+        world.log("trouble: %s", world.trouble());
         Runtime.getRuntime().addShutdownHook(new Thread(world::close));
         int result;
         try {
--- a/review/standins/CrashingPart.java
+++ b/review/standins/CrashingPart.java
@@ -118,10 +118,9 @@
                             + firstPart + ":341," + second + ":410,e4" + second + ":250\r\n"
                             + "Rhubarbward-Deadline-Remaining: 2500\r\n",
                     new byte[2400]);
+            world.log("%s sent to %s", id, router.name());
             Client.Answer answer = client.read(3500, 0);
-            if (id.startsWith("batch")) {
-                world.log("%s at %s: status %d", id, router.name(), answer.status());
-            }
+            world.log("%s: status %d %s", id, answer.status(), answer.broken());
         } catch (IOException e) {
             world.log("%s at %s: %s", id, router.name(), e);
         }
@@ -133,8 +132,8 @@
         boolean bad = request.field("rhubarbward-prompt-prefix").startsWith(BAD_PART);
         if (bad) {
             mArrivals.add(world.now());
-            world.log("%s reaches replica %s", id, replica.id());
         }
+        world.log("%s reaches replica %s", id, replica.id());
         Cases.sleep(FIRST_TOKEN_MILLIS);
         if (bad) {
             crash(world, replica, id);
--- a/review/standins/EndlessBody.java
+++ b/review/standins/EndlessBody.java
@@ -8,9 +8,9 @@
 final class EndlessBody implements Cases.Case {
     private static final int REPLICA_BYTES_PER_SECOND = 25_000_000;
     private static final int CLIENT_BYTES_PER_SECOND = 1_000_000;
-    private static final int STREAM_TIMEOUT_MILLIS = 12_000;
-    private static final int STREAM_CLIENTS = 3;
-    private static final long STREAMS_MILLIS = 15_000;
+    private static final int REPORT_TIMEOUT_MILLIS = 12_000;
+    private static final int REPORT_CLIENTS = 3;
+    private static final long REPORTS_MILLIS = 15_000;
     private static final int SMALL_CLIENTS = 20;
     private static final int SMALL_TIMEOUT_MILLIS = 2000;
     private static final int SMALL_DEADLINE_MILLIS = 4000;
@@ -24,19 +24,17 @@
              "routes":[{"name":"confirm","host":"%s","pathPrefix":"/confirm/",
                "kind":"non_idempotent","timeoutMs":%d,"targetLatencyMs":300,"priority":2,
                "service":"despacho","maxAttempts":1,"noAuth":true},
-              {"name":"plan","host":"%s","pathPrefix":"/plan/",
-               "kind":"streaming","timeoutMs":%d,"targetLatencyMs":500,"priority":1,
-               "service":"asistente","maxAttempts":1,"noAuth":true,"sessionAffinity":true,
-               "streamResume":false,"gapTargetMs":250}],
+              {"name":"report","host":"%s","pathPrefix":"/report/",
+               "kind":"non_idempotent","timeoutMs":%d,"targetLatencyMs":500,"priority":1,
+               "service":"reports","maxAttempts":1,"noAuth":true}],
              "services":[{"name":"despacho","healthPath":"/health","maxConnections":110,
                "protocol":"h1","tls":false,"coldStartS":0.0,"coldPerS":0.0},
-              {"name":"asistente","healthPath":"/health","maxConnections":370,
-               "protocol":"h1","tls":false,"coldStartS":0.0,"coldPerS":0.0,
-               "engine":{"slots":64,"kvCapacityTokens":813414}}],
+              {"name":"reports","healthPath":"/health","maxConnections":110,
+               "protocol":"h1","tls":false,"coldStartS":0.0,"coldPerS":0.0}],
              "limits":{"maxHeaderBytes":16384,"maxBodyBytes":4194304,
               "headerTimeoutMs":3000,"idleTimeoutMs":15000}}"""
                     .formatted(
-                            Cases.HOST, SMALL_TIMEOUT_MILLIS, Cases.HOST, STREAM_TIMEOUT_MILLIS);
+                            Cases.HOST, SMALL_TIMEOUT_MILLIS, Cases.HOST, REPORT_TIMEOUT_MILLIS);
 
     private final AtomicInteger mSmall = new AtomicInteger();
     private final AtomicInteger mBeyondTimeout = new AtomicInteger();
@@ -53,20 +51,23 @@
                                     "lima-norte",
                                     "127.0.0.1",
                                     (own, request, body, out) -> {
+                                        world.log(
+                                                "replica %s runs %s",
+                                                own.id(), request.field("rhubarbward-attempt-id"));
                                         Cases.sleep(60);
                                         Replica.answer(request, 200, "", new byte[800], out);
                                     }));
             world.store().put("servers", replica.id(), replica.entry("ready", 6));
         }
-        Replica model =
+        Replica reports =
                 world.add(
                         new Replica(
                                 "i-9",
-                                "asistente",
+                                "reports",
                                 "lima-norte",
                                 "127.0.0.1",
-                                (own, request, body, out) -> stream(world, request, out)));
-        world.store().put("servers", model.id(), model.entry("ready", 64));
+                                (own, request, body, out) -> report(world, request, out)));
+        world.store().put("servers", reports.id(), reports.entry("ready", 6));
         world.store().put("config", "main", CONFIG);
         Router router = world.router("front-1", "lima-norte");
         router.start();
@@ -77,11 +78,11 @@
             Cases.start(() -> sendSmall(world, router, number));
         }
         Cases.sleep(2000);
-        for (int i = 0; i < STREAM_CLIENTS; i++) {
+        for (int i = 0; i < REPORT_CLIENTS; i++) {
             int number = i;
-            Cases.start(() -> stream(world, router, number));
+            Cases.start(() -> askForReports(world, router, number));
         }
-        Cases.sleep(STREAMS_MILLIS + SMALL_DEADLINE_MILLIS);
+        Cases.sleep(REPORTS_MILLIS + SMALL_DEADLINE_MILLIS);
         int unanswered = mUnanswered.get();
         world.log(
                 "of %d small requests, %d had no answer after %d ms and %d none %d ms later;"
@@ -96,23 +97,26 @@
         return unanswered >= MIN_UNANSWERED && 2 * unanswered > mBeyondTimeout.get();
     }
 
-    /** Asks for one stream after the other, over a slow link. */
-    private static void stream(Cases.World world, Router router, int number) {
-        long untilMillis = world.now() + STREAMS_MILLIS;
+    /** Asks for one report after the other, over a slow link. */
+    private static void askForReports(Cases.World world, Router router, int number) {
+        long untilMillis = world.now() + REPORTS_MILLIS;
         for (int i = 0; world.now() < untilMillis; i++) {
-            String id = "plan-" + number + "-" + i;
+            String id = "report-" + number + "-" + i;
+            world.log("%s sent", id);
             try (Client client = new Client(router.front())) {
                 client.write(
                         "POST",
-                        "/plan/7",
-                        "Rhubarbward-Attempt-Id: " + id + "\r\nRhubarbward-Model-Name: m\r\n"
-                                + "Rhubarbward-Token-Count: 1460,80\r\n"
-                                + "Rhubarbward-Prompt-Prefix: 5c1e07a2:800,e4402b7d:250\r\n"
-                                + "Rhubarbward-Deadline-Remaining: " + STREAM_TIMEOUT_MILLIS
-                                + "\r\n",
+                        "/report/7",
+                        "Rhubarbward-Attempt-Id: " + id + "\r\nRhubarbward-Deadline-Remaining: "
+                                + REPORT_TIMEOUT_MILLIS + "\r\n",
                         new byte[2400]);
-                long taken = client.drain(STREAM_TIMEOUT_MILLIS, CLIENT_BYTES_PER_SECOND);
-                world.log("the client of %s has taken %d bytes", id, taken);
+                if (world.trouble()) {
+                    long taken = client.drain(REPORT_TIMEOUT_MILLIS, CLIENT_BYTES_PER_SECOND);
+                    world.log("the client of %s has taken %d bytes", id, taken);
+                } else {
+                    Client.Answer answer = client.read(REPORT_TIMEOUT_MILLIS, 0);
+                    world.log("%s: status %d %s", id, answer.status(), answer.broken());
+                }
             } catch (IOException e) {
                 world.log("the client of %s: %s", id, e);
             }
@@ -120,20 +124,16 @@
         }
     }
 
-    private static void stream(Cases.World world, Head request, OutputStream out)
+    private static void report(Cases.World world, Head request, OutputStream out)
             throws IOException {
         if (!world.trouble()) {
-            byte[] events = "id: 1\ndata: 1\n\nid: 2\ndata: 2\n\n".getBytes();
-            Replica.answer(request, 200, "Content-Type: text/event-stream\r\n", events, out);
+            world.log("replica i-9 runs %s", request.field("rhubarbward-attempt-id"));
+            Replica.answer(request, 200, "", new byte[800], out);
             return;
         }
         String id = request.field("rhubarbward-attempt-id");
         world.log("replica i-9 begins a body without end for %s", id);
-        out.write(
-                Replica.head(
-                        request,
-                        200,
-                        "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n"));
+        out.write(Replica.head(request, 200, "Transfer-Encoding: chunked\r\n"));
         String chunk = Integer.toHexString(CHUNK_BYTES) + "\r\n" + "x".repeat(CHUNK_BYTES);
         byte[] bytes = (chunk + "\r\n").getBytes();
         long start = System.nanoTime();
@@ -168,6 +168,7 @@
     private boolean sendSmall(Cases.World world, Client connection, String id)
             throws IOException {
         long sentMillis = world.now();
+        world.log("%s sent", id);
         connection.write(
                 "POST",
                 "/confirm/7",
@@ -180,10 +181,10 @@
         if (tookMillis > SMALL_TIMEOUT_MILLIS) {
             mBeyondTimeout.incrementAndGet();
             mUnanswered.addAndGet(tookMillis > SMALL_TIMEOUT_MILLIS + LATE_MILLIS ? 1 : 0);
-            world.log(
-                    "%s: status %d after %d ms %s",
-                    id, answer.status(), tookMillis, answer.broken());
         }
+        world.log(
+                "%s: status %d after %d ms %s",
+                id, answer.status(), tookMillis, answer.broken());
         return answer.whole();
     }
 }
--- a/review/standins/SilentWatch.java
+++ b/review/standins/SilentWatch.java
@@ -125,10 +125,9 @@
                     "Rhubarbward-Attempt-Id: " + id
                             + "\r\nRhubarbward-Deadline-Remaining: 2000\r\n",
                     new byte[0]);
+            world.log("%s sent", id);
             Client.Answer answer = client.read(3000, 0);
-            if (answer.status() != 200) {
-                world.log("%s: status %d %s", id, answer.status(), answer.broken());
-            }
+            world.log("%s: status %d %s", id, answer.status(), answer.broken());
         } catch (IOException e) {
             world.log("%s: %s", id, e);
         }
@@ -137,10 +136,10 @@
     private void serve(
             Cases.World world, Replica replica, String zone, Head request, OutputStream out)
             throws IOException {
+        String id = request.field("rhubarbward-attempt-id");
+        world.log("replica %s in %s runs %s", replica.id(), zone, id);
         if (zone.equals(EVACUATED)) {
-            mArrivals.add(
-                    new Arrival(
-                            world.now(), request.field("rhubarbward-attempt-id"), replica.id()));
+            mArrivals.add(new Arrival(world.now(), id, replica.id()));
         }
         Cases.sleep(20);
         Replica.answer(request, 200, "", new byte[800], out);
--- a/review/standins/SlowReader.java
+++ b/review/standins/SlowReader.java
@@ -72,6 +72,7 @@
                     "Rhubarbward-Attempt-Id: a-" + bytes
                             + "\r\nRhubarbward-Deadline-Remaining: " + TIMEOUT_MILLIS + "\r\n",
                     new byte[0]);
+            world.log("a-%d sent", bytes);
             Client.Answer answer = client.read(TIMEOUT_MILLIS, BYTES_PER_SECOND);
             world.log(
                     "the client of a-%d after %d ms: status %d, %d bytes, %s",
