Check open watches once the store is ahead of them

Connections to the store that are idle go silent without a reset. A data centre that is evacuated 3.2 s later gets requests up to 7.8 s after the acknowledgement; 5 s are allowed.

Cause: a watch on a silent connection looks like a watch without changes. Watches of servers, evacuations, routers and rollouts wait for 12 s and end 1.5 s later. The catalogue's watch ends sooner, but its answers, which state the store's revision, were taken as news of the catalogue alone.

Change: an answer that states a revision beyond what an open watch has returned has that kind asked once for its changes, on the connection that has just proved to work. A store that does not change has no watch checked.

Ruled out: a relay that does not tell its follower (both see the evacuation within 3 ms); a new watch that takes another silent connection (13.5 s from the watch to its end, its own limit).

The price of shorter waits, the other way to mend this, would be paid at rest too.

--- a/rhubarbward-core/src/main/java/io/rhubarbward/node/FleetRouter.java
+++ b/rhubarbward-core/src/main/java/io/rhubarbward/node/FleetRouter.java
@@ -35,6 +35,7 @@
 import io.rhubarbward.store.KindWatcher;
 import io.rhubarbward.store.ObjectKind;
 import io.rhubarbward.store.StoreAvailability;
+import io.rhubarbward.store.WatchTiming;
 import io.rhubarbward.timer.ClockJumpDetector;
 import io.rhubarbward.timer.EventLoopLag;
 import java.net.InetSocketAddress;
@@ -58,7 +59,8 @@
 public final class FleetRouter {
     /**
      * How long a watch of the catalogue waits for changes. Each return confirms that this router
-     * knows the valid keys, so several waits fit into the revocation time.
+     * knows the valid keys, so several waits fit into the revocation time. Each return also states
+     * how far the store has got, so that silent watches of other kinds are found soon.
      */
     private static final Duration CATALOG_WATCH_WAIT = Duration.ofMillis(1500);
 
@@ -68,6 +70,25 @@
     /** Rest of a watch after changes, which then come in fewer calls; well within every bound. */
     private static final Duration WATCH_REST = Duration.ofMillis(500);
 
+    /** Time between checks of the servers: together with a catalogue's wait within a drain's. */
+    private static final Duration SERVERS_CHECK = Duration.ofMillis(400);
+
+    /** Time between checks of evacuations and rollouts, whose bounds are longer. */
+    private static final Duration MARKERS_CHECK = Duration.ofMillis(1500);
+
+    private static final WatchTiming CATALOG_TIMING =
+            new WatchTiming(CATALOG_WATCH_WAIT, Duration.ZERO, CATALOG_WATCH_WAIT);
+    private static final WatchTiming SERVERS_TIMING =
+            new WatchTiming(WATCH_WAIT, WATCH_REST, SERVERS_CHECK);
+    private static final WatchTiming EVACUATIONS_TIMING =
+            new WatchTiming(WATCH_WAIT, WATCH_REST, MARKERS_CHECK);
+    private static final WatchTiming ROLLOUTS_TIMING =
+            new WatchTiming(WATCH_WAIT, Duration.ZERO, MARKERS_CHECK);
+
+    /** Nothing depends on hearing of another router within the wait. */
+    private static final WatchTiming ROUTERS_TIMING =
+            new WatchTiming(WATCH_WAIT, WATCH_REST, WATCH_WAIT);
+
     /** How often the clocks are compared, in addition to the comparison at each send. */
     private static final Duration CLOCK_CHECK_PERIOD = Duration.ofMillis(200);
 
@@ -124,15 +145,13 @@
                 removed -> ports.backends().evictIdleConnections(removed.server().address()));
         BackendDirectory directory =
                 new BackendDirectory(ports.timers(), mStoreAvailability, ports.events(), table);
-        mCatalogWatcher =
-                watcher(ports.store().catalogs(), mCatalog, CATALOG_WATCH_WAIT, Duration.ZERO);
-        mServerWatcher = watcher(ports.store().servers(), directory, WATCH_WAIT, WATCH_REST);
-        mEvacuationWatcher =
-                watcher(ports.store().evacuations(), mEvacuations, WATCH_WAIT, WATCH_REST);
-        mRouterWatcher = watcher(ports.store().routers(), mRouters, WATCH_WAIT, WATCH_REST);
+        mCatalogWatcher = watcher(ports.store().catalogs(), mCatalog, CATALOG_TIMING);
+        mServerWatcher = watcher(ports.store().servers(), directory, SERVERS_TIMING);
+        mEvacuationWatcher = watcher(ports.store().evacuations(), mEvacuations, EVACUATIONS_TIMING);
+        mRouterWatcher = watcher(ports.store().routers(), mRouters, ROUTERS_TIMING);
         mRollouts = rollouts(table);
         KindWatcher<RolloutOrder> rolloutWatcher =
-                watcher(ports.store().rollouts(), mRollouts, WATCH_WAIT, Duration.ZERO);
+                watcher(ports.store().rollouts(), mRollouts, ROLLOUTS_TIMING);
         List<KindWatcher<?>> watchers =
                 List.of(
                         mCatalogWatcher,
@@ -216,9 +235,9 @@
     }
 
     private <T> KindWatcher<T> watcher(
-            ObjectKind<T> kind, KindListener<T> listener, Duration wait, Duration rest) {
+            ObjectKind<T> kind, KindListener<T> listener, WatchTiming timing) {
         return new KindWatcher<>(
-                kind, listener, wait, rest, mPorts.timers(), mStoreAvailability, mPorts.random());
+                kind, listener, timing, mPorts.timers(), mStoreAvailability, mPorts.random());
     }
 
     private FleetRollouts rollouts(ServerTable table) {
--- a/rhubarbward-core/src/main/java/io/rhubarbward/store/KindWatcher.java
+++ b/rhubarbward-core/src/main/java/io/rhubarbward/store/KindWatcher.java
@@ -4,27 +4,25 @@
 import io.vavr.control.Either;
 import java.time.Duration;
 import java.util.ArrayList;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
-import java.util.Set;
 import java.util.concurrent.CompletionStage;
 import java.util.function.Consumer;
 import java.util.function.Supplier;
 import java.util.random.RandomGenerator;
-import java.util.stream.Collectors;
 
 /**
  * Keeps a listener up to date with all objects of one kind by list and watch.
  *
  * <pre>{@code
- * new KindWatcher<>(servers, directory, wait, timers, availability, random).start();
+ * new KindWatcher<>(servers, directory, timing, timers, availability, random).start();
  * }</pre>
  *
  * <p>It lists again when the store no longer has the change history, when it was restored from an
  * older copy, and after {@link #relist()}. Objects that a restored store lacks are kept until those
  * who wrote them had time to write them again. Failed calls are retried with exponential backoff
- * and jitter.
+ * and jitter. A watch that did not return changes which a second call returns is abandoned, since
+ * its connection may have gone silent.
  *
  * @param <T> the type of the decoded objects
  */
@@ -44,15 +42,15 @@
     /** Age from which a call that is open at the end of an outage may never be answered. */
     private static final long HUNG_CALL_AGE_MILLIS = 500;
 
-    /** Wait of a watch that retries a failed one. */
+    /** Wait of a watch that retries or checks another one. */
     private static final Duration RETRY_WATCH_WAIT = Duration.ofMillis(50);
 
     private static final long NEVER = Long.MIN_VALUE / 2;
 
     private final ObjectKind<T> mKind;
     private final KindListener<T> mListener;
-    private final Duration mWatchWait;
-    private final Duration mRest;
+    private final KnownObjects<T> mObjects;
+    private final WatchTiming mTiming;
     private final TimerService mTimers;
     private final StoreAvailability mAvailability;
     private final RandomGenerator mRandom;
@@ -76,34 +74,32 @@
     /** Whether the newest call is a list, which is answered in the newest era. */
     private boolean mListOpen;
 
-    /** Names of the objects that the listener has, those in {@link #mMissing} included. */
-    private final Set<String> mNames = new HashSet<>();
+    /** Whether the newest call is a watch that is not answered yet. */
+    private boolean mWatchOpen;
 
-    /** Names of known objects that the store has lacked since it was restored. */
-    private final Set<String> mMissing = new HashSet<>();
+    private long mWatchCheckedMillis = NEVER;
 
-    private int mRestores;
+    /** The revision up to which a check has shown that the open watch missed nothing. */
+    private StoreRevision mCheckedRevision = StoreRevision.NONE;
 
     private Consumer<KindUpdate> mUpdateSubscriber = update -> {};
 
     /**
      * Prepares to watch the kind.
      *
-     * @param wait how long the store waits for a change before it answers a watch
-     * @param rest pause after a watch that returned changes, in which further changes gather
+     * @param timing when watches are sent and checked
      */
     public KindWatcher(
             ObjectKind<T> kind,
             KindListener<T> listener,
-            Duration wait,
-            Duration rest,
+            WatchTiming timing,
             TimerService timers,
             StoreAvailability availability,
             RandomGenerator random) {
         mKind = kind;
         mListener = listener;
-        mWatchWait = wait;
-        mRest = rest;
+        mObjects = new KnownObjects<>(listener, timers);
+        mTiming = timing;
         mTimers = timers;
         mAvailability = availability;
         mRandom = random;
@@ -118,6 +114,7 @@
     private void subscribe() {
         mAvailability.subscribeToRecovery(this::retryHungCall);
         mAvailability.era().subscribe(this::listInNewEra);
+        mAvailability.progress().subscribe(this::checkIfBehind);
     }
 
     /** Lists the kind unless a relay does so for this router, or a list is open. */
@@ -159,6 +156,7 @@
     private void abandonCall() {
         mCallNumber++;
         mListOpen = false;
+        mWatchOpen = false;
     }
 
     /**
@@ -215,9 +213,9 @@
                     .forEach(
                             object -> {
                                 if (object.deleted()) {
-                                    delete(object.name());
+                                    mObjects.delete(object.name());
                                 } else {
-                                    put(decode(object));
+                                    mObjects.put(decode(object));
                                 }
                             });
             mUpdateSubscriber.accept(update);
@@ -246,58 +244,22 @@
         }
     }
 
-    private void put(DecodedObject<T> item) {
-        mNames.add(item.name());
-        mMissing.remove(item.name());
-        mListener.onItem(item);
-    }
-
-    private void delete(String name) {
-        mNames.remove(name);
-        mMissing.remove(name);
-        mListener.onDeleted(name);
-    }
-
     private void applySnapshot(StoreRevision revision, List<DecodedObject<T>> items) {
         StoreRevision before = mRevision;
         mRevision = revision;
-        Set<String> listed = items.stream().map(DecodedObject::name).collect(Collectors.toSet());
-        boolean restored = !before.equals(StoreRevision.NONE) && !before.isInEraOf(revision);
-        if (restored) {
-            mNames.stream().filter(name -> !listed.contains(name)).forEach(mMissing::add);
-        }
-        mMissing.removeAll(listed);
-        if (mMissing.isEmpty()) {
-            mNames.clear();
-            mNames.addAll(listed);
-            mListener.onSnapshot(items);
+        if (before.equals(StoreRevision.NONE) || before.isInEraOf(revision)) {
+            mObjects.replace(items);
         } else {
-            mNames.stream()
-                    .filter(name -> !listed.contains(name) && !mMissing.contains(name))
-                    .toList()
-                    .forEach(this::delete);
-            items.forEach(this::put);
-        }
-        if (restored) {
-            keepMissing(before, listed.size());
+            mAvailability.logRestoredKind(
+                    name(),
+                    before,
+                    revision,
+                    items.size(),
+                    mObjects.replaceInNewEra(items),
+                    stalenessMillis());
         }
     }
 
-    /** Keeps the objects that a restored store lacks until they had time to be written again. */
-    private void keepMissing(StoreRevision before, int listed) {
-        mAvailability.logRestoredKind(
-                name(), before, mRevision, listed, Set.copyOf(mMissing), stalenessMillis());
-        mListener.onRestored(Set.copyOf(mMissing));
-        int restores = ++mRestores;
-        mTimers.after(
-                mListener.rewriteTime(),
-                () -> {
-                    if (restores == mRestores) {
-                        List.copyOf(mMissing).forEach(this::delete);
-                    }
-                });
-    }
-
     /** Retries an open call that may never be answered since its connection died in the outage. */
     private void retryHungCall() {
         if (mTimers.nowMillis() - mLastCallMillis >= HUNG_CALL_AGE_MILLIS) {
@@ -364,7 +326,7 @@
         }
         confirm(page.revision(), sentMillis);
         if (!mPaused) {
-            watch(mRevision, mWatchWait);
+            watch(mRevision, mTiming.hold());
         }
     }
 
@@ -381,23 +343,78 @@
                         // A peer's update came first; the changes may be older than it.
                         watch(mRevision, RETRY_WATCH_WAIT);
                     } else {
-                        changes.changes().forEach(this::apply);
-                        StoreRevision reached = StoreRevision.later(revision, changes.revision());
-                        mRevision = reached;
-                        markUpToDate(changes, sentMillis, wait);
-                        mUpdateSubscriber.accept(
-                                KindUpdate.changes(name(), revision, reached, changes.changes()));
-                        watchAfter(reached, changes.changes().isEmpty() ? Duration.ZERO : mRest);
+                        onChanges(revision, changes, sentMillis, wait);
                     }
                 },
                 // A watch with a short wait notices soonest that the store is available again.
                 () -> watch(revision, RETRY_WATCH_WAIT));
+        mWatchOpen = true;
+    }
+
+    private void onChanges(
+            StoreRevision since, ObjectChanges<T> changes, long sentMillis, Duration wait) {
+        changes.changes().forEach(this::apply);
+        StoreRevision reached = StoreRevision.later(since, changes.revision());
+        mRevision = reached;
+        markUpToDate(changes, sentMillis, wait);
+        mUpdateSubscriber.accept(KindUpdate.changes(name(), since, reached, changes.changes()));
+        watchAfter(reached, changes.changes().isEmpty() ? Duration.ZERO : mTiming.rest());
+    }
+
+    private boolean checkIfBehind(StoreRevision reached) {
+        long now = mTimers.nowMillis();
+        boolean behind =
+                mWatchOpen
+                        && reached.isInEraOf(mRevision)
+                        && reached.isAfter(StoreRevision.later(mRevision, mCheckedRevision));
+        boolean due =
+                now - Math.max(mLastCallMillis, mWatchCheckedMillis) >= mTiming.check().toMillis();
+        if (behind && due) {
+            checkWatch(mRevision, now);
+        }
+        return behind && due;
+    }
+
+    /** Asks for the changes that the open watch should have returned by now. */
+    private void checkWatch(StoreRevision since, long sentMillis) {
+        mWatchCheckedMillis = sentMillis;
+        mCallsSent++;
+        long watchNumber = mCallNumber;
+        mKind.watch(since, RETRY_WATCH_WAIT)
+                .thenAccept(
+                        result -> {
+                            if (watchNumber == mCallNumber && mWatchOpen) {
+                                orPastEra(result)
+                                        .peek(changes -> onChecked(since, changes, sentMillis))
+                                        .peekLeft(
+                                                failure ->
+                                                        mAvailability.callFailed(
+                                                                "check of watch " + name(),
+                                                                failure));
+                            }
+                        });
+    }
+
+    private void onChecked(StoreRevision since, ObjectChanges<T> changes, long sentMillis) {
+        if (changes.gap() || !changes.changes().isEmpty()) {
+            mAvailability.logSilentWatch(
+                    name(), since, changes.revision(), sentMillis - mLastCallMillis);
+            abandonCall();
+        } else {
+            mCheckedRevision = changes.revision();
+        }
+        noteSuccess("check of watch " + name(), changes);
+        if (changes.gap()) {
+            list();
+        } else if (!changes.changes().isEmpty()) {
+            onChanges(since, changes, sentMillis, RETRY_WATCH_WAIT);
+        }
     }
 
     /** Watches after a rest, in which further changes gather, so that one call returns them all. */
     private void watchAfter(StoreRevision revision, Duration rest) {
         if (rest.isZero()) {
-            watch(revision, mWatchWait);
+            watch(revision, mTiming.hold());
             return;
         }
         long number = mCallNumber;
@@ -405,7 +422,7 @@
                 rest,
                 () -> {
                     if (number == mCallNumber) {
-                        watch(revision, mWatchWait);
+                        watch(revision, mTiming.hold());
                     }
                 });
     }
@@ -419,9 +436,9 @@
 
     private void apply(ObjectChanges.Change<T> change) {
         if (change.deleted()) {
-            delete(change.item().name());
+            mObjects.delete(change.item().name());
         } else {
-            put(change.item());
+            mObjects.put(change.item());
         }
     }
 
@@ -431,6 +448,7 @@
             Consumer<R> onResult,
             Runnable retry) {
         long number = ++mCallNumber;
+        mWatchOpen = false;
         mCallsSent++;
         mLastCallMillis = mTimers.nowMillis();
         mRetry = retry;
@@ -438,28 +456,34 @@
                 .thenAccept(
                         result -> {
                             if (number == mCallNumber) {
-                                result.filterOrElse(
-                                                answer ->
-                                                        !mAvailability
-                                                                .era()
-                                                                .isPast(answer.revision()),
-                                                answer ->
-                                                        new PlatformFailure.PastEra(
-                                                                answer.revision()))
+                                mWatchOpen = false;
+                                orPastEra(result)
                                         .peek(answer -> succeed(callName, answer, onResult))
                                         .peekLeft(failure -> fail(callName, failure, retry));
                             }
                         });
     }
 
+    private <R extends StoreAnswer> Either<PlatformFailure, R> orPastEra(
+            Either<PlatformFailure, R> result) {
+        return result.filterOrElse(
+                answer -> !mAvailability.era().isPast(answer.revision()),
+                answer -> new PlatformFailure.PastEra(answer.revision()));
+    }
+
     private <R extends StoreAnswer> void succeed(String callName, R value, Consumer<R> onResult) {
         mBackoffMillis = MIN_BACKOFF_MILLIS;
         mLastCallMillis = mTimers.nowMillis();
-        mAvailability.callSucceeded();
-        mAvailability.era().observe(value.revision().era(), callName);
+        noteSuccess(callName, value);
         onResult.accept(value);
     }
 
+    private void noteSuccess(String callName, StoreAnswer answer) {
+        mAvailability.callSucceeded();
+        mAvailability.era().observe(answer.revision().era(), callName);
+        mAvailability.progress().observe(answer.revision());
+    }
+
     private void fail(String callName, PlatformFailure failure, Runnable retry) {
         mAvailability.callFailed(callName, failure);
         long number = mCallNumber;
--- a/rhubarbward-core/src/main/java/io/rhubarbward/store/StoreAvailability.java
+++ b/rhubarbward-core/src/main/java/io/rhubarbward/store/StoreAvailability.java
@@ -19,6 +19,7 @@
     private final TimerService mTimers;
     private final EventLog mEvents;
     private final StoreEra mEra;
+    private final StoreProgress mProgress = new StoreProgress();
     private final List<Runnable> mRecoverySubscribers = new ArrayList<>();
     private long mOutageStartMillis = NEVER;
     private long mLastOutageEndMillis = NEVER;
@@ -38,6 +39,11 @@
         return mEra;
     }
 
+    /** Returns what has open watches checked once the store has changed. */
+    StoreProgress progress() {
+        return mProgress;
+    }
+
     /** Runs the subscriber at the end of each outage. */
     public void subscribeToRecovery(Runnable subscriber) {
         mRecoverySubscribers.add(subscriber);
@@ -100,6 +106,21 @@
                 EventField.of("known", known));
     }
 
+    /**
+     * Logs that an open watch has not returned what a second call has; its connection may have gone
+     * silent.
+     *
+     * @param openMillis how long the watch was open when the second call was sent
+     */
+    void logSilentWatch(String kind, StoreRevision since, StoreRevision answered, long openMillis) {
+        mEvents.log(
+                LogEvent.STORE_WATCH_SILENT,
+                EventField.of("kind", kind),
+                EventField.of("since", since),
+                EventField.of("answered", answered),
+                EventField.of("openMs", openMillis));
+    }
+
     /**
      * Logs that a kind's state was listed in a new era of the store.
      *
--- a/rhubarbward-core/src/test/java/io/rhubarbward/relay/RelayFleet.java
+++ b/rhubarbward-core/src/test/java/io/rhubarbward/relay/RelayFleet.java
@@ -12,6 +12,7 @@
 import io.rhubarbward.store.KindWatcher;
 import io.rhubarbward.store.StoreAvailability;
 import io.rhubarbward.store.StoreRevision;
+import io.rhubarbward.store.WatchTiming;
 import io.rhubarbward.testing.FakePeers;
 import io.rhubarbward.testing.FakeStore;
 import io.rhubarbward.testing.FreezableTimers;
@@ -144,8 +145,10 @@
                     new KindWatcher<>(
                             mStore.kind(mName, ROUTERS, Router::decodePresence),
                             mDirectory,
-                            Duration.ofSeconds(12),
-                            Duration.ofMillis(500),
+                            new WatchTiming(
+                                    Duration.ofSeconds(12),
+                                    Duration.ofMillis(500),
+                                    Duration.ofSeconds(12)),
                             mTimers,
                             mAvailability,
                             mRandom.split());
@@ -167,8 +170,9 @@
             return new KindWatcher<>(
                     mStore.kind(mName, kind, Either::right),
                     listener,
-                    wait,
-                    kind.equals(CONFIG) ? Duration.ZERO : Duration.ofMillis(500),
+                    kind.equals(CONFIG)
+                            ? new WatchTiming(wait, Duration.ZERO, wait)
+                            : new WatchTiming(wait, Duration.ofMillis(500), Duration.ofMillis(400)),
                     mTimers,
                     mAvailability,
                     mRandom.split());
--- a/rhubarbward-core/src/test/java/io/rhubarbward/relay/StoreFollowerTest.java
+++ b/rhubarbward-core/src/test/java/io/rhubarbward/relay/StoreFollowerTest.java
@@ -83,6 +83,18 @@
         assertAllUpToDate();
     }
 
+    /** Guards against requests to leaving servers while a silent watch looks like a quiet one. */
+    @ParameterizedTest
+    @ValueSource(longs = {2, 3, 5, 8})
+    void aChangeIsSeenWithinTwoSecondsThoughItsWatchWentSilent(long secondsSilent) {
+        startThreeDataCentres(8);
+        mFleet.mStore.silenceWaitingWatches(kind -> !kind.equals(RelayFleet.CONFIG));
+        mFleet.advance(Duration.ofSeconds(secondsSilent));
+        mFleet.mStore.put(RelayFleet.SERVERS, "e-1", "draining");
+        mFleet.advance(Duration.ofMillis(1900));
+        assertAllUpToDate();
+    }
+
     @Test
     void aRelayThatDiesIsReplacedWithoutARefusedKey() {
         startThreeDataCentres(10);
--- a/rhubarbward-core/src/test/java/io/rhubarbward/store/KindWatcherTest.java
+++ b/rhubarbward-core/src/test/java/io/rhubarbward/store/KindWatcherTest.java
@@ -14,6 +14,7 @@
 
 final class KindWatcherTest {
     private static final Duration WATCH_WAIT = Duration.ofMillis(1500);
+    private static final Duration WATCH_CHECK = Duration.ofMillis(400);
 
     private final VirtualTimerService mTimers = new VirtualTimerService();
     private final RecordingEvents mEvents = new RecordingEvents();
@@ -40,8 +41,7 @@
                             mNotifications.add("deleted " + name);
                         }
                     },
-                    WATCH_WAIT,
-                    Duration.ZERO,
+                    new WatchTiming(WATCH_WAIT, Duration.ZERO, WATCH_CHECK),
                     mTimers,
                     mAvailability,
                     new SplittableRandom(1));
@@ -160,6 +160,41 @@
         assertThat(mKind.watchedFor()).isEqualTo(WATCH_WAIT);
     }
 
+    /** Guards against a watch whose connection went silent and that looks like a quiet one. */
+    @Test
+    void aWatchThatMissedChangesIsAbandonedOnceTheStoreIsKnownToHaveChanged() {
+        mWatcher.start();
+        mKind.answerList(7);
+        mTimers.advance(WATCH_CHECK);
+        mAvailability.progress().observe(new StoreRevision(0, 9));
+        mKind.answerNewestWatch(9, FakeObjectKind.item("a", "1"));
+        assertThat(mNotifications).containsExactly("all []", "item a").inOrder();
+        assertThat(mKind.watchedFrom()).isEqualTo(9);
+        assertThat(mKind.watchedFor()).isEqualTo(WATCH_WAIT);
+        assertThat(mEvents.logged()).containsExactly(LogEvent.STORE_WATCH_SILENT);
+        mKind.answerWatch(9, FakeObjectKind.item("late", "1"));
+        assertThat(mNotifications).hasSize(2);
+    }
+
+    /** Guards against a call for each change of another kind. */
+    @Test
+    void aWatchThatMissedNothingStaysOpenAndIsCheckedOnceForARevision() {
+        mWatcher.start();
+        mKind.answerList(7);
+        mTimers.advance(WATCH_CHECK);
+        mAvailability.progress().observe(new StoreRevision(0, 9));
+        mKind.answerNewestWatch(9);
+        mTimers.advance(WATCH_CHECK);
+        mAvailability.progress().observe(new StoreRevision(0, 9));
+        assertThat(mKind.openWatches()).isEqualTo(1);
+        mAvailability.progress().observe(new StoreRevision(0, 10));
+        mAvailability.progress().observe(new StoreRevision(0, 11));
+        assertThat(mKind.openWatches()).isEqualTo(2);
+        mKind.answerWatch(11, FakeObjectKind.item("a", "1"));
+        assertThat(mNotifications).containsExactly("all []", "item a").inOrder();
+        assertThat(mKind.watchedFrom()).isEqualTo(11);
+    }
+
     /** Guards against an answer of a past era, or without one, that is taken for a newer state. */
     @Test
     void anAnswerOfAPastEraIsAFailedCall() {
--- a/rhubarbward-core/src/test/java/io/rhubarbward/testing/FakeObjectKind.java
+++ b/rhubarbward-core/src/test/java/io/rhubarbward/testing/FakeObjectKind.java
@@ -82,14 +82,21 @@
     /** Answers the oldest open watch call with updates of the objects. */
     @SafeVarargs
     public final void answerWatch(long revision, DecodedObject<T>... items) {
+        mOpenWatches.remove().complete(changes(revision, items));
+    }
+
+    /** Answers the newest open watch call with updates of the objects. */
+    @SafeVarargs
+    public final void answerNewestWatch(long revision, DecodedObject<T>... items) {
+        mOpenWatches.removeLast().complete(changes(revision, items));
+    }
+
+    @SafeVarargs
+    private static <T> Either<PlatformFailure, ObjectChanges<T>> changes(
+            long revision, DecodedObject<T>... items) {
         List<ObjectChanges.Change<T>> changes =
                 Arrays.stream(items).map(item -> new ObjectChanges.Change<>(item, false)).toList();
-        mOpenWatches
-                .remove()
-                .complete(
-                        Either.right(
-                                new ObjectChanges<>(
-                                        changes, new StoreRevision(0, revision), false)));
+        return Either.right(new ObjectChanges<>(changes, new StoreRevision(0, revision), false));
     }
 
     /** Answers the oldest open watch call with a deletion. */
--- a/rhubarbward-core/src/test/java/io/rhubarbward/testing/FakeStore.java
+++ b/rhubarbward-core/src/test/java/io/rhubarbward/testing/FakeStore.java
@@ -55,8 +55,7 @@
     private record Event(
             long atMillis, long revision, String kind, String name, Optional<String> text) {}
 
-    private record Watch(
-            String router, String kind, long after, Runnable answer, Runnable failure) {}
+    private record Watch(String kind, long endMillis, Runnable answer, Runnable failure) {}
 
     /** Refuses the calls of the routers at once. */
     public void refuse(Predicate<String> refuses) {
@@ -68,6 +67,21 @@
         mSilentTo = silentTo;
     }
 
+    /**
+     * Loses the connections of the kinds' waiting watches without a reset: their answers never
+     * arrive, and new calls are answered.
+     */
+    public void silenceWaitingWatches(Predicate<String> kinds) {
+        List<Watch> silent = mWatches.stream().filter(watch -> kinds.test(watch.kind())).toList();
+        mWatches.removeAll(silent);
+        silent.forEach(
+                watch ->
+                        mTimers.after(
+                                Duration.ofMillis(watch.endMillis() - mTimers.nowMillis())
+                                        .plus(SILENCE_TIMEOUT),
+                                watch.failure()));
+    }
+
     /** Writes an object. */
     public void put(String kind, String name, String text) {
         mRevision++;
@@ -210,9 +224,8 @@
                         }
                         Watch watch =
                                 new Watch(
-                                        mRouter,
                                         mKind,
-                                        revision,
+                                        mTimers.nowMillis() + wait.toMillis(),
                                         () -> answer.accept(changesAfter(revision)),
                                         failure);
                         mWatches.add(watch);
