Require API keys whenever the configuration has tenants

The operator takes the last API key away, and both routers let every request through, with keys taken away seconds before and with one that was never held.

Cause: Catalog.hasApiKeys told from the keys that were left whether callers need one. PROTOCOL makes that a matter of the presence of `tenants`, which the decoder did not keep.

Change: the catalogue keeps whether accounts were configured, and an empty list, or accounts without keys, require keys that nobody has.

Ruled out: a version that is refused or lost on the way; the keys of the last version stopped to authenticate in time, and the answer was 200 all the same.

--- a/rhubarbward-core/src/main/java/io/rhubarbward/catalog/Catalog.java
+++ b/rhubarbward-core/src/main/java/io/rhubarbward/catalog/Catalog.java
@@ -20,16 +20,20 @@
     private final List<Route> mRoutes;
     private final Map<String, List<Route>> mRoutesByHost;
     private final Map<String, ServiceProfile> mServices;
+    private final boolean mRequiresKeys;
     private final Map<String, KeyedAccount> mAccountsByKey;
 
     /**
      * Creates a version of the catalogue; the first of several accounts with one key gets the key.
+     *
+     * @param accounts the accounts whose keys authenticate callers, possibly without any key; empty
+     *     if callers need no key
      */
     public Catalog(
             long version,
             List<Route> routes,
             List<ServiceProfile> services,
-            List<KeyedAccount> accounts,
+            Optional<List<KeyedAccount>> accounts,
             CallerLimits limits) {
         mVersion = version;
         mLimits = limits;
@@ -47,8 +51,10 @@
                                         ServiceProfile::name,
                                         Function.identity(),
                                         (first, second) -> first));
+        mRequiresKeys = accounts.isPresent();
         mAccountsByKey =
                 accounts.stream()
+                        .flatMap(List::stream)
                         .flatMap(
                                 account ->
                                         account.keys().stream().map(key -> Map.entry(key, account)))
@@ -91,8 +97,11 @@
         return Optional.ofNullable(mAccountsByKey.get(key));
     }
 
-    /** Returns whether any account has an API key; without any, callers need none. */
-    public boolean hasApiKeys() {
-        return !mAccountsByKey.isEmpty();
+    /**
+     * Returns whether callers need an API key, except on routes that allow anonymous ones. They may
+     * need one that no account holds, so that all are refused.
+     */
+    public boolean requiresKeys() {
+        return mRequiresKeys;
     }
 }
--- a/rhubarbward-core/src/main/java/io/rhubarbward/forward/RequestResolver.java
+++ b/rhubarbward-core/src/main/java/io/rhubarbward/forward/RequestResolver.java
@@ -43,7 +43,7 @@
         if (route.isEmpty()) {
             return unknown(RefusalCode.UNKNOWN_PATH, "no route serves " + metadata.host());
         }
-        if (route.get().allowsAnonymous() || !catalog.hasApiKeys()) {
+        if (route.get().allowsAnonymous() || !catalog.requiresKeys()) {
             return accept(request, metadata, origin, catalog, route.get(), null);
         }
         if (!mContext.freshness().mayTrustKeys()) {
--- a/rhubarbward-core/src/test/java/io/rhubarbward/forward/ForwardFixture.java
+++ b/rhubarbward-core/src/test/java/io/rhubarbward/forward/ForwardFixture.java
@@ -1,6 +1,7 @@
 package io.rhubarbward.forward;
 
 import io.prometheus.metrics.model.registry.PrometheusRegistry;
+import io.rhubarbward.catalog.Catalog;
 import io.rhubarbward.catalog.CurrentCatalog;
 import io.rhubarbward.catalog.Route;
 import io.rhubarbward.crash.CrashSuspects;
@@ -90,6 +91,11 @@
         mService = new ForwardingService(mContext);
     }
 
+    /** Makes the catalogue the one in the store. */
+    void publish(Catalog catalog) {
+        mCatalog.onItem(FakeObjectKind.item("main", catalog));
+    }
+
     private static Map<String, RouterPresence> routers() {
         return Map.of(
                 "front-2", new RouterPresence("a", "front-2:1", "front-2:2", 1),
--- a/rhubarbward-core/src/test/java/io/rhubarbward/forward/ForwardingTest.java
+++ b/rhubarbward-core/src/test/java/io/rhubarbward/forward/ForwardingTest.java
@@ -2,6 +2,8 @@
 
 import static com.google.common.truth.Truth.assertThat;
 
+import io.rhubarbward.catalog.KeyedAccount;
+import io.rhubarbward.catalog.Route;
 import io.rhubarbward.catalog.RouteKind;
 import io.rhubarbward.forward.ForwardFixture.PendingRequest;
 import io.rhubarbward.request.BackendFailure;
@@ -9,12 +11,17 @@
 import io.rhubarbward.testing.Catalogs;
 import io.rhubarbward.testing.FakeBackends;
 import java.time.Duration;
+import java.util.List;
+import java.util.Optional;
+import java.util.OptionalInt;
 import org.junit.jupiter.api.Test;
 
 final class ForwardingTest {
+    private static final Route ORDER = Catalogs.route("order", "/order/", RouteKind.NON_IDEMPOTENT);
+
     private final ForwardFixture mFixture =
             new ForwardFixture(
-                    Catalogs.route("order", "/order/", RouteKind.NON_IDEMPOTENT),
+                    ORDER,
                     Catalogs.route("status", "/status/", RouteKind.IDEMPOTENT),
                     Catalogs.route("chat", "/chat/", RouteKind.STREAMING));
 
@@ -176,6 +183,28 @@
         assertThat(mFixture.send("/nowhere/").response().status()).isEqualTo(503);
     }
 
+    /** Guards against open routes once the last API key is taken away. */
+    @Test
+    void withoutAnyKeyLeftAllKeysAreRefused() {
+        mFixture.publish(
+                Catalogs.withAccounts(
+                        2,
+                        Optional.of(
+                                List.of(new KeyedAccount("acme", List.of(), OptionalInt.empty()))),
+                        ORDER));
+        assertThat(mFixture.send("/order/7").response().status()).isEqualTo(401);
+        mFixture.publish(Catalogs.withAccounts(3, Optional.of(List.of()), ORDER));
+        assertThat(mFixture.send("/order/7").response().status()).isEqualTo(401);
+        assertThat(sends()).isEqualTo(0);
+    }
+
+    @Test
+    void aConfigurationWithoutAccountsNeedsNoKeys() {
+        mFixture.publish(Catalogs.withAccounts(2, Optional.empty(), ORDER));
+        mFixture.send("/order/7");
+        assertThat(sends()).isEqualTo(1);
+    }
+
     @Test
     void retriesStayWithinTheRetryBudget() {
         int retries = 0;
--- a/rhubarbward-core/src/test/java/io/rhubarbward/testing/Catalogs.java
+++ b/rhubarbward-core/src/test/java/io/rhubarbward/testing/Catalogs.java
@@ -9,6 +9,7 @@
 import io.rhubarbward.catalog.WeightedService;
 import java.time.Duration;
 import java.util.List;
+import java.util.Optional;
 import java.util.OptionalInt;
 
 /** Builds catalogues with one host, an engine service, a plain service and one account. */
@@ -23,11 +24,21 @@
     private Catalogs() {}
 
     public static Catalog of(long version, Route... routes) {
+        return withAccounts(
+                version,
+                Optional.of(
+                        List.of(new KeyedAccount("acme", List.of(API_KEY), OptionalInt.empty()))),
+                routes);
+    }
+
+    /** Returns a catalogue with the accounts; empty if callers need no key. */
+    public static Catalog withAccounts(
+            long version, Optional<List<KeyedAccount>> accounts, Route... routes) {
         return new Catalog(
                 version,
                 List.of(routes),
                 List.of(ENGINE_SERVICE, PLAIN_SERVICE),
-                List.of(new KeyedAccount("acme", List.of(API_KEY), OptionalInt.empty())),
+                accounts,
                 new CallerLimits(16_384, 1_000_000, 3000, 15_000));
     }
 
