Do not read an answer while its caller takes nothing

A replica sends a body without end to callers on slow links, and the router answers nobody for seconds. A large sound answer takes the same way.

Cause: BackendExchange.pause switches automatic reading off, within a read, as decisions run on the event loop. At the end of that read the client library asks for the next one, which reads all the same. What the caller does not take waits in its outbound buffer.

Change: PausableReads drops requests for reads while automatic reading is off, on both HTTP clients. A pause after the end of an answer has no effect: it would stop the connection's next answer, now for good.

Ruled out: a pause between two reads, which did block the server (a test that paused from another thread passed on the code before).

--- a/rhubarbward-net/src/main/java/io/rhubarbward/net/backend/BackendExchange.java
+++ b/rhubarbward-net/src/main/java/io/rhubarbward/net/backend/BackendExchange.java
@@ -31,6 +31,10 @@
     private volatile @Nullable Channel mChannel;
     private volatile boolean mRequestSent;
     private volatile boolean mKeptConnection;
+
+    /** Whether the answer is complete, so that the connection may serve another call. */
+    private volatile boolean mCompleted;
+
     private int mStatus;
 
     /**
@@ -117,6 +121,7 @@
     @Override
     public Boolean onCompleted() {
         setReading(true);
+        mCompleted = true;
         mTimers.execute(mListener::onComplete);
         return true;
     }
@@ -175,7 +180,7 @@
 
     private void setReading(boolean enabled) {
         Channel channel = mChannel;
-        if (channel != null) {
+        if (channel != null && !mCompleted) {
             channel.config().setAutoRead(enabled);
         }
     }
--- a/rhubarbward-net/src/main/java/io/rhubarbward/net/backend/HttpClients.java
+++ b/rhubarbward-net/src/main/java/io/rhubarbward/net/backend/HttpClients.java
@@ -1,5 +1,6 @@
 package io.rhubarbward.net.backend;
 
+import io.netty.channel.Channel;
 import io.netty.channel.EventLoopGroup;
 import io.netty.util.Timer;
 import java.time.Duration;
@@ -48,12 +49,19 @@
                         .setCookieStore(null)
                         .setSslEngineFactory(HttpClients::rejectTls)
                         .setHttpAdditionalChannelInitializer(
-                                channel ->
-                                        channel.pipeline()
-                                                .addBefore(
-                                                        ChannelManager.AHC_HTTP_HANDLER,
-                                                        "answer-guard",
-                                                        new ResponseGuard(idHeader))));
+                                channel -> {
+                                    addPausableReads(channel);
+                                    channel.pipeline()
+                                            .addBefore(
+                                                    ChannelManager.AHC_HTTP_HANDLER,
+                                                    "answer-guard",
+                                                    new ResponseGuard(idHeader));
+                                }));
+    }
+
+    private static void addPausableReads(Channel channel) {
+        channel.pipeline()
+                .addBefore(ChannelManager.AHC_HTTP_HANDLER, "pausable-reads", new PausableReads());
     }
 
     /** Loading TLS would double the startup time, and no server on the event loop uses it. */
@@ -72,6 +80,7 @@
                 .setReadTimeout(NO_TIMEOUT)
                 .setPooledConnectionIdleTimeout(POOLED_IDLE_TIMEOUT)
                 .setConnectionTtl(MAX_CONNECTION_AGE)
+                .setHttpAdditionalChannelInitializer(HttpClients::addPausableReads)
                 .setTcpNoDelay(true);
     }
 }
--- a/rhubarbward-net/src/test/java/io/rhubarbward/net/backend/BrokenAnswerTest.java
+++ b/rhubarbward-net/src/test/java/io/rhubarbward/net/backend/BrokenAnswerTest.java
@@ -6,6 +6,7 @@
 import io.netty.util.HashedWheelTimer;
 import io.rhubarbward.config.BackendServer;
 import io.rhubarbward.event.EventLog;
+import io.rhubarbward.net.loop.EventLoopTimerService;
 import io.rhubarbward.request.BackendCall;
 import io.rhubarbward.request.BackendFailure;
 import io.rhubarbward.request.BackendListener;
@@ -17,8 +18,10 @@
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Objects;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
 import org.asynchttpclient.AsyncHttpClient;
 import org.jspecify.annotations.Nullable;
 import org.junit.jupiter.api.AfterEach;
@@ -59,6 +62,10 @@
     }
 
     private Answer send(String id) {
+        return send(mClient, id, new Answer());
+    }
+
+    private Answer send(AsyncBackendClient client, String id, Answer answer) {
         BackendServer server =
                 new BackendServer(
                         "s",
@@ -67,9 +74,8 @@
                         mServer.address(),
                         "1",
                         BackendServer.Fencing.IGNORES);
-        Answer answer = new Answer();
         answer.mCall =
-                mClient.send(
+                client.send(
                         new BackendRequest(
                                 server,
                                 "GET",
@@ -186,12 +192,82 @@
         pending.closeConnection();
     }
 
+    /** Guards against a body without end that fills the memory while its caller does not read. */
+    @Test
+    void aCallThatIsPausedDuringAReadSlowsItsServerDown() throws Exception {
+        AsyncBackendClient client =
+                new AsyncBackendClient(
+                        mHttp,
+                        new EventLoopTimerService(mGroup.next(), EventLog.none()),
+                        HttpClients.CONNECT_TIMEOUT);
+        Answer paused = new Answer();
+        paused.mPausesAtFirstPart = true;
+        send(client, "r-1", paused);
+        ScriptedServer.PendingRequest pending = mServer.takeRequest();
+        pending.respond(
+                "HTTP/1.1 200 OK\r\n" + ID_HEADER + ": r-1\r\nContent-Length: 999999999\r\n\r\n");
+        EndlessBody body = new EndlessBody(pending);
+        body.start();
+        for (int request = 2; request < 3000 && body.isAlive(); request++) {
+            Answer other = send("r-" + request);
+            mServer.takeRequest().respond(answer("r-" + request, 200, "ok"));
+            other.await();
+        }
+        assertThat(body.mSentBytes.get()).isLessThan(EndlessBody.MAX_BYTES);
+        paused.call().cancel();
+        body.join();
+    }
+
+    /** Guards against a kept connection that is not read, since its last caller did not read. */
+    @Test
+    void aPauseAfterTheEndDoesNotStopTheNextAnswer() throws Exception {
+        Answer first = send("r-1");
+        mServer.takeRequest().respond(answer("r-1", 200, ""));
+        first.await();
+        first.call().pause();
+        Answer second = send("r-2");
+        mServer.takeRequest().respond(answer("r-2", 200, "two"));
+        assertThat(second.await()).containsExactly("head 200", "two", "complete").inOrder();
+        assertThat(mServer.connectionCount()).isEqualTo(1);
+    }
+
+    /** Writes a body until its connection ends, or until more was taken than sockets hold. */
+    private static final class EndlessBody extends Thread {
+        private static final long MAX_BYTES = 32_000_000;
+
+        private final ScriptedServer.PendingRequest mPending;
+        private final AtomicLong mSentBytes = new AtomicLong();
+
+        EndlessBody(ScriptedServer.PendingRequest pending) {
+            mPending = pending;
+        }
+
+        @Override
+        public void run() {
+            String part = "x".repeat(100_000);
+            try {
+                while (mSentBytes.get() < MAX_BYTES) {
+                    mPending.respond(part);
+                    mSentBytes.addAndGet(part.length());
+                }
+            } catch (IOException e) {
+                // The call was cancelled, which ends the connection.
+                return;
+            }
+        }
+    }
+
     /** Records the events of a call in order. */
     private static final class Answer implements BackendListener {
         private final LinkedBlockingQueue<List<String>> mEnded = new LinkedBlockingQueue<>();
+        private volatile boolean mPausesAtFirstPart;
         private final List<String> mEvents = new ArrayList<>();
         private @Nullable BackendCall mCall;
 
+        BackendCall call() {
+            return Objects.requireNonNull(mCall);
+        }
+
         boolean usedKeptConnection() {
             return mCall != null && mCall.usesKeptConnection();
         }
@@ -207,6 +283,9 @@
 
         @Override
         public void onPart(ByteBuffer part) {
+            if (mPausesAtFirstPart) {
+                call().pause();
+            }
             mEvents.add(StandardCharsets.US_ASCII.decode(part).toString());
         }
 
