Bound what is discarded for one request

What callers saw: nothing yet; by reading, and shown by tests. A replica that declines a request with a body without end keeps the connection, and the router reads it for good. An answer of another id, and interim answers, are discarded for as long as they come.

Cause: ServerCall ends a declined call by its head and leaves the body to the client library; ResponseGuard counted nothing of what it discards.

Change: a declined answer, and another router's refusal, are read for 64 KB or 2 s, after which the connection is closed. 16 MB of other answers fail the request that waits behind them. Heads, status lines, chunk lines and trailers are bounded by the codec already.

Evidence: ForwardingTest.aDeclinedAnswerThatIsLongOrTakesLongClosesItsConnection and ResponseGuardTest.discardedBytesWithoutEndCloseTheConnection and interimResponsesWithoutEndCloseTheConnection failed before and pass.

--- a/rhubarbward-core/src/main/java/io/rhubarbward/forward/PeerCall.java
+++ b/rhubarbward-core/src/main/java/io/rhubarbward/forward/PeerCall.java
@@ -21,6 +21,7 @@
     private final ForwardingPeer mPeer;
     private final Listener mListener;
     private @Nullable BackendCall mCall;
+    private @Nullable DiscardedBody mDiscardedBody;
     private boolean mEnded;
 
     PeerCall(
@@ -109,6 +110,9 @@
         Optional<PeerRefusal> refusal = headers.first(PeerHeaders.REFUSAL).map(PeerRefusal::decode);
         if (refusal.isPresent()) {
             if (end(SendResult.SHED)) {
+                if (mCall != null) {
+                    mDiscardedBody = new DiscardedBody(mCall, mContext.timers());
+                }
                 mListener.onPeerRefused(mPeer, refusal.get());
             }
             return;
@@ -128,6 +132,9 @@
 
     @Override
     public void onPart(ByteBuffer part) {
+        if (mDiscardedBody != null) {
+            mDiscardedBody.onPart(part);
+        }
         if (!mEnded) {
             mListener.onPart(part);
         }
@@ -135,13 +142,21 @@
 
     @Override
     public void onComplete() {
+        endDiscardedBody();
         if (end(SendResult.ANSWERED)) {
             mListener.onComplete();
         }
     }
 
+    private void endDiscardedBody() {
+        if (mDiscardedBody != null) {
+            mDiscardedBody.onEnd();
+        }
+    }
+
     @Override
     public void onFailure(BackendFailure failure) {
+        endDiscardedBody();
         SendResult result = failure.provesNotRun() ? SendResult.UNREACHABLE : SendResult.BROKEN;
         if (end(result)) {
             mListener.onPeerFailed(mPeer, result, !failure.provesNotRun());
--- a/rhubarbward-core/src/main/java/io/rhubarbward/forward/ServerCall.java
+++ b/rhubarbward-core/src/main/java/io/rhubarbward/forward/ServerCall.java
@@ -43,6 +43,7 @@
     private boolean mTimed;
     private long mAnswerBegunMillis = NOT_BEGUN;
     private EventStreamFraming mFraming = new EventStreamFraming(HeaderFields.NONE);
+    private @Nullable DiscardedBody mDiscardedBody;
     private boolean mEnded;
 
     ServerCall(
@@ -143,6 +144,9 @@
         if (metadata.notRun()) {
             SendResult result = declined(status, metadata);
             if (end(result)) {
+                if (mCall != null) {
+                    mDiscardedBody = new DiscardedBody(mCall, mContext.timers());
+                }
                 mListener.onNotRun(mServer, status);
             }
         } else if (!metadata.genuine()) {
@@ -190,6 +194,9 @@
 
     @Override
     public void onPart(ByteBuffer part) {
+        if (mDiscardedBody != null) {
+            mDiscardedBody.onPart(part);
+        }
         if (!mEnded) {
             mContext.reach().onHeard(this);
             long sinceSentMillis = mContext.timers().nowMillis() - mSentMillis;
@@ -208,6 +215,7 @@
 
     @Override
     public void onComplete() {
+        endDiscardedBody();
         if (!mFraming.mayBeComplete()) {
             onFailure(BackendFailure.INCOMPLETE);
             return;
@@ -223,8 +231,15 @@
         }
     }
 
+    private void endDiscardedBody() {
+        if (mDiscardedBody != null) {
+            mDiscardedBody.onEnd();
+        }
+    }
+
     @Override
     public void onFailure(BackendFailure failure) {
+        endDiscardedBody();
         SendResult result = result(failure);
         if (end(result)) {
             if (failure.provesNotRun() || failure == BackendFailure.SILENT) {
--- a/rhubarbward-core/src/test/java/io/rhubarbward/forward/ForwardingTest.java
+++ b/rhubarbward-core/src/test/java/io/rhubarbward/forward/ForwardingTest.java
@@ -78,6 +78,32 @@
     }
 
     /** A 503 without the statement that the request did not run does not prove that it did not. */
+    /** Guards against a declined answer without end, which would be read for good. */
+    @Test
+    void aDeclinedAnswerThatIsLongOrTakesLongClosesItsConnection() {
+        mFixture.send("/order/7");
+        FakeBackends.Sent longBody = mFixture.answer(503, "r-1", "not-run");
+        longBody.part("x".repeat(65_536));
+        assertThat(longBody.cancelled()).isFalse();
+        longBody.part("x");
+        assertThat(longBody.cancelled()).isTrue();
+        FakeBackends.Sent slowBody = mFixture.answer(503, "r-1", "not-run");
+        mFixture.mTimers.advance(Duration.ofMillis(1999));
+        slowBody.part("x");
+        assertThat(slowBody.cancelled()).isFalse();
+        mFixture.mTimers.advance(Duration.ofMillis(1));
+        assertThat(slowBody.cancelled()).isTrue();
+    }
+
+    @Test
+    void aDeclinedAnswerThatEndsKeepsItsConnection() {
+        mFixture.send("/order/7");
+        FakeBackends.Sent declined = mFixture.answer(503, "r-1", "not-run");
+        declined.part("busy").complete();
+        mFixture.mTimers.advance(Duration.ofSeconds(3));
+        assertThat(declined.cancelled()).isFalse();
+    }
+
     @Test
     void aNotRunStatusWithoutTheServersStatementIsNotForwarded() {
         PendingRequest request = mFixture.send("/order/7");
--- a/rhubarbward-net/src/main/java/io/rhubarbward/net/backend/ResponseGuard.java
+++ b/rhubarbward-net/src/main/java/io/rhubarbward/net/backend/ResponseGuard.java
@@ -3,7 +3,9 @@
 import io.netty.channel.ChannelDuplexHandler;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelPromise;
+import io.netty.handler.codec.TooLongFrameException;
 import io.netty.handler.codec.http.FullHttpResponse;
+import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpRequest;
@@ -23,7 +25,7 @@
  *
  * <ul>
  *   <li>A response with the id of another request, or an interim response, is discarded, and the
- *       request stays open.
+ *       request stays open, unless what is discarded for it goes on for too long.
  *   <li>A message that arrives while no request is open closes the connection.
  *   <li>A message that cannot be decoded fails the open request, also within a discarded response.
  *   <li>After an error nothing is passed on, so that a response that is delimited by the close of
@@ -42,6 +44,12 @@
      */
     private static final double IDLE_TIMEOUT_FRACTION = 0.5;
 
+    /** Bytes that are discarded for one request, beyond any sound answer to an earlier one. */
+    private static final long MAX_DISCARDED_BYTES = 16_777_216;
+
+    /** What the head of a discarded response counts for. */
+    private static final long HEAD_BYTES = 512;
+
     private static final Pattern KEEP_ALIVE_TIMEOUT = Pattern.compile("timeout=(\\d{1,6})");
     private static final long MILLIS_PER_SECOND = 1000;
 
@@ -49,6 +57,7 @@
     private @Nullable String mExpectedId;
     private boolean mRequestOpen;
     private boolean mDiscarding;
+    private long mDiscardedBytes;
     private boolean mForwarding;
     private boolean mFailed;
     private long mIdleTimeoutMillis = DEFAULT_IDLE_TIMEOUT_MILLIS;
@@ -69,6 +78,7 @@
             mExpectedId = request.headers().get(mIdHeader);
             mRequestOpen = true;
             mForwarding = false;
+            mDiscardedBytes = 0;
             LibraryHeaders.removeFrom(request.headers());
         }
         context.write(message, promise);
@@ -96,8 +106,7 @@
             startResponse(head);
         }
         if (mDiscarding) {
-            mDiscarding = !(object instanceof LastHttpContent);
-            ReferenceCountUtil.release(message);
+            discard(context, object);
             return;
         }
         boolean last = object instanceof LastHttpContent && mForwarding;
@@ -109,6 +118,24 @@
         context.fireChannelRead(message);
     }
 
+    private void discard(ChannelHandlerContext context, HttpObject object) {
+        mDiscarding = !(object instanceof LastHttpContent);
+        mDiscardedBytes +=
+                object instanceof HttpContent content
+                        ? content.content().readableBytes()
+                        : HEAD_BYTES;
+        ReferenceCountUtil.release(object);
+        if (mDiscardedBytes > MAX_DISCARDED_BYTES) {
+            exceptionCaught(
+                    context,
+                    new TooLongFrameException(
+                            "read "
+                                    + mDiscardedBytes
+                                    + " bytes of other answers: expected the answer to "
+                                    + mExpectedId));
+        }
+    }
+
     private void startResponse(HttpResponse head) {
         boolean interim = head.status().codeClass() == HttpStatusClass.INFORMATIONAL;
         String id = head.headers().get(mIdHeader);
--- a/rhubarbward-net/src/test/java/io/rhubarbward/net/backend/ResponseGuardTest.java
+++ b/rhubarbward-net/src/test/java/io/rhubarbward/net/backend/ResponseGuardTest.java
@@ -4,6 +4,7 @@
 
 import io.netty.buffer.Unpooled;
 import io.netty.channel.embedded.EmbeddedChannel;
+import io.netty.handler.codec.TooLongFrameException;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpClientCodec;
@@ -81,6 +82,35 @@
         assertThat(mChannel.isActive()).isTrue();
     }
 
+    /** Guards against a body without end in an answer to an earlier request. */
+    @Test
+    void discardedBytesWithoutEndCloseTheConnection() {
+        sendRequest("r-2");
+        receive("HTTP/1.1 200 OK\r\n" + ID_HEADER + ": r-1\r\ncontent-length: 99999999\r\n\r\n");
+        assertThat(receiveUntilClosed("x".repeat(1_000_000))).isEqualTo(17);
+    }
+
+    /** Returns how often the text was received until the connection was closed, 100 at most. */
+    private int receiveUntilClosed(String text) {
+        int count = 0;
+        while (mChannel.isActive() && count < 100) {
+            count++;
+            try {
+                receive(text);
+            } catch (TooLongFrameException e) {
+                assertThat(mChannel.isActive()).isFalse();
+            }
+        }
+        return count;
+    }
+
+    @Test
+    void interimResponsesWithoutEndCloseTheConnection() {
+        sendRequest("r-1");
+        assertThat(receiveUntilClosed("HTTP/1.1 102 Processing\r\n\r\n".repeat(1000)))
+                .isLessThan(100);
+    }
+
     @Test
     void unsolicitedResponseClosesTheConnection() {
         sendRequest("r-1");
