Bound replies of the store and of engines

What callers saw: nothing yet; shown by a test. Replies of the store, and of engines to load polls and orders, are kept whole, however long they are, until the call's timeout; a reply that comes at the speed of the link fills the heap before that.

Change: 8 MB for the store, eight times its largest value, and 64 KB for engines; beyond it the call fails and its connection is closed.

Evidence: StoreClientTest.aReplyWithoutEndFailsAndItsConnectionIsClosed did not end within five minutes on the code before, and passes in 0.7 s.

--- a/rhubarbward-net/src/main/java/io/rhubarbward/net/backend/HttpEngineClient.java
+++ b/rhubarbward-net/src/main/java/io/rhubarbward/net/backend/HttpEngineClient.java
@@ -19,6 +19,7 @@
 /** Fetches load reports from engines over HTTP: {@code GET /engine/load}. */
 public final class HttpEngineClient implements EngineClient {
     private static final Duration TIMEOUT = Duration.ofSeconds(1);
+    private static final long MAX_REPLY_BYTES = 65_536;
     private static final int OK = 200;
     private static final ObjectMapper MAPPER =
             JsonMapper.builder().disable(DeserializationFeature.FAIL_ON_UNKNOWN_PROPERTIES).build();
@@ -37,7 +38,7 @@
         CompletableFuture<Either<EngineFailure, LoadReport>> result = new CompletableFuture<>();
         mClient.prepareGet("http://" + server.address() + "/engine/load")
                 .setRequestTimeout(TIMEOUT)
-                .execute()
+                .execute(new BoundedReply(MAX_REPLY_BYTES))
                 .toCompletableFuture()
                 .whenComplete(
                         (response, error) ->
--- a/rhubarbward-net/src/main/java/io/rhubarbward/net/backend/HttpEngineOrders.java
+++ b/rhubarbward-net/src/main/java/io/rhubarbward/net/backend/HttpEngineOrders.java
@@ -21,6 +21,7 @@
 /** Sends orders to engines and reads them back: {@code POST} and {@code GET /engine/orders}. */
 public final class HttpEngineOrders implements EngineOrders {
     private static final Duration TIMEOUT = Duration.ofSeconds(1);
+    private static final long MAX_REPLY_BYTES = 65_536;
     private static final ObjectMapper MAPPER =
             JsonMapper.builder().disable(DeserializationFeature.FAIL_ON_UNKNOWN_PROPERTIES).build();
 
@@ -54,7 +55,7 @@
     private CompletionStage<Either<OrderFailure, EngineOrder>> call(BoundRequestBuilder request) {
         CompletableFuture<Either<OrderFailure, EngineOrder>> result = new CompletableFuture<>();
         request.setRequestTimeout(TIMEOUT)
-                .execute()
+                .execute(new BoundedReply(MAX_REPLY_BYTES))
                 .toCompletableFuture()
                 .whenComplete(
                         (response, error) ->
--- a/rhubarbward-net/src/main/java/io/rhubarbward/net/platform/PlatformHttp.java
+++ b/rhubarbward-net/src/main/java/io/rhubarbward/net/platform/PlatformHttp.java
@@ -1,5 +1,6 @@
 package io.rhubarbward.net.platform;
 
+import io.rhubarbward.net.backend.BoundedReply;
 import io.rhubarbward.store.ObjectKey;
 import io.rhubarbward.store.PlatformFailure;
 import io.rhubarbward.store.PlatformFailure.Reason;
@@ -19,6 +20,9 @@
 
 /** Sends requests to the platform and maps errors to {@link PlatformFailure}s. */
 final class PlatformHttp {
+    /** Several times the largest value that the platform's store keeps. */
+    private static final long MAX_REPLY_BYTES = 8_388_608;
+
     private static final int OK = 200;
     private static final int NOT_FOUND = 404;
     private static final int CONFLICT = 409;
@@ -52,7 +56,7 @@
             Function<String, Either<PlatformFailure, T>> parser) {
         CompletableFuture<Either<PlatformFailure, T>> stage = new CompletableFuture<>();
         request.setRequestTimeout(timeout)
-                .execute()
+                .execute(new BoundedReply(MAX_REPLY_BYTES))
                 .toCompletableFuture()
                 .whenComplete(
                         (response, error) -> {
