Log who answered a request and on which connection

The operators' record of MIXED (a success where the server answered a failure) cannot tell whose answer the caller got: `request-ended` named neither the server, nor its status, nor whether its connection had served another request before. ForwardingTest holds the fields.

--- a/rhubarbward-core/src/main/java/io/rhubarbward/forward/ForwardedExchange.java
+++ b/rhubarbward-core/src/main/java/io/rhubarbward/forward/ForwardedExchange.java
@@ -71,6 +71,8 @@
     private boolean mFirstByteSeen;
     private boolean mEnded;
     private int mStatus;
+    private String mAnsweredBy = "";
+    private boolean mKeptConnection;
 
     ForwardedExchange(
             ResolvedRequest request,
@@ -302,6 +304,10 @@
     @Override
     public void onHead(int status, HeaderFields headers) {
         mStatus = status;
+        if (mCall != null) {
+            mAnsweredBy = mCall.receiver();
+            mKeptConnection = mCall.usesKeptConnection();
+        }
         boolean fromServer = mCall instanceof ServerCall;
         if (status >= MIN_SERVER_ERROR_STATUS && fromServer && retryAfterError()) {
             return;
@@ -447,6 +453,9 @@
                         EventField.of("id", mRequest.metadata().attemptId()),
                         EventField.of("route", route().name()),
                         EventField.of("outcome", outcome),
+                        EventField.of("answeredBy", mAnsweredBy),
+                        EventField.of("status", mStatus),
+                        EventField.of("keptConnection", mKeptConnection),
                         EventField.of("sends", mSends),
                         EventField.of("mayHaveRun", mPossibleRuns > 0 || mAnswerBegun),
                         EventField.of("tookMs", tookMillis));
--- a/rhubarbward-core/src/main/java/io/rhubarbward/forward/OpenCall.java
+++ b/rhubarbward-core/src/main/java/io/rhubarbward/forward/OpenCall.java
@@ -12,4 +12,10 @@
 
     /** Returns whether the other side may have got any part of the request. */
     boolean mayHaveBeenSent();
+
+    /** Returns the name of the server or router that the call goes to. */
+    String receiver();
+
+    /** Returns whether an earlier request was sent on the connection of this call. */
+    boolean usesKeptConnection();
 }
--- a/rhubarbward-core/src/main/java/io/rhubarbward/forward/PeerCall.java
+++ b/rhubarbward-core/src/main/java/io/rhubarbward/forward/PeerCall.java
@@ -90,6 +90,16 @@
         }
     }
 
+    @Override
+    public String receiver() {
+        return mPeer.name();
+    }
+
+    @Override
+    public boolean usesKeptConnection() {
+        return mCall != null && mCall.usesKeptConnection();
+    }
+
     @Override
     public void cancel(SendResult result) {
         if (end(result) && mCall != null) {
--- a/rhubarbward-core/src/main/java/io/rhubarbward/forward/ServerCall.java
+++ b/rhubarbward-core/src/main/java/io/rhubarbward/forward/ServerCall.java
@@ -112,6 +112,16 @@
         return mCall == null || mCall.mayHaveBeenSent();
     }
 
+    @Override
+    public String receiver() {
+        return mServer.server().name();
+    }
+
+    @Override
+    public boolean usesKeptConnection() {
+        return mCall != null && mCall.usesKeptConnection();
+    }
+
     @Override
     public void cancel(SendResult result) {
         if (end(result) && mCall != null) {
@@ -180,7 +190,7 @@
     private boolean answersThisAttempt(ResponseMetadata metadata) {
         return metadata.attemptId()
                 .map(mRequest.metadata().attemptId()::equals)
-                .orElse(metadata.notRun() && mCall != null && !mCall.usesKeptConnection());
+                .orElse(metadata.notRun() && mCall != null && !usesKeptConnection());
     }
 
     private void fail(SendResult result) {
--- a/rhubarbward-core/src/test/java/io/rhubarbward/forward/ForwardingTest.java
+++ b/rhubarbward-core/src/test/java/io/rhubarbward/forward/ForwardingTest.java
@@ -5,6 +5,8 @@
 import io.rhubarbward.catalog.KeyedAccount;
 import io.rhubarbward.catalog.Route;
 import io.rhubarbward.catalog.RouteKind;
+import io.rhubarbward.event.EventField;
+import io.rhubarbward.event.LogEvent;
 import io.rhubarbward.forward.ForwardFixture.PendingRequest;
 import io.rhubarbward.request.BackendFailure;
 import io.rhubarbward.request.HeaderFields;
@@ -40,6 +42,19 @@
         assertThat(mFixture.mService.openRequests()).isEqualTo(0);
     }
 
+    /** Without it, the log does not tell whose answer a caller got, and on which connection. */
+    @Test
+    void theEndOfARequestTellsWhoAnsweredAndOnWhichConnection() {
+        mFixture.mBackends.keepConnections();
+        mFixture.send("/order/7");
+        mFixture.answer(500, "r-1").complete();
+        assertThat(mFixture.mEvents.lastFields(LogEvent.REQUEST_ENDED))
+                .containsAtLeast(
+                        EventField.of("answeredBy", mFixture.mBackends.last().server()),
+                        EventField.of("status", 500),
+                        EventField.of("keptConnection", true));
+    }
+
     @Test
     void sendsInstanceRemainingTimeAndAccountButNotTheKey() {
         mFixture.send("/order/7");
