Use no connection with the beginning of a second answer

Cause: the codec keeps the bytes of a head until it is complete, and the guard behind it sees whole messages only. A connection went back to the pool with the beginning of a second answer in the codec, which the next answer's bytes continued: `HTTP/1.1 200 Ans` and `HTTP/1.1 500 Answer ...` are one head, with the status of the one and the id of the other. A second answer whose body was cut swallows the next answer in the same way.

Change: AnswerDecoder tells whether bytes of an answer are not decoded yet. An idle connection with such bytes is closed, at the end of an answer before it can be reused. While a request is open, an answer that begins within another one's head, or within a discarded body, fails the request.

Ruled out: whole second answers, and tries of one request at the same server.

ResponseGuardTest: 9 of 11 positions of the beginning, and three more tests, failed before; BrokenAnswerTest.theNextRequestTakesNoConnectionWithTheBeginningOfASecondAnswer failed in 3 of 3 over sockets.

--- a/rhubarbward-net/src/main/java/io/rhubarbward/net/backend/HttpClients.java
+++ b/rhubarbward-net/src/main/java/io/rhubarbward/net/backend/HttpClients.java
@@ -24,6 +24,9 @@
     /** Short, so that connecting to a dead backend server does not use up a request's deadline. */
     public static final Duration SHORT_CONNECT_TIMEOUT = Duration.ofMillis(400);
 
+    /** The client library's defaults, which no client here changes. */
+    private static final AsyncHttpClientConfig CODEC_LIMITS = Dsl.config().build();
+
     private HttpClients() {}
 
     /** Returns a client with threads of its own and no request timeout by default. */
@@ -51,14 +54,24 @@
                         .setHttpAdditionalChannelInitializer(
                                 channel -> {
                                     addPausableReads(channel);
-                                    channel.pipeline()
-                                            .addBefore(
-                                                    ChannelManager.AHC_HTTP_HANDLER,
-                                                    "answer-guard",
-                                                    new ResponseGuard(idHeader));
+                                    addResponseGuard(channel, idHeader);
                                 }));
     }
 
+    private static void addResponseGuard(Channel channel, String idHeader) {
+        AnswerDecoder decoder = AnswerDecoder.of(CODEC_LIMITS);
+        channel.pipeline()
+                .replace(
+                        ChannelManager.HTTP_CLIENT_CODEC,
+                        ChannelManager.HTTP_CLIENT_CODEC,
+                        decoder.codec());
+        channel.pipeline()
+                .addBefore(
+                        ChannelManager.AHC_HTTP_HANDLER,
+                        "answer-guard",
+                        new ResponseGuard(idHeader, decoder));
+    }
+
     private static void addPausableReads(Channel channel) {
         channel.pipeline()
                 .addBefore(ChannelManager.AHC_HTTP_HANDLER, "pausable-reads", new PausableReads());
--- a/rhubarbward-net/src/main/java/io/rhubarbward/net/backend/ResponseGuard.java
+++ b/rhubarbward-net/src/main/java/io/rhubarbward/net/backend/ResponseGuard.java
@@ -3,7 +3,7 @@
 import io.netty.channel.ChannelDuplexHandler;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelPromise;
-import io.netty.handler.codec.TooLongFrameException;
+import io.netty.handler.codec.CorruptedFrameException;
 import io.netty.handler.codec.http.FullHttpResponse;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpHeaderNames;
@@ -26,7 +26,10 @@
  * <ul>
  *   <li>A response with the id of another request, or an interim response, is discarded, and the
  *       request stays open, unless what is discarded for it goes on for too long.
- *   <li>A message that arrives while no request is open closes the connection.
+ *   <li>A message, or a part of one, that arrives while no request is open closes the connection,
+ *       also if it comes with the end of the response before: it would join the next response.
+ *   <li>A response that begins within the head of another one, or within one that is discarded,
+ *       fails the open request: the earlier one was cut short.
  *   <li>A message that cannot be decoded fails the open request, also within a discarded response.
  *   <li>After an error nothing is passed on, so that a response that is delimited by the close of
  *       the connection does not look complete.
@@ -54,6 +57,8 @@
     private static final long MILLIS_PER_SECOND = 1000;
 
     private final String mIdHeader;
+    private final AnswerDecoder mDecoder;
+    private final StatusLineScanner mScanner = new StatusLineScanner();
     private @Nullable String mExpectedId;
     private boolean mRequestOpen;
     private boolean mDiscarding;
@@ -63,9 +68,15 @@
     private long mIdleTimeoutMillis = DEFAULT_IDLE_TIMEOUT_MILLIS;
     private @Nullable ScheduledFuture<?> mIdleClose;
 
-    /** Pairs responses with requests by the given header field. */
-    ResponseGuard(String idHeader) {
+    /**
+     * Pairs responses with requests.
+     *
+     * @param idHeader the header field that pairs them
+     * @param decoder the decoder before this in the pipeline
+     */
+    ResponseGuard(String idHeader, AnswerDecoder decoder) {
         mIdHeader = idHeader;
+        mDecoder = decoder;
     }
 
     @Override
@@ -79,6 +90,7 @@
             mRequestOpen = true;
             mForwarding = false;
             mDiscardedBytes = 0;
+            mDecoder.expectAnswerTo(request.method());
             LibraryHeaders.removeFrom(request.headers());
         }
         context.write(message, promise);
@@ -92,7 +104,11 @@
         }
         if (object.decoderResult().isFailure()) {
             ReferenceCountUtil.release(message);
-            exceptionCaught(context, object.decoderResult().cause());
+            if (mRequestOpen) {
+                exceptionCaught(context, object.decoderResult().cause());
+            } else {
+                context.close();
+            }
             return;
         }
         if (!mRequestOpen && !mDiscarding) {
@@ -103,6 +119,11 @@
             return;
         }
         if (message instanceof HttpResponse head && !mForwarding) {
+            if (StatusLineScanner.beginsWithin(head)) {
+                ReferenceCountUtil.release(message);
+                fail(context, "a response begins within the head of another one");
+                return;
+            }
             startResponse(head);
         }
         if (mDiscarding) {
@@ -114,28 +135,51 @@
             mRequestOpen = false;
             mForwarding = false;
             scheduleIdleClose(context);
+            closeIfNotClean(context);
         }
         context.fireChannelRead(message);
     }
 
+    /**
+     * Closes an idle connection with the beginning of a response. The close comes before the client
+     * gets the end of the response before, so that it does not reuse the connection.
+     */
+    private void closeIfNotClean(ChannelHandlerContext context) {
+        if (!mRequestOpen && mDecoder.hasUndecodedBytes()) {
+            context.close();
+        }
+    }
+
+    @Override
+    public void channelReadComplete(ChannelHandlerContext context) {
+        closeIfNotClean(context);
+        context.fireChannelReadComplete();
+    }
+
     private void discard(ChannelHandlerContext context, HttpObject object) {
         mDiscarding = !(object instanceof LastHttpContent);
-        mDiscardedBytes +=
-                object instanceof HttpContent content
-                        ? content.content().readableBytes()
-                        : HEAD_BYTES;
+        boolean cutShort = false;
+        if (object instanceof HttpContent content) {
+            mDiscardedBytes += content.content().readableBytes();
+            cutShort = mScanner.beginsWithin(content.content());
+        } else {
+            mDiscardedBytes += HEAD_BYTES;
+            mScanner.reset();
+        }
         ReferenceCountUtil.release(object);
-        if (mDiscardedBytes > MAX_DISCARDED_BYTES) {
-            exceptionCaught(
-                    context,
-                    new TooLongFrameException(
-                            "read "
-                                    + mDiscardedBytes
-                                    + " bytes of other answers: expected the answer to "
-                                    + mExpectedId));
+        if (cutShort) {
+            fail(context, "a response begins within the body of another one");
+        } else if (mDiscardedBytes > MAX_DISCARDED_BYTES) {
+            fail(context, "read " + mDiscardedBytes + " bytes of other responses");
         }
     }
 
+    private void fail(ChannelHandlerContext context, String detail) {
+        exceptionCaught(
+                context,
+                new CorruptedFrameException(detail + ": expected the response to " + mExpectedId));
+    }
+
     private void startResponse(HttpResponse head) {
         boolean interim = head.status().codeClass() == HttpStatusClass.INFORMATIONAL;
         String id = head.headers().get(mIdHeader);
--- a/rhubarbward-net/src/test/java/io/rhubarbward/net/backend/BrokenAnswerTest.java
+++ b/rhubarbward-net/src/test/java/io/rhubarbward/net/backend/BrokenAnswerTest.java
@@ -105,6 +105,20 @@
         assertThat(answer.await()).containsExactly("head 200", "two", "complete").inOrder();
     }
 
+    /** Guards against the status of a second, cut answer with the rest of the next answer. */
+    @ParameterizedTest
+    @ValueSource(strings = {"HT", "HTTP/1.1 500 Fau", "HTTP/1.1 500 Fault\r\nx-load: 7"})
+    void theNextRequestTakesNoConnectionWithTheBeginningOfASecondAnswer(String beginning)
+            throws Exception {
+        Answer first = send("r-1");
+        mServer.takeRequest().respond(answer("r-1", 200, "one") + beginning);
+        assertThat(first.await()).containsExactly("head 200", "one", "complete").inOrder();
+        Answer second = send("r-2");
+        mServer.takeRequest().respond(answer("r-2", 200, "two"));
+        assertThat(second.await()).containsExactly("head 200", "two", "complete").inOrder();
+        assertThat(mServer.connectionCount()).isEqualTo(2);
+    }
+
     /** Its text can't belong to the body, which states the sizes of its chunks. */
     @Test
     void aRefusalBetweenHeadAndBodyFailsTheAnswer() throws Exception {
--- a/rhubarbward-net/src/test/java/io/rhubarbward/net/backend/ResponseGuardTest.java
+++ b/rhubarbward-net/src/test/java/io/rhubarbward/net/backend/ResponseGuardTest.java
@@ -1,37 +1,43 @@
 package io.rhubarbward.net.backend;
 
 import static com.google.common.truth.Truth.assertThat;
+import static org.junit.jupiter.api.Assertions.assertThrows;
 
+import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.embedded.EmbeddedChannel;
-import io.netty.handler.codec.TooLongFrameException;
+import io.netty.handler.codec.CorruptedFrameException;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.FullHttpRequest;
-import io.netty.handler.codec.http.HttpClientCodec;
+import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
+import io.netty.util.ReferenceCountUtil;
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 final class ResponseGuardTest {
     private static final String ID_HEADER = "x-id";
 
+    private final AnswerDecoder mDecoder = new AnswerDecoder(new HttpDecoderConfig());
     private final EmbeddedChannel mChannel =
-            new EmbeddedChannel(new HttpClientCodec(), new ResponseGuard(ID_HEADER));
+            new EmbeddedChannel(mDecoder.codec(), new ResponseGuard(ID_HEADER, mDecoder));
 
     /** The id of the latest response whose head came through. */
     private String mCurrentId = "";
 
     private String sendRequest(String id, String... headers) {
-        FullHttpRequest request =
-                new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, "/");
-        request.headers().set(ID_HEADER, id);
+        FullHttpRequest request = request(id);
         for (int index = 0; index < headers.length; index += 2) {
             request.headers().set(headers[index], headers[index + 1]);
         }
@@ -46,8 +52,19 @@
         return sent.toString();
     }
 
+    private static FullHttpRequest request(String id) {
+        FullHttpRequest request =
+                new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, "/");
+        request.headers().set(ID_HEADER, id);
+        return request;
+    }
+
+    private static ByteBuf bytes(String text) {
+        return Unpooled.copiedBuffer(text, StandardCharsets.US_ASCII);
+    }
+
     private void receive(String text) {
-        mChannel.writeInbound(Unpooled.copiedBuffer(text, StandardCharsets.US_ASCII));
+        mChannel.writeInbound(bytes(text));
     }
 
     private static String response(String id, String body) {
@@ -97,7 +114,7 @@
             count++;
             try {
                 receive(text);
-            } catch (TooLongFrameException e) {
+            } catch (CorruptedFrameException e) {
                 assertThat(mChannel.isActive()).isFalse();
             }
         }
@@ -111,6 +128,76 @@
                 .isLessThan(100);
     }
 
+    /** Guards against a status of an earlier response with the head and body of the next. */
+    @ParameterizedTest
+    @ValueSource(ints = {3, 12, 18, 19, 22, 28, 31, 37, 51, 53, 54})
+    void theBeginningOfASecondResponseClosesTheIdleConnection(int bytes) {
+        String second = "HTTP/1.1 500 Fault\r\n" + response("r-1", "one").substring(17);
+        for (boolean together : List.of(true, false)) {
+            AnswerDecoder decoder = new AnswerDecoder(new HttpDecoderConfig());
+            EmbeddedChannel channel =
+                    new EmbeddedChannel(decoder.codec(), new ResponseGuard(ID_HEADER, decoder));
+            channel.writeOutbound(request("r-1"));
+            if (together) {
+                channel.writeInbound(bytes(response("r-1", "one") + second.substring(0, bytes)));
+            } else {
+                channel.writeInbound(bytes(response("r-1", "one")));
+                assertThat(channel.isActive()).isTrue();
+                channel.writeInbound(bytes(second.substring(0, bytes)));
+            }
+            assertThat(channel.isActive()).isFalse();
+        }
+    }
+
+    /** The client offers the connection for reuse when it gets the end of the response. */
+    @Test
+    void aConnectionWithTheBeginningOfASecondResponseIsClosedBeforeItCanBeReused() {
+        List<Boolean> activeAtEnd = new ArrayList<>();
+        mChannel.pipeline()
+                .addLast(
+                        new ChannelInboundHandlerAdapter() {
+                            @Override
+                            public void channelRead(ChannelHandlerContext context, Object message) {
+                                if (message instanceof LastHttpContent) {
+                                    activeAtEnd.add(context.channel().isActive());
+                                }
+                                ReferenceCountUtil.release(message);
+                            }
+                        });
+        sendRequest("r-1");
+        receive(response("r-1", "one") + "HTTP/1.1 500 Fau");
+        assertThat(activeAtEnd).containsExactly(false);
+    }
+
+    /** Guards against the same while the next request is open already. */
+    @ParameterizedTest
+    @ValueSource(strings = {"HTTP/1.1 500 Fau", "HTTP/1.1 500 Fault\r\nx-load: 7"})
+    void aResponseThatJoinsTheHeadOfAnEarlierOneFailsTheRequest(String beginning) {
+        sendRequest("r-1");
+        receive(response("r-1", "one"));
+        sendRequest("r-2");
+        receive(beginning);
+        assertThrows(
+                CorruptedFrameException.class,
+                () -> receive(response("r-2", "two") + response("r-2", "two")));
+        assertThat(completeResponseIds()).containsExactly("r-1");
+        assertThat(mChannel.isActive()).isFalse();
+    }
+
+    /** Guards against a response that is discarded as the body of an earlier one. */
+    @Test
+    void aResponseWithinADiscardedBodyFailsTheRequest() {
+        sendRequest("r-1");
+        receive(response("r-1", "one"));
+        sendRequest("r-2");
+        String cut = "HTTP/1.1 200 OK\r\n" + ID_HEADER + ": r-1\r\ncontent-length: 900\r\n\r\nHT";
+        receive(cut);
+        receive(response("r-2", "two").substring(0, 5));
+        assertThrows(
+                CorruptedFrameException.class, () -> receive(response("r-2", "two").substring(5)));
+        assertThat(completeResponseIds()).containsExactly("r-1");
+    }
+
     @Test
     void unsolicitedResponseClosesTheConnection() {
         sendRequest("r-1");
