Count answers until they are written to their callers

A router that is stopped ends with answers in its memory that callers on slow links still read.

Cause: an exchange leaves the open requests when the last part of its answer is queued.

Change: an answer counts as undelivered until it is written or its connection has ended, and a stop waits for undelivered answers within its grace period.

--- a/rhubarbward-core/src/main/java/io/rhubarbward/forward/ForwardingService.java
+++ b/rhubarbward-core/src/main/java/io/rhubarbward/forward/ForwardingService.java
@@ -51,6 +51,7 @@
     private final ForwardContext mContext;
     private final RequestResolver mResolver;
     private final Set<ForwardedExchange> mOpenExchanges = new HashSet<>();
+    private int mUndelivered;
     private boolean mRefusesNew;
     private long mStopEndsMillis = Long.MAX_VALUE;
 
@@ -109,7 +110,7 @@
             mContext.retryBudget().recordRequest(request.service().name());
         }
         ForwardedExchange exchange =
-                new ForwardedExchange(request, response, mContext, this::close);
+                new ForwardedExchange(request, response, mContext, ended -> close(ended, response));
         mOpenExchanges.add(exchange);
         mContext.metrics().setOpenRequests(mOpenExchanges.size());
         if (mContext.loopLagMillis().getAsLong() > RECHECK_CALLER_LAG_MILLIS) {
@@ -120,9 +121,11 @@
         return exchange;
     }
 
-    private void close(ForwardedExchange exchange) {
+    private void close(ForwardedExchange exchange, CallerResponse response) {
         mOpenExchanges.remove(exchange);
         mContext.metrics().setOpenRequests(mOpenExchanges.size());
+        mUndelivered++;
+        response.whenDelivered(() -> mContext.timers().execute(() -> mUndelivered--));
     }
 
     /** Moves open requests to other routers if this one has lost the way to the servers. */
@@ -162,4 +165,9 @@
     public int openRequests() {
         return mOpenExchanges.size();
     }
+
+    /** Returns the number of answers that have ended and are not written to their callers yet. */
+    public int undeliveredAnswers() {
+        return mUndelivered;
+    }
 }
--- a/rhubarbward-core/src/main/java/io/rhubarbward/node/FleetRouter.java
+++ b/rhubarbward-core/src/main/java/io/rhubarbward/node/FleetRouter.java
@@ -459,4 +459,9 @@
     public int openRequests() {
         return mForwarding.openRequests();
     }
+
+    /** Returns the number of answers that have ended and are not written to their callers yet. */
+    public int undeliveredAnswers() {
+        return mForwarding.undeliveredAnswers();
+    }
 }
--- a/rhubarbward-core/src/test/java/io/rhubarbward/forward/StoppingRouterTest.java
+++ b/rhubarbward-core/src/test/java/io/rhubarbward/forward/StoppingRouterTest.java
@@ -58,6 +58,19 @@
         assertThat(pending.response().status()).isEqualTo(200);
     }
 
+    // Guards against a process that ends with answers in its memory that their callers still read.
+    @Test
+    void anAnswerCountsUntilItIsWrittenToItsCaller() {
+        ForwardFixture.PendingRequest pending = send("/order/1", "1900");
+        pending.response().stallDelivery();
+        mFixture.answer(200, "r-1").part("a long answer").complete();
+        assertThat(mFixture.mService.openRequests()).isEqualTo(0);
+        assertThat(mFixture.mService.undeliveredAnswers()).isEqualTo(1);
+        pending.response().deliver();
+        mFixture.mTimers.advance(Duration.ZERO);
+        assertThat(mFixture.mService.undeliveredAnswers()).isEqualTo(0);
+    }
+
     // At the end of the stop each request without an answer gets one, and a true one.
     @ParameterizedTest
     @ValueSource(strings = {"/order/1", "/status/1", "/chat/1"})
--- a/rhubarbward-daemon/src/main/java/io/rhubarbward/daemon/FleetRouterDaemon.java
+++ b/rhubarbward-daemon/src/main/java/io/rhubarbward/daemon/FleetRouterDaemon.java
@@ -273,7 +273,7 @@
     }
 
     private void awaitOpenRequests(long deadlineMillis) {
-        int open = mRouter.openRequests();
+        int open = mRouter.openRequests() + mRouter.undeliveredAnswers();
         if (open > 0 && mTimers.nowMillis() < deadlineMillis) {
             mTimers.after(STOP_CHECK_PERIOD, () -> awaitOpenRequests(deadlineMillis));
             return;
