Apply no answer to a check after a peer's newer update

Found by reading the diff: a router that watches the store may adopt a peer's update between a check of its watch and the answer. The answer's changes would be applied to a newer state. The answer is dropped now if the state has moved on, as that to a watch is. The flag of an open watch is set before its call, so that a call which is answered at once does not leave it set.

Evidence: KindWatcherTest.aPeersUpdateThatComesBeforeTheAnswerToACheckIsNotUndone failed before and passes.

--- a/rhubarbward-core/src/main/java/io/rhubarbward/store/KindWatcher.java
+++ b/rhubarbward-core/src/main/java/io/rhubarbward/store/KindWatcher.java
@@ -335,7 +335,10 @@
         long sentMillis = mTimers.nowMillis();
         call(
                 "watch " + mKind.name(),
-                () -> mKind.watch(revision, wait),
+                () -> {
+                    mWatchOpen = true;
+                    return mKind.watch(revision, wait);
+                },
                 changes -> {
                     if (changes.gap() || !changes.revision().isInEraOf(revision)) {
                         list();
@@ -348,12 +351,11 @@
                 },
                 // A watch with a short wait notices soonest that the store is available again.
                 () -> watch(revision, RETRY_WATCH_WAIT));
-        mWatchOpen = true;
     }
 
     private void onChanges(
             StoreRevision since, ObjectChanges<T> changes, long sentMillis, Duration wait) {
-        changes.changes().forEach(this::apply);
+        changes.changes().forEach(mObjects::apply);
         StoreRevision reached = StoreRevision.later(since, changes.revision());
         mRevision = reached;
         markUpToDate(changes, sentMillis, wait);
@@ -383,19 +385,25 @@
         mKind.watch(since, RETRY_WATCH_WAIT)
                 .thenAccept(
                         result -> {
-                            if (watchNumber == mCallNumber && mWatchOpen) {
-                                orPastEra(result)
-                                        .peek(changes -> onChecked(since, changes, sentMillis))
-                                        .peekLeft(
-                                                failure ->
-                                                        mAvailability.callFailed(
-                                                                "check of watch " + name(),
-                                                                failure));
+                            // A peer's update may be newer than the answer.
+                            boolean current = mWatchOpen && mRevision.equals(since);
+                            if (watchNumber == mCallNumber && current) {
+                                onChecked(since, orPastEra(result), sentMillis);
                             }
                         });
     }
 
-    private void onChecked(StoreRevision since, ObjectChanges<T> changes, long sentMillis) {
+    private void onChecked(
+            StoreRevision since,
+            Either<PlatformFailure, ObjectChanges<T>> result,
+            long sentMillis) {
+        String callName = "check of watch " + name();
+        result.peek(changes -> onChecked(callName, since, changes, sentMillis))
+                .peekLeft(failure -> mAvailability.callFailed(callName, failure));
+    }
+
+    private void onChecked(
+            String callName, StoreRevision since, ObjectChanges<T> changes, long sentMillis) {
         if (changes.gap() || !changes.changes().isEmpty()) {
             mAvailability.logSilentWatch(
                     name(), since, changes.revision(), sentMillis - mLastCallMillis);
@@ -403,7 +411,7 @@
         } else {
             mCheckedRevision = changes.revision();
         }
-        noteSuccess("check of watch " + name(), changes);
+        noteSuccess(callName, changes);
         if (changes.gap()) {
             list();
         } else if (!changes.changes().isEmpty()) {
@@ -434,14 +442,6 @@
                         : sentMillis);
     }
 
-    private void apply(ObjectChanges.Change<T> change) {
-        if (change.deleted()) {
-            mObjects.delete(change.item().name());
-        } else {
-            mObjects.put(change.item());
-        }
-    }
-
     private <R extends StoreAnswer> void call(
             String callName,
             Supplier<CompletionStage<Either<PlatformFailure, R>>> request,
--- a/rhubarbward-core/src/main/java/io/rhubarbward/store/KnownObjects.java
+++ b/rhubarbward-core/src/main/java/io/rhubarbward/store/KnownObjects.java
@@ -31,6 +31,14 @@
         mTimers = timers;
     }
 
+    void apply(ObjectChanges.Change<T> change) {
+        if (change.deleted()) {
+            delete(change.item().name());
+        } else {
+            put(change.item());
+        }
+    }
+
     void put(DecodedObject<T> item) {
         mNames.add(item.name());
         mMissing.remove(item.name());
--- a/rhubarbward-core/src/test/java/io/rhubarbward/store/KindWatcherTest.java
+++ b/rhubarbward-core/src/test/java/io/rhubarbward/store/KindWatcherTest.java
@@ -195,6 +195,24 @@
         assertThat(mKind.watchedFrom()).isEqualTo(11);
     }
 
+    /** Guards against a state that goes back to what a check was sent for. */
+    @Test
+    void aPeersUpdateThatComesBeforeTheAnswerToACheckIsNotUndone() {
+        mWatcher.start();
+        mKind.answerList(7);
+        mTimers.advance(WATCH_CHECK);
+        mAvailability.progress().observe(new StoreRevision(0, 9));
+        mWatcher.adopt(
+                KindUpdate.changes(
+                        mWatcher.name(),
+                        new StoreRevision(0, 7),
+                        new StoreRevision(0, 12),
+                        List.of()));
+        mKind.answerNewestWatch(9, FakeObjectKind.item("old", "1"));
+        assertThat(mNotifications).containsExactly("all []");
+        assertThat(mWatcher.revision()).isEqualTo(new StoreRevision(0, 12));
+    }
+
     /** Guards against an answer of a past era, or without one, that is taken for a newer state. */
     @Test
     void anAnswerOfAPastEraIsAFailedCall() {
