--- a/rhubarbward-core/src/main/java/io/rhubarbward/event/LogEvent.java
+++ b/rhubarbward-core/src/main/java/io/rhubarbward/event/LogEvent.java
@@ -86,6 +86,7 @@
     REQUEST_ENDED(1805, INFO),
     REQUEST_TRAIT_BLOCKED(1806, WARNING),
     REQUEST_FORWARDED(1807, INFO),
+    REQUEST_DECLINED(1808, INFO),
 
     // 1900: rollouts of backend versions.
     MOVE_WORD_TAKEN(1901, DEBUG),
--- a/rhubarbward-core/src/main/java/io/rhubarbward/forward/ForwardedExchange.java
+++ b/rhubarbward-core/src/main/java/io/rhubarbward/forward/ForwardedExchange.java
@@ -280,6 +280,7 @@
                         EventField.of("id", mRequest.metadata().attemptId()),
                         EventField.of("route", mRequest.route().name()),
                         EventField.of("server", server.server().name()),
+                        EventField.of("address", server.server().address()),
                         EventField.of("reason", chosen.reason()),
                         EventField.of("send", mSends),
                         EventField.of("forwardedBy", mRequest.origin().router()),
@@ -306,7 +307,7 @@
         mStatus = status;
         if (mCall != null) {
             mAnsweredBy = mCall.receiver();
-            mKeptConnection = mCall.usesKeptConnection();
+            mKeptConnection = mCall.connection().kept();
         }
         boolean fromServer = mCall instanceof ServerCall;
         if (status >= MIN_SERVER_ERROR_STATUS && fromServer && retryAfterError()) {
--- a/rhubarbward-core/src/main/java/io/rhubarbward/forward/OpenCall.java
+++ b/rhubarbward-core/src/main/java/io/rhubarbward/forward/OpenCall.java
@@ -1,6 +1,7 @@
 package io.rhubarbward.forward;
 
 import io.rhubarbward.placement.SendResult;
+import io.rhubarbward.request.ConnectionUse;
 
 /** A call in progress, to a backend server or to another router. */
 interface OpenCall {
@@ -16,6 +17,6 @@
     /** Returns the name of the server or router that the call goes to. */
     String receiver();
 
-    /** Returns whether an earlier request was sent on the connection of this call. */
-    boolean usesKeptConnection();
+    /** Returns the connection of this call, and how much it was used before. */
+    ConnectionUse connection();
 }
--- a/rhubarbward-core/src/main/java/io/rhubarbward/forward/PeerCall.java
+++ b/rhubarbward-core/src/main/java/io/rhubarbward/forward/PeerCall.java
@@ -8,6 +8,7 @@
 import io.rhubarbward.request.BackendFailure;
 import io.rhubarbward.request.BackendListener;
 import io.rhubarbward.request.BackendRequest;
+import io.rhubarbward.request.ConnectionUse;
 import io.rhubarbward.request.HeaderFields;
 import java.nio.ByteBuffer;
 import java.time.Duration;
@@ -96,8 +97,8 @@
     }
 
     @Override
-    public boolean usesKeptConnection() {
-        return mCall != null && mCall.usesKeptConnection();
+    public ConnectionUse connection() {
+        return mCall == null ? ConnectionUse.UNKNOWN : mCall.connection();
     }
 
     @Override
--- a/rhubarbward-core/src/main/java/io/rhubarbward/forward/ServerCall.java
+++ b/rhubarbward-core/src/main/java/io/rhubarbward/forward/ServerCall.java
@@ -8,6 +8,7 @@
 import io.rhubarbward.request.BackendFailure;
 import io.rhubarbward.request.BackendListener;
 import io.rhubarbward.request.BackendRequest;
+import io.rhubarbward.request.ConnectionUse;
 import io.rhubarbward.request.HeaderFields;
 import java.nio.ByteBuffer;
 import java.time.Duration;
@@ -118,8 +119,8 @@
     }
 
     @Override
-    public boolean usesKeptConnection() {
-        return mCall != null && mCall.usesKeptConnection();
+    public ConnectionUse connection() {
+        return mCall == null ? ConnectionUse.UNKNOWN : mCall.connection();
     }
 
     @Override
@@ -143,7 +144,11 @@
         mAnswerBegunMillis = mContext.timers().nowMillis();
         mFraming = new EventStreamFraming(headers);
         ResponseMetadata metadata = mContext.dialect().readAnswer(status, headers);
-        if (!answersThisAttempt(metadata)) {
+        boolean believed = answersThisAttempt(metadata);
+        if (metadata.notRun()) {
+            logDeclined(status, metadata, believed);
+        }
+        if (!believed) {
             fail(SendResult.BROKEN);
             return;
         }
@@ -166,6 +171,22 @@
         }
     }
 
+    private void logDeclined(int status, ResponseMetadata metadata, boolean believed) {
+        ConnectionUse connection = connection();
+        mContext.events()
+                .log(
+                        LogEvent.REQUEST_DECLINED,
+                        EventField.of("id", mRequest.metadata().attemptId()),
+                        EventField.of("server", mServer.server().name()),
+                        EventField.of("address", mServer.server().address()),
+                        EventField.of("status", status),
+                        EventField.of("believed", believed),
+                        EventField.of("namesId", metadata.attemptId().isPresent()),
+                        EventField.of("connection", connection.name()),
+                        EventField.of("earlierRequests", connection.earlierRequests()),
+                        EventField.of("afterMs", mContext.timers().nowMillis() - mSentMillis));
+    }
+
     private static SendResult declined(int status, ResponseMetadata metadata) {
         if (status == ForwardedExchange.MISDIRECTED_STATUS) {
             return SendResult.MISDIRECTED;
@@ -190,7 +211,7 @@
     private boolean answersThisAttempt(ResponseMetadata metadata) {
         return metadata.attemptId()
                 .map(mRequest.metadata().attemptId()::equals)
-                .orElse(metadata.notRun() && mCall != null && !usesKeptConnection());
+                .orElse(metadata.notRun() && mCall != null && !connection().kept());
     }
 
     private void fail(SendResult result) {
--- a/rhubarbward-core/src/main/java/io/rhubarbward/request/BackendCall.java
+++ b/rhubarbward-core/src/main/java/io/rhubarbward/request/BackendCall.java
@@ -19,9 +19,9 @@
         cancel();
     }
 
-    /** Returns whether an earlier request was sent on the connection of this call. */
-    default boolean usesKeptConnection() {
-        return false;
+    /** Returns the connection of this call, and how much it was used before. */
+    default ConnectionUse connection() {
+        return ConnectionUse.UNKNOWN;
     }
 
     /** Returns whether any part of the request may have been sent. */
--- a/rhubarbward-core/src/test/java/io/rhubarbward/forward/ForwardingTest.java
+++ b/rhubarbward-core/src/test/java/io/rhubarbward/forward/ForwardingTest.java
@@ -55,6 +55,24 @@
                         EventField.of("keptConnection", true));
     }
 
+    /** Without it, the log does not tell which connection carried a refusal that was believed. */
+    @Test
+    void aDeclinedSendTellsTheAddressAndTheConnection() {
+        mFixture.mBackends.keepConnections();
+        mFixture.send("/order/7");
+        FakeBackends.Sent sent = mFixture.answer(503, "r-1", "not-run");
+        assertThat(mFixture.mEvents.lastFields(LogEvent.REQUEST_DECLINED))
+                .containsAtLeast(
+                        EventField.of("id", "r-1"),
+                        EventField.of("server", sent.server()),
+                        EventField.of("address", sent.request().server().address()),
+                        EventField.of("status", 503),
+                        EventField.of("believed", true),
+                        EventField.of("namesId", true),
+                        EventField.of("earlierRequests", 1),
+                        EventField.of("afterMs", 0L));
+    }
+
     @Test
     void sendsInstanceRemainingTimeAndAccountButNotTheKey() {
         mFixture.send("/order/7");
--- a/rhubarbward-core/src/test/java/io/rhubarbward/testing/FakeBackends.java
+++ b/rhubarbward-core/src/test/java/io/rhubarbward/testing/FakeBackends.java
@@ -5,6 +5,7 @@
 import io.rhubarbward.request.BackendFailure;
 import io.rhubarbward.request.BackendListener;
 import io.rhubarbward.request.BackendRequest;
+import io.rhubarbward.request.ConnectionUse;
 import io.rhubarbward.request.HeaderFields;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
@@ -113,8 +114,8 @@
         }
 
         @Override
-        public boolean usesKeptConnection() {
-            return mKeptConnection;
+        public ConnectionUse connection() {
+            return new ConnectionUse("c", mKeptConnection ? 1 : 0);
         }
 
         @Override
--- a/rhubarbward-net/src/main/java/io/rhubarbward/net/backend/BackendExchange.java
+++ b/rhubarbward-net/src/main/java/io/rhubarbward/net/backend/BackendExchange.java
@@ -6,6 +6,7 @@
 import io.rhubarbward.request.BackendCall;
 import io.rhubarbward.request.BackendFailure;
 import io.rhubarbward.request.BackendListener;
+import io.rhubarbward.request.ConnectionUse;
 import io.rhubarbward.request.HeaderField;
 import io.rhubarbward.request.HeaderFields;
 import io.rhubarbward.timer.TimerService;
@@ -30,7 +31,7 @@
     private volatile @Nullable ListenableFuture<Boolean> mFuture;
     private volatile @Nullable Channel mChannel;
     private volatile boolean mRequestSent;
-    private volatile boolean mKeptConnection;
+    private volatile int mEarlierRequests;
 
     /** Whether the answer is complete, so that the connection may serve another call. */
     private volatile boolean mCompleted;
@@ -83,12 +84,15 @@
     @Override
     public void onConnectionPooled(Channel connection) {
         mChannel = connection;
-        mKeptConnection = true;
     }
 
     @Override
     public void onRequestSend(NettyRequest request) {
         mRequestSent = true;
+        Channel channel = mChannel;
+        if (channel != null) {
+            mEarlierRequests = ConnectionHistory.of(channel).countRequest();
+        }
     }
 
     @Override
@@ -145,8 +149,11 @@
     }
 
     @Override
-    public boolean usesKeptConnection() {
-        return mKeptConnection;
+    public ConnectionUse connection() {
+        Channel channel = mChannel;
+        return channel == null
+                ? ConnectionUse.UNKNOWN
+                : new ConnectionUse(channel.id().asShortText(), mEarlierRequests);
     }
 
     @Override
--- a/rhubarbward-net/src/test/java/io/rhubarbward/net/backend/BrokenAnswerTest.java
+++ b/rhubarbward-net/src/test/java/io/rhubarbward/net/backend/BrokenAnswerTest.java
@@ -283,7 +283,7 @@
         }
 
         boolean usedKeptConnection() {
-            return mCall != null && mCall.usesKeptConnection();
+            return mCall != null && mCall.connection().kept();
         }
 
         List<String> await() throws InterruptedException {
