Show that a copy of a refusal answers a request sent again

What callers would see: 503 with the promise that the request did not run, while the second send runs (REFUSED). A refused request that is sent again to the same address gets the pooled connection that carried the refusal. A copy of that refusal has the request's id, so that nothing tells it from the second send's answer.

--- a/rhubarbward-net/src/test/java/io/rhubarbward/net/backend/BrokenAnswerTest.java
+++ b/rhubarbward-net/src/test/java/io/rhubarbward/net/backend/BrokenAnswerTest.java
@@ -25,6 +25,7 @@
 import org.asynchttpclient.AsyncHttpClient;
 import org.jspecify.annotations.Nullable;
 import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -119,6 +120,22 @@
         assertThat(mServer.connectionCount()).isEqualTo(2);
     }
 
+    /** Guards against a copy of a refusal that is taken for the answer to a request sent again. */
+    @ParameterizedTest
+    @ValueSource(ints = {421, 429, 503})
+    @Tag("known-red")
+    void aCopyOfARefusalIsNotTheAnswerToTheSameRequestSentAgain(int status) throws Exception {
+        Answer first = send("r-1");
+        ScriptedServer.PendingRequest refused = mServer.takeRequest();
+        refused.respond(answer("r-1", status, ""));
+        assertThat(first.await()).containsExactly("head " + status, "complete").inOrder();
+        Answer second = send("r-1");
+        ScriptedServer.PendingRequest run = mServer.takeRequest();
+        refused.respond(answer("r-1", status, ""));
+        run.respond(answer("r-1", 200, "ran"));
+        assertThat(second.await()).containsExactly("head 200", "ran", "complete").inOrder();
+    }
+
     /** Its text can't belong to the body, which states the sizes of its chunks. */
     @Test
     void aRefusalBetweenHeadAndBodyFailsTheAnswer() throws Exception {
