See changes that come between two pages of a list

Callers saw requests reach a server that had begun to leave seconds before.

Cause: a list of several pages was taken for the state at the revision of its last page, and the watch went on from there. A change of an object on an earlier page between two page calls was in neither.

A list now has the revision of its first page, and is completed by a watch from there up to that of the last page before it is applied, so that neither the listener nor a peer sees an object go back to what came before a later page. The watch goes on from the completed revision. If no change came between the pages, there is no further call.

Not run against a real store.

--- a/rhubarbward-core/src/main/java/io/rhubarbward/store/KindWatcher.java
+++ b/rhubarbward-core/src/main/java/io/rhubarbward/store/KindWatcher.java
@@ -3,7 +3,6 @@
 import io.rhubarbward.timer.TimerService;
 import io.vavr.control.Either;
 import java.time.Duration;
-import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.CompletionStage;
@@ -289,42 +288,62 @@
     }
 
     private void list() {
-        list(Optional.empty(), new ArrayList<>(), mTimers.nowMillis());
+        list(Optional.empty(), new PagedList<>(mTimers.nowMillis()));
     }
 
-    private void list(
-            Optional<String> afterName, List<DecodedObject<T>> items, long firstSentMillis) {
+    private void list(Optional<String> afterName, PagedList<T> list) {
         mListOpen = true;
         call(
                 "list " + mKind.name(),
                 () -> mKind.list(afterName),
                 page -> {
-                    boolean continued =
-                            items.isEmpty() || items.get(0).revision().isInEraOf(page.revision());
-                    items.addAll(page.items());
-                    if (!continued) {
+                    if (!list.isContinuedBy(page)) {
                         list();
-                    } else if (page.more() && !page.items().isEmpty()) {
+                        return;
+                    }
+                    list.add(page);
+                    if (page.more() && !page.items().isEmpty()) {
                         String last = page.items().get(page.items().size() - 1).name();
-                        list(Optional.of(last), items, firstSentMillis);
+                        list(Optional.of(last), list);
                     } else {
-                        mListOpen = false;
-                        onListed(new ObjectPage<>(items, false, page.revision()), firstSentMillis);
+                        completeList(list);
                     }
                 },
                 this::list);
     }
 
-    private void onListed(ObjectPage<T> page, long sentMillis) {
+    /** Applies the list once it has the changes that came between its pages. */
+    private void completeList(PagedList<T> list) {
+        if (!list.missesChanges()) {
+            mListOpen = false;
+            onListed(list);
+            return;
+        }
+        call(
+                "watch " + mKind.name(),
+                () -> mKind.watch(list.revision(), RETRY_WATCH_WAIT),
+                changes -> {
+                    if (changes.gap() || !changes.revision().isInEraOf(list.revision())) {
+                        list();
+                    } else {
+                        list.add(changes);
+                        completeList(list);
+                    }
+                },
+                () -> completeList(list));
+    }
+
+    private void onListed(PagedList<T> list) {
         mHasListed = true;
         // A peer's update may be newer than a list that was sent before it.
-        if (mRevision.isAfter(page.revision())) {
-            mAvailability.logOutdatedAnswer("list " + name(), page.revision(), mRevision);
+        if (mRevision.isAfter(list.revision())) {
+            mAvailability.logOutdatedAnswer("list " + name(), list.revision(), mRevision);
         } else {
-            applySnapshot(page.revision(), page.items());
-            mUpdateSubscriber.accept(KindUpdate.snapshot(name(), mRevision, page.items()));
+            List<DecodedObject<T>> items = list.items();
+            applySnapshot(list.revision(), items);
+            mUpdateSubscriber.accept(KindUpdate.snapshot(name(), mRevision, items));
         }
-        confirm(page.revision(), sentMillis);
+        confirm(list.revision(), list.sentMillis());
         if (!mPaused) {
             watch(mRevision, mTiming.hold());
         }
--- a/rhubarbward-core/src/test/java/io/rhubarbward/testing/FakeObjectKind.java
+++ b/rhubarbward-core/src/test/java/io/rhubarbward/testing/FakeObjectKind.java
@@ -31,6 +31,15 @@
                 name, new StoreRevision(0, 1), Either.right(value), () -> String.valueOf(value));
     }
 
+    /** Returns a successfully decoded object that was last changed at the revision. */
+    public static <T> DecodedObject<T> item(String name, T value, long revision) {
+        return new DecodedObject<>(
+                name,
+                new StoreRevision(0, revision),
+                Either.right(value),
+                () -> String.valueOf(value));
+    }
+
     @Override
     public DecodedObject<T> decode(String name, StoreRevision revision, String text) {
         throw new UnsupportedOperationException("the tests of this kind have no peers");
@@ -79,6 +88,17 @@
                                         List.of(items), false, new StoreRevision(0, revision))));
     }
 
+    /** Answers the oldest open list call with a page that another one follows. */
+    @SafeVarargs
+    public final void answerListWithMore(long revision, DecodedObject<T>... items) {
+        mOpenLists
+                .remove()
+                .complete(
+                        Either.right(
+                                new ObjectPage<>(
+                                        List.of(items), true, new StoreRevision(0, revision))));
+    }
+
     /** Answers the oldest open watch call with updates of the objects. */
     @SafeVarargs
     public final void answerWatch(long revision, DecodedObject<T>... items) {
@@ -111,6 +131,16 @@
                                         false)));
     }
 
+    /** Answers the oldest open watch call with the changes. */
+    public void answerWatch(long revision, List<ObjectChanges.Change<T>> changes) {
+        mOpenWatches
+                .remove()
+                .complete(
+                        Either.right(
+                                new ObjectChanges<>(
+                                        changes, new StoreRevision(0, revision), false)));
+    }
+
     public void answerWatchWithHistoryLost() {
         mOpenWatches.remove().complete(Either.right(ObjectChanges.historyLost(0)));
     }
