Wait for the list of rollouts before a router is ready

A router whose first list of the rollout orders failed was ready all the same, and sent a version on trial its full part, as it knew of no order.

Cause: primed() asked for the catalogue, servers and evacuations only. It now waits for the rollouts as for them.

--- a/rhubarbward-core/src/main/java/io/rhubarbward/node/FleetRouter.java
+++ b/rhubarbward-core/src/main/java/io/rhubarbward/node/FleetRouter.java
@@ -121,6 +121,7 @@
     private final KindWatcher<ListedServer> mServerWatcher;
     private final KindWatcher<String> mEvacuationWatcher;
     private final KindWatcher<RouterPresence> mRouterWatcher;
+    private final KindWatcher<RolloutOrder> mRolloutWatcher;
     private final ServerReachability mReach;
     private final ForwardingPeers mForwardingPeers;
     private final ForwardingService mForwarding;
@@ -150,15 +151,14 @@
         mEvacuationWatcher = watcher(ports.store().evacuations(), mEvacuations, EVACUATIONS_TIMING);
         mRouterWatcher = watcher(ports.store().routers(), mRouters, ROUTERS_TIMING);
         mRollouts = rollouts(table);
-        KindWatcher<RolloutOrder> rolloutWatcher =
-                watcher(ports.store().rollouts(), mRollouts, ROLLOUTS_TIMING);
+        mRolloutWatcher = watcher(ports.store().rollouts(), mRollouts, ROLLOUTS_TIMING);
         List<KindWatcher<?>> watchers =
                 List.of(
                         mCatalogWatcher,
                         mServerWatcher,
                         mEvacuationWatcher,
                         mRouterWatcher,
-                        rolloutWatcher);
+                        mRolloutWatcher);
         mStoreFollower =
                 new StoreFollower(
                         settings.vm(),
@@ -413,11 +413,12 @@
         return mCatalog.current().map(Catalog::limits);
     }
 
-    /** Returns whether catalogue, servers and evacuations were each read from the store once. */
+    /** Returns whether all that decides where requests go was read from the store once. */
     public boolean primed() {
         return mCatalog.current().isPresent()
                 && mServerWatcher.hasListed()
-                && mEvacuationWatcher.hasListed();
+                && mEvacuationWatcher.hasListed()
+                && mRolloutWatcher.hasListed();
     }
 
     /**
--- a/rhubarbward-core/src/test/java/io/rhubarbward/testing/FakeStore.java
+++ b/rhubarbward-core/src/test/java/io/rhubarbward/testing/FakeStore.java
@@ -40,6 +40,7 @@
 
     private final List<Watch> mWatches = new ArrayList<>();
     private Predicate<String> mRefuses = router -> false;
+    private Predicate<String> mRefusesKind = kind -> false;
     private Predicate<String> mSilentTo = router -> false;
     private long mEra = 1;
     private long mRevision = 1;
@@ -62,6 +63,11 @@
         mRefuses = refuses;
     }
 
+    /** Refuses the calls for the kinds at once. */
+    public void refuseKinds(Predicate<String> refuses) {
+        mRefusesKind = refuses;
+    }
+
     /** Leaves the calls of the routers without an answer. */
     public void beSilentTo(Predicate<String> silentTo) {
         mSilentTo = silentTo;
@@ -270,7 +276,7 @@
                     () -> {
                         if (mSilentTo.test(mRouter)) {
                             mTimers.after(SILENCE_TIMEOUT, () -> fail(result));
-                        } else if (mRefuses.test(mRouter)) {
+                        } else if (mRefuses.test(mRouter) || mRefusesKind.test(mKind)) {
                             mTimers.after(ONE_WAY, () -> fail(result));
                         } else {
                             handler.accept(answer -> deliver(result, answer), () -> fail(result));
--- a/rhubarbward-core/src/test/java/io/rhubarbward/testing/RouterFleet.java
+++ b/rhubarbward-core/src/test/java/io/rhubarbward/testing/RouterFleet.java
@@ -48,7 +48,7 @@
     private static final String CATALOGS = "catalogs";
     private static final String SERVERS = "servers";
     private static final String ROUTERS = "routers";
-    private static final String ROLLOUTS = "rollouts";
+    public static final String ROLLOUTS = "rollouts";
     private static final Duration PEER_CONNECT_TIMEOUT = Duration.ofMillis(400);
     private static final Duration START = Duration.ofSeconds(4);
 
@@ -373,6 +373,11 @@
             return mRouter.suspectsCrashes();
         }
 
+        /** Returns whether the balancer should send new connections to the router. */
+        public boolean ready() {
+            return mRouter.ready();
+        }
+
         /** Begins a planned stop, in which callers are still served. */
         public void beginStop() {
             mRouter.beginStop(Duration.ofSeconds(7));
