End the process when its start fails

A router whose metrics port was in use served nobody and did not end: it held its callers' socket, at which connections were accepted by the kernel and never answered, and nothing restarted it.

Cause: the exception ended the main thread, but the event loop's threads were running by then and are not daemon threads. The program now prints what failed and exits with code 1, for every command and cause.

--- a/rhubarbward-daemon/src/main/java/io/rhubarbward/cli/Main.java
+++ b/rhubarbward-daemon/src/main/java/io/rhubarbward/cli/Main.java
@@ -33,7 +33,14 @@
 
     /** Runs the command and exits with its {@link ExitCode}. */
     public static void main(String[] arguments) {
-        System.exit(run(Console.system(), arguments).status());
+        ExitCode code = ExitCode.FAILED;
+        try {
+            code = run(Console.system(), arguments);
+        } catch (Throwable e) {
+            // Whatever failed, threads that the command started would keep the process.
+            e.printStackTrace();
+        }
+        System.exit(code.status());
     }
 
     /** Parses the arguments and runs the command that they choose. */
