Take backoff and paging out of KindWatcher

The backoff is a class of its own now, and PagedList says which page comes next. No change of behaviour: PagedListTest, KindWatcherTest, StoreFollowerTest and both RestoredStoreTest pass (80 tests).

--- a/rhubarbward-core/src/main/java/io/rhubarbward/store/KindWatcher.java
+++ b/rhubarbward-core/src/main/java/io/rhubarbward/store/KindWatcher.java
@@ -4,7 +4,6 @@
 import io.vavr.control.Either;
 import java.time.Duration;
 import java.util.List;
-import java.util.Optional;
 import java.util.concurrent.CompletionStage;
 import java.util.function.Consumer;
 import java.util.function.Supplier;
@@ -26,15 +25,6 @@
  * @param <T> the type of the decoded objects
  */
 public final class KindWatcher<T> {
-    /** Backoff after the first failed call, before jitter; doubles with each further one. */
-    private static final long MIN_BACKOFF_MILLIS = 100;
-
-    /**
-     * Longest backoff before jitter: short enough to notice the end of an outage well within the
-     * two seconds in which live servers list themselves again.
-     */
-    private static final long MAX_BACKOFF_MILLIS = 800;
-
     /** How long a watch that is open while the store drops its history may miss changes. */
     private static final long MAX_MISSED_CHANGES_MILLIS = 1200;
 
@@ -52,7 +42,7 @@
     private final WatchTiming mTiming;
     private final TimerService mTimers;
     private final StoreAvailability mAvailability;
-    private final RandomGenerator mRandom;
+    private final RetryBackoff mBackoff;
 
     /** Number of the newest call; answers to older calls are ignored. */
     private long mCallNumber;
@@ -61,7 +51,6 @@
 
     private long mLastCallMillis = NEVER;
     private Runnable mRetry = () -> {};
-    private long mBackoffMillis = MIN_BACKOFF_MILLIS;
     private long mUpToDateAtMillis = NEVER;
     private long mSynchronisedAtMillis = NEVER;
     private boolean mHasListed;
@@ -101,7 +90,7 @@
         mTiming = timing;
         mTimers = timers;
         mAvailability = availability;
-        mRandom = random;
+        mBackoff = new RetryBackoff(random);
     }
 
     /** Starts to list and watch. */
@@ -288,23 +277,19 @@
     }
 
     private void list() {
-        list(Optional.empty(), new PagedList<>(mTimers.nowMillis()));
+        list(new PagedList<>(mTimers.nowMillis()));
     }
 
-    private void list(Optional<String> afterName, PagedList<T> list) {
+    private void list(PagedList<T> list) {
         mListOpen = true;
         call(
                 "list " + mKind.name(),
-                () -> mKind.list(afterName),
+                () -> mKind.list(list.nextPage()),
                 page -> {
-                    if (!list.isContinuedBy(page)) {
+                    if (!list.add(page)) {
                         list();
-                        return;
-                    }
-                    list.add(page);
-                    if (page.more() && !page.items().isEmpty()) {
-                        String last = page.items().get(page.items().size() - 1).name();
-                        list(Optional.of(last), list);
+                    } else if (list.nextPage().isPresent()) {
+                        list(list);
                     } else {
                         completeList(list);
                     }
@@ -315,7 +300,6 @@
     /** Applies the list once it has the changes that came between its pages. */
     private void completeList(PagedList<T> list) {
         if (!list.missesChanges()) {
-            mListOpen = false;
             onListed(list);
             return;
         }
@@ -323,25 +307,24 @@
                 "watch " + mKind.name(),
                 () -> mKind.watch(list.revision(), RETRY_WATCH_WAIT),
                 changes -> {
-                    if (changes.gap() || !changes.revision().isInEraOf(list.revision())) {
-                        list();
-                    } else {
-                        list.add(changes);
+                    if (list.add(changes)) {
                         completeList(list);
+                    } else {
+                        list();
                     }
                 },
                 () -> completeList(list));
     }
 
     private void onListed(PagedList<T> list) {
+        mListOpen = false;
         mHasListed = true;
         // A peer's update may be newer than a list that was sent before it.
         if (mRevision.isAfter(list.revision())) {
             mAvailability.logOutdatedAnswer("list " + name(), list.revision(), mRevision);
         } else {
-            List<DecodedObject<T>> items = list.items();
-            applySnapshot(list.revision(), items);
-            mUpdateSubscriber.accept(KindUpdate.snapshot(name(), mRevision, items));
+            applySnapshot(list.revision(), list.items());
+            mUpdateSubscriber.accept(KindUpdate.snapshot(name(), mRevision, list.items()));
         }
         confirm(list.revision(), list.sentMillis());
         if (!mPaused) {
@@ -491,7 +474,7 @@
     }
 
     private <R extends StoreAnswer> void succeed(String callName, R value, Consumer<R> onResult) {
-        mBackoffMillis = MIN_BACKOFF_MILLIS;
+        mBackoff.reset();
         mLastCallMillis = mTimers.nowMillis();
         noteSuccess(callName, value);
         onResult.accept(value);
@@ -506,10 +489,8 @@
     private void fail(String callName, PlatformFailure failure, Runnable retry) {
         mAvailability.callFailed(callName, failure);
         long number = mCallNumber;
-        long backoffMillis = mBackoffMillis / 2 + mRandom.nextLong(mBackoffMillis);
-        mBackoffMillis = Math.min(MAX_BACKOFF_MILLIS, mBackoffMillis * 2);
         mTimers.after(
-                Duration.ofMillis(backoffMillis),
+                mBackoff.next(),
                 () -> {
                     if (number == mCallNumber) {
                         retry.run();
--- a/rhubarbward-core/src/main/java/io/rhubarbward/store/PagedList.java
+++ b/rhubarbward-core/src/main/java/io/rhubarbward/store/PagedList.java
@@ -3,13 +3,14 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 
 /**
  * Collects the pages of one list of a kind, and the changes that came between them.
  *
  * <pre>{@code
- * list.add(page);
- * if (list.missesChanges()) {
+ * boolean continued = list.add(page);
+ * if (list.nextPage().isEmpty() && list.missesChanges()) {
  *     // watch from list.revision() and add what changed
  * }
  * }</pre>
@@ -25,6 +26,7 @@
     private final long mSentMillis;
     private StoreRevision mRevision = StoreRevision.NONE;
     private StoreRevision mLastPage = StoreRevision.NONE;
+    private Optional<String> mNextPage = Optional.empty();
 
     /**
      * Creates an empty list.
@@ -40,24 +42,37 @@
         return mSentMillis;
     }
 
-    /** Returns whether the page is of the era of those before it. */
-    boolean isContinuedBy(ObjectPage<T> page) {
-        return mRevision.equals(StoreRevision.NONE) || mRevision.isInEraOf(page.revision());
+    /** Returns the name after which the next page starts; empty before the first and at the end. */
+    Optional<String> nextPage() {
+        return mNextPage;
     }
 
-    void add(ObjectPage<T> page) {
-        if (mRevision.equals(StoreRevision.NONE)) {
-            mRevision = page.revision();
+    /** Adds the page; returns whether it continues the ones before it, in their era. */
+    boolean add(ObjectPage<T> page) {
+        boolean first = mRevision.equals(StoreRevision.NONE);
+        if (!first && !page.revision().isInEraOf(mRevision)) {
+            return false;
         }
+        mRevision = first ? page.revision() : mRevision;
         mLastPage = page.revision();
+        boolean more = page.more() && !page.items().isEmpty();
+        mNextPage =
+                more
+                        ? Optional.of(page.items().get(page.items().size() - 1).name())
+                        : Optional.empty();
         page.items().forEach(item -> mItems.put(item.name(), item));
+        return true;
     }
 
-    /** Adds the changes since {@link #revision}. */
-    void add(ObjectChanges<T> changes) {
+    /** Adds the changes since {@link #revision}; returns whether the store still has them. */
+    boolean add(ObjectChanges<T> changes) {
+        if (changes.gap() || !changes.revision().isInEraOf(mRevision)) {
+            return false;
+        }
         boolean complete = changes.changes().isEmpty() || !changes.revision().isAfter(mRevision);
         mRevision = StoreRevision.later(changes.revision(), complete ? mLastPage : mRevision);
         changes.changes().forEach(this::add);
+        return true;
     }
 
     private void add(ObjectChanges.Change<T> change) {
