End a failed start without a generic catch

A handler of uncaught exceptions does the same: it prints what failed and exits with code 1. FailedStartTest, MainTest and FleetRouterDaemonTest pass (14 tests).

--- a/rhubarbward-daemon/src/main/java/io/rhubarbward/cli/Main.java
+++ b/rhubarbward-daemon/src/main/java/io/rhubarbward/cli/Main.java
@@ -33,14 +33,14 @@
 
     /** Runs the command and exits with its {@link ExitCode}. */
     public static void main(String[] arguments) {
-        ExitCode code = ExitCode.FAILED;
-        try {
-            code = run(Console.system(), arguments);
-        } catch (Throwable e) {
-            // Whatever failed, threads that the command started would keep the process.
-            e.printStackTrace();
-        }
-        System.exit(code.status());
+        // Threads that the command started would keep the process when this one fails.
+        Thread.currentThread()
+                .setUncaughtExceptionHandler(
+                        (thread, cause) -> {
+                            cause.printStackTrace();
+                            System.exit(ExitCode.FAILED.status());
+                        });
+        System.exit(run(Console.system(), arguments).status());
     }
 
     /** Parses the arguments and runs the command that they choose. */
