Bound the memory for the bodies of requests

Large uploads over slow links filled the router's heap, and then no caller got an answer, small requests included.

Cause: a body was kept as it arrived, up to maxBodyBytes each, and nothing bounded the sum; it was copied when complete, and kept until its request was answered.

All listeners of a process now share a memory for bodies, reserved by Content-Length when the head has arrived, or chunk by chunk, until the answer is written. A request that does not fit is refused before it is run, with 503, Retry-After and the new code body-memory-full, and no 100-continue. The rest of its body is read and dropped, as a close with bytes unread can take the answer from the caller. A body is no longer copied.

--- a/rhubarbward-core/src/main/java/io/rhubarbward/request/RefusalCode.java
+++ b/rhubarbward-core/src/main/java/io/rhubarbward/request/RefusalCode.java
@@ -18,6 +18,8 @@
     REQUEST_TIMEOUT(408, RunState.NOT_RUN, "The request did not arrive in time"),
     BODY_TOO_LARGE(413, RunState.NOT_RUN, "The body is larger than allowed"),
     HEAD_TOO_LARGE(431, RunState.NOT_RUN, "The header is larger than allowed"),
+    BODY_MEMORY_FULL(
+            503, RunState.NOT_RUN, "The bodies of other requests take up the memory for them"),
     ACCOUNT_OVER_LIMIT(429, RunState.NOT_RUN, "The client account is over its rate"),
     NOT_READY(503, RunState.NOT_RUN, "The router has no configuration yet"),
     DRAINING(503, RunState.NOT_RUN, "The router is stopping"),
--- a/rhubarbward-daemon/src/main/java/io/rhubarbward/daemon/FleetRouterDaemon.java
+++ b/rhubarbward-daemon/src/main/java/io/rhubarbward/daemon/FleetRouterDaemon.java
@@ -13,6 +13,7 @@
 import io.rhubarbward.net.http.HttpLimits;
 import io.rhubarbward.net.http.HttpListener;
 import io.rhubarbward.net.http.JsonResponses;
+import io.rhubarbward.net.http.RequestBodyMemory;
 import io.rhubarbward.net.loop.EventLoopTimer;
 import io.rhubarbward.net.loop.EventLoopTimerService;
 import io.rhubarbward.net.loop.TimedEventLoops;
@@ -80,6 +81,7 @@
     private final EventLoopTimerService mTimers;
     private final ThriftPeerTransport mPeers;
     private final FleetRouter mRouter;
+    private final RequestBodyMemory mBodyMemory = RequestBodyMemory.ofHeap();
     private final ServerSocketChannel mCallerSocket;
     private @Nullable HttpListener mCallerListener;
     private final HttpListener mReadinessListener;
@@ -110,6 +112,7 @@
                         settings.forwarding(),
                         mTimers,
                         this::forwardingLimits,
+                        mBodyMemory,
                         this::serveForwarded);
         mRouter =
                 new FleetRouter(
@@ -133,7 +136,8 @@
     }
 
     private HttpListener openInternal(InetSocketAddress address, HttpHandler handler) {
-        return HttpListener.open(mGroup, address, mTimers, () -> HttpLimits.INTERNAL, handler);
+        return HttpListener.open(
+                mGroup, address, mTimers, () -> HttpLimits.INTERNAL, mBodyMemory, handler);
     }
 
     private CallerListener serveForwarded(CallerRequest request, CallerResponse response) {
@@ -182,7 +186,13 @@
             return;
         }
         mCallerListener =
-                HttpListener.open(mGroup, mCallerSocket, mTimers, this::httpLimits, mRouter::serve);
+                HttpListener.open(
+                        mGroup,
+                        mCallerSocket,
+                        mTimers,
+                        this::httpLimits,
+                        mBodyMemory,
+                        mRouter::serve);
         mEvents.log(LogEvent.ROUTER_READY, EventField.of("primed", mRouter.primed()));
     }
 
--- a/rhubarbward-daemon/src/main/java/io/rhubarbward/daemon/RouterDaemon.java
+++ b/rhubarbward-daemon/src/main/java/io/rhubarbward/daemon/RouterDaemon.java
@@ -13,6 +13,7 @@
 import io.rhubarbward.net.backend.HttpEngineOrders;
 import io.rhubarbward.net.http.HttpLimits;
 import io.rhubarbward.net.http.HttpListener;
+import io.rhubarbward.net.http.RequestBodyMemory;
 import io.rhubarbward.net.peer.ThriftPeerTransport;
 import io.rhubarbward.net.platform.HttpObjectStore;
 import io.rhubarbward.net.platform.HttpVmList;
@@ -62,12 +63,14 @@
                         mMetrics);
         mNode = new RouterNode(identity(settings), ports(settings));
         mPeers.budget(this::controlBytesPerSecond);
+        RequestBodyMemory bodyMemory = RequestBodyMemory.ofHeap();
         mCallerListener =
                 HttpListener.open(
                         mGroup,
                         RouterProcessSettings.socketAddress(settings.callers()),
                         mTimers,
                         this::httpLimits,
+                        bodyMemory,
                         new CallerEndpoint(mNode));
         mOperatorListener =
                 HttpListener.open(
@@ -75,6 +78,7 @@
                         RouterProcessSettings.socketAddress(settings.operators()),
                         mTimers,
                         () -> HttpLimits.INTERNAL,
+                        bodyMemory,
                         new OperatorEndpoint(mNode, mMetrics));
     }
 
--- a/rhubarbward-net/src/main/java/io/rhubarbward/net/http/CallerConnection.java
+++ b/rhubarbward-net/src/main/java/io/rhubarbward/net/http/CallerConnection.java
@@ -26,6 +26,7 @@
 import io.rhubarbward.request.Refusal;
 import io.rhubarbward.request.RefusalCode;
 import io.rhubarbward.timer.TimerService;
+import java.nio.ByteBuffer;
 import java.util.ArrayDeque;
 import java.util.Queue;
 import java.util.concurrent.TimeUnit;
@@ -44,14 +45,21 @@
     /** Parts of requests that are read ahead, each of at most 8 KB. */
     private static final int MAX_PIPELINED_MESSAGES = 16;
 
+    /** Time after which a refused request may find room for its body. */
+    private static final long BODY_MEMORY_RETRY_MILLIS = 1000;
+
     private final TimerService mTimers;
     private final Supplier<HttpLimits> mCurrentLimits;
     private final HttpHandler mHandler;
     private final BooleanSupplier mKeepAliveDisabled;
     private final Queue<HttpObject> mPipelined = new ArrayDeque<>();
+    private final RequestBodyMemory.Reservation mBodyMemory;
     private HttpLimits mLimits;
     private @Nullable HttpRequest mRequestHead;
     private ByteBuf mRequestBody = Unpooled.EMPTY_BUFFER;
+    // Whether the rest of the body of a refused request is being read and dropped.
+    private boolean mDiscarding;
+    private long mDiscardedBytes;
     private @Nullable ScheduledFuture<?> mReadTimeout;
     private @Nullable NettyResponse mResponse;
     private @Nullable ScheduledFuture<?> mIdleTimeout;
@@ -62,16 +70,19 @@
      * Creates the handler of one connection.
      *
      * @param limits the limits that are in force; asked for each request
+     * @param bodyMemory where the bodies of requests find room
      * @param keepAliveDisabled whether the connection closes after its response; asked when a
      *     response begins
      */
     CallerConnection(
             TimerService timers,
             Supplier<HttpLimits> limits,
+            RequestBodyMemory bodyMemory,
             HttpHandler handler,
             BooleanSupplier keepAliveDisabled) {
         mTimers = timers;
         mCurrentLimits = limits;
+        mBodyMemory = bodyMemory.reservation();
         mLimits = limits.get();
         mHandler = handler;
         mKeepAliveDisabled = keepAliveDisabled;
@@ -83,9 +94,17 @@
     }
 
     private void startIdleTimeout(ChannelHandlerContext context) {
+        cancelIdleTimeout();
         closeAfterIdleTime(context, 0);
     }
 
+    private void cancelIdleTimeout() {
+        if (mIdleTimeout != null) {
+            mIdleTimeout.cancel(false);
+            mIdleTimeout = null;
+        }
+    }
+
     /** Closes the connection after the idle time in force, which may be raised until then. */
     private void closeAfterIdleTime(ChannelHandlerContext context, long idleMillis) {
         long maxIdleMillis = mCurrentLimits.get().idleMillis();
@@ -103,13 +122,17 @@
 
     /** Closes the connection unless a request is in progress. */
     void closeIfIdle(Channel channel) {
-        if (mRequestHead == null && mResponse == null) {
+        if (mRequestHead == null && mResponse == null && !mDiscarding) {
             channel.close();
         }
     }
 
     @Override
     protected void channelRead0(ChannelHandlerContext context, HttpObject message) {
+        if (mDiscarding) {
+            discard(context, message);
+            return;
+        }
         if (mResponse != null) {
             mPipelined.add(ReferenceCountUtil.retain(message));
             if (mPipelined.size() >= MAX_PIPELINED_MESSAGES) {
@@ -125,10 +148,7 @@
         if (result.isFailure()) {
             sendRefusal(context, decodeFailure(result.cause()));
         } else if (message instanceof HttpRequest head) {
-            if (mIdleTimeout != null) {
-                mIdleTimeout.cancel(false);
-                mIdleTimeout = null;
-            }
+            cancelIdleTimeout();
             startRequest(context, head);
         }
         if (message instanceof HttpContent content && mRequestHead != null) {
@@ -147,13 +167,14 @@
             return;
         }
         mRequestHead = head;
-        mRequestBody = context.alloc().buffer(0);
-        mReadTimeout =
-                context.executor()
-                        .schedule(
-                                () -> onReadTimeout(context),
-                                mLimits.requestReadMillis(),
-                                TimeUnit.MILLISECONDS);
+        startReadTimeout(context);
+        long expectedBytes = HttpUtil.getContentLength(head, 0L);
+        if (!mBodyMemory.growTo(expectedBytes)) {
+            refuseForLackOfMemory(context, head, false);
+            return;
+        }
+        // Not pooled, so that the request takes over the array, which has the body's size.
+        mRequestBody = Unpooled.buffer((int) expectedBytes);
         if (HttpUtil.is100ContinueExpected(head)) {
             context.writeAndFlush(
                     new DefaultFullHttpResponse(
@@ -163,12 +184,32 @@
         }
     }
 
+    private void startReadTimeout(ChannelHandlerContext context) {
+        mReadTimeout =
+                context.executor()
+                        .schedule(
+                                () -> onReadTimeout(context),
+                                mLimits.requestReadMillis(),
+                                TimeUnit.MILLISECONDS);
+    }
+
+    private void cancelReadTimeout() {
+        if (mReadTimeout != null) {
+            mReadTimeout.cancel(false);
+            mReadTimeout = null;
+        }
+    }
+
     private void appendBody(ChannelHandlerContext context, HttpContent content) {
-        if (mRequestBody.readableBytes() + content.content().readableBytes()
-                > mLimits.maxBodyBytes()) {
+        int bytes = mRequestBody.readableBytes() + content.content().readableBytes();
+        if (bytes > mLimits.maxBodyBytes()) {
             sendRefusal(context, mLimits.bodyTooLarge());
             return;
         }
+        if (mRequestHead != null && !mBodyMemory.growTo(bytes)) {
+            refuseForLackOfMemory(context, mRequestHead, content instanceof LastHttpContent);
+            return;
+        }
         mRequestBody.writeBytes(content.content());
         if (content instanceof LastHttpContent && mRequestHead != null) {
             CallerRequest request = toCallerRequest(mRequestHead, mRequestBody);
@@ -183,6 +224,50 @@
         }
     }
 
+    /**
+     * Refuses the request at once. The rest of its body is read and dropped: if the connection were
+     * closed with bytes unread, the caller might not receive the answer.
+     */
+    private void refuseForLackOfMemory(
+            ChannelHandlerContext context, HttpRequest head, boolean bodyEnded) {
+        Refusal refusal =
+                new Refusal(
+                        RefusalCode.BODY_MEMORY_FULL,
+                        "expected fewer or smaller bodies at a time",
+                        BODY_MEMORY_RETRY_MILLIS);
+        if (HttpUtil.is100ContinueExpected(head)) {
+            // Whether the caller sends the body all the same can't be told from what follows.
+            sendRefusal(context, refusal);
+            return;
+        }
+        discardRequest();
+        mBodyMemory.release();
+        NettyResponse response =
+                startResponse(context, head.protocolVersion(), HttpUtil.isKeepAlive(head));
+        mTimers.execute(() -> refusal.sendTo(response));
+        if (!bodyEnded) {
+            mDiscarding = true;
+            mDiscardedBytes = 0;
+            startReadTimeout(context);
+            processPipelined(context);
+        }
+    }
+
+    private void discard(ChannelHandlerContext context, HttpObject message) {
+        if (message instanceof HttpContent content) {
+            mDiscardedBytes += content.content().readableBytes();
+        }
+        if (message.decoderResult().isFailure() || mDiscardedBytes > mLimits.maxBodyBytes()) {
+            context.close();
+        } else if (message instanceof LastHttpContent) {
+            mDiscarding = false;
+            cancelReadTimeout();
+            if (mResponse == null) {
+                startIdleTimeout(context);
+            }
+        }
+    }
+
     private void serve(CallerRequest request, NettyResponse response) {
         ActiveExchange exchange = new ActiveExchange();
         mActiveExchange = exchange;
@@ -203,19 +288,28 @@
 
     private void onResponseWritten(ChannelHandlerContext context) {
         mResponse = null;
+        mBodyMemory.release();
         mTimers.execute(() -> mActiveExchange = null);
         startIdleTimeout(context);
-        while (mResponse == null && !mPipelined.isEmpty()) {
+        processPipelined(context);
+        if (mPipelined.isEmpty()) {
+            context.channel().config().setAutoRead(true);
+        }
+    }
+
+    private void processPipelined(ChannelHandlerContext context) {
+        while ((mResponse == null || mDiscarding) && !mPipelined.isEmpty()) {
             HttpObject next = mPipelined.remove();
             try {
-                process(context, next);
+                if (mDiscarding) {
+                    discard(context, next);
+                } else {
+                    process(context, next);
+                }
             } finally {
                 ReferenceCountUtil.release(next);
             }
         }
-        if (mPipelined.isEmpty()) {
-            context.channel().config().setAutoRead(true);
-        }
     }
 
     private void sendRefusal(ChannelHandlerContext context, Refusal refusal) {
@@ -227,6 +321,10 @@
     }
 
     private void onReadTimeout(ChannelHandlerContext context) {
+        if (mDiscarding) {
+            context.close();
+            return;
+        }
         sendRefusal(context, mLimits.requestTimeout());
     }
 
@@ -234,10 +332,7 @@
         mRequestHead = null;
         mRequestBody.release();
         mRequestBody = Unpooled.EMPTY_BUFFER;
-        if (mReadTimeout != null) {
-            mReadTimeout.cancel(false);
-            mReadTimeout = null;
-        }
+        cancelReadTimeout();
     }
 
     private Refusal decodeFailure(Throwable cause) {
@@ -259,7 +354,9 @@
                 head.method().name(),
                 head.uri(),
                 headers,
-                java.nio.ByteBuffer.wrap(ByteBufUtil.getBytes(body)));
+                ByteBuffer.wrap(
+                        ByteBufUtil.getBytes(
+                                body, body.readerIndex(), body.readableBytes(), false)));
     }
 
     @Override
@@ -276,9 +373,8 @@
     @Override
     public void channelInactive(ChannelHandlerContext context) {
         discardRequest();
-        if (mIdleTimeout != null) {
-            mIdleTimeout.cancel(false);
-        }
+        cancelIdleTimeout();
+        mBodyMemory.release();
         mPipelined.forEach(ReferenceCountUtil::release);
         mPipelined.clear();
         mTimers.execute(
--- a/rhubarbward-net/src/main/java/io/rhubarbward/net/http/HttpListener.java
+++ b/rhubarbward-net/src/main/java/io/rhubarbward/net/http/HttpListener.java
@@ -58,14 +58,25 @@
         mKeepAliveDisabled = keepAliveDisabled;
     }
 
-    /** Opens a listener; port 0 binds to a free port. */
+    /** Opens a listener with a memory for bodies of its own; port 0 binds to a free port. */
     public static HttpListener open(
             EventLoopGroup group,
             InetSocketAddress address,
             TimerService timers,
             Supplier<HttpLimits> limits,
             HttpHandler handler) {
-        return open(group, bind(address), timers, limits, handler);
+        return open(group, address, timers, limits, RequestBodyMemory.ofHeap(), handler);
+    }
+
+    /** Opens a listener whose requests share the memory for bodies with other listeners. */
+    public static HttpListener open(
+            EventLoopGroup group,
+            InetSocketAddress address,
+            TimerService timers,
+            Supplier<HttpLimits> limits,
+            RequestBodyMemory bodyMemory,
+            HttpHandler handler) {
+        return open(group, bind(address), timers, limits, bodyMemory, handler);
     }
 
     /** Binds a socket; connections wait in its backlog until a listener is opened on it. */
@@ -85,6 +96,7 @@
             ServerSocketChannel socket,
             TimerService timers,
             Supplier<HttpLimits> limits,
+            RequestBodyMemory bodyMemory,
             HttpHandler handler) {
         ChannelGroup connections = new DefaultChannelGroup(GlobalEventExecutor.INSTANCE);
         AtomicBoolean keepAliveDisabled = new AtomicBoolean();
@@ -112,6 +124,7 @@
                                                         new CallerConnection(
                                                                 timers,
                                                                 limits,
+                                                                bodyMemory,
                                                                 handler,
                                                                 keepAliveDisabled::get));
                                     }
