--- a/rhubarbward-daemon/src/main/java/io/rhubarbward/daemon/LocalFleet.java
+++ b/rhubarbward-daemon/src/main/java/io/rhubarbward/daemon/LocalFleet.java
@@ -37,6 +37,8 @@
     private static final String OTHER_ZONE = "b";
     private static final int OK = 200;
     private static final long READY_TIMEOUT_MILLIS = 20_000;
+    private static final LocalRetryBudget.Bound RETRY_BOUND =
+            new LocalRetryBudget.Bound(0.2, Duration.ofSeconds(10), 50);
 
     private final EventLoopGroup mGroup = new NioEventLoopGroup(1);
     private final EventLoopTimerService mTimers;
@@ -58,6 +60,16 @@
     }
 
     private FleetRouterDaemon startRouter(String name, String dataCentre) {
+        return startRouter(name, dataCentre, mStore.address(), RETRY_BOUND, mEvents);
+    }
+
+    /** Starts a router on free ports of 127.0.0.1. */
+    static FleetRouterDaemon startRouter(
+            String name,
+            String dataCentre,
+            String storeAddress,
+            LocalRetryBudget.Bound retryBound,
+            EventLog events) {
         FleetNodeSettings settings =
                 new FleetNodeSettings(
                         name,
@@ -66,16 +78,16 @@
                         DemoPorts.loopback(0),
                         DemoPorts.loopback(0),
                         DemoPorts.loopback(0),
-                        mStore.address(),
+                        storeAddress,
                         0,
                         new FleetBounds(
                                 true,
                                 Duration.ofSeconds(5),
-                                new LocalRetryBudget.Bound(0.2, Duration.ofSeconds(10), 50),
+                                retryBound,
                                 0.1,
                                 Duration.ofSeconds(8)));
         return FleetRouterDaemon.start(
-                settings, HttpListener.bind(DemoPorts.loopback(0)), 0, mEvents);
+                settings, HttpListener.bind(DemoPorts.loopback(0)), 0, events);
     }
 
     /** Starts a second router in the same data centre and one in another. */
@@ -118,9 +130,15 @@
 
     /** Waits until the router answers a readiness check with ready. */
     public void awaitReady() throws IOException {
-        long deadlineMillis = mTimers.nowMillis() + READY_TIMEOUT_MILLIS;
-        while (!ready()) {
-            if (mTimers.nowMillis() > deadlineMillis) {
+        awaitReady(mRouter);
+    }
+
+    /** Waits until a router answers a readiness check with ready. */
+    static void awaitReady(FleetRouterDaemon router) throws IOException {
+        long deadlineNanos =
+                System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(READY_TIMEOUT_MILLIS);
+        while (!ready(router)) {
+            if (System.nanoTime() - deadlineNanos > 0) {
                 throw new IOException(
                         "the router was not ready within " + READY_TIMEOUT_MILLIS + " ms");
             }
@@ -130,7 +148,11 @@
 
     /** Returns whether the router answers a readiness check with ready. */
     public boolean ready() throws IOException {
-        URL url = URI.create("http://127.0.0.1:" + mRouter.readinessPort() + "/").toURL();
+        return ready(mRouter);
+    }
+
+    private static boolean ready(FleetRouterDaemon router) throws IOException {
+        URL url = URI.create("http://127.0.0.1:" + router.readinessPort() + "/").toURL();
         return ((HttpURLConnection) url.openConnection()).getResponseCode() == OK;
     }
 
--- a/rhubarbward-standin/src/main/java/io/rhubarbward/standin/fleet/ReplicaStandin.java
+++ b/rhubarbward-standin/src/main/java/io/rhubarbward/standin/fleet/ReplicaStandin.java
@@ -56,11 +56,16 @@
 
     /** Returns the spec, as JSON, of the replica's server object in the store. */
     public String serverSpec(String service, String zone) {
+        return serverSpec(service, address(), zone);
+    }
+
+    /** Returns the spec, as JSON, of a server object in the store. */
+    static String serverSpec(String service, String address, String zone) {
         return """
                {"service":"%s","address":"%s","zone":"%s","version":"v1","slots":8,
                 "state":"ready","coldRemainingMs":0,"sequence":1,"born":1}
                """
-                .formatted(service, address(), zone);
+                .formatted(service, address, zone);
     }
 
     /** Returns the requests handled so far, oldest first, without those refused with 421. */
--- a/rhubarbward-standin/src/main/java/io/rhubarbward/standin/fleet/SampleConfig.java
+++ b/rhubarbward-standin/src/main/java/io/rhubarbward/standin/fleet/SampleConfig.java
@@ -33,10 +33,15 @@
 
     private SampleConfig() {}
 
+    /** Writes the configuration into the store, and no server objects. */
+    public static void writeTo(StoreStandin store) {
+        store.put("config", "main", JSON_TEMPLATE.formatted(API_KEY));
+    }
+
     /** Writes the configuration and one server object per replica into the store. */
     public static void writeTo(
             StoreStandin store, ReplicaStandin plainReplica, ReplicaStandin engineReplica) {
-        store.put("config", "main", JSON_TEMPLATE.formatted(API_KEY));
+        writeTo(store);
         store.put("servers", plainReplica.id(), plainReplica.serverSpec(PLAIN_SERVICE, "a"));
         store.put("servers", engineReplica.id(), engineReplica.serverSpec(ENGINE_SERVICE, "a"));
     }
