--- a/rhubarbward-standin/src/main/java/io/rhubarbward/standin/fleet/ReplicaRecord.java
+++ b/rhubarbward-standin/src/main/java/io/rhubarbward/standin/fleet/ReplicaRecord.java
@@ -9,7 +9,7 @@
 public final class ReplicaRecord {
     private final Map<String, Integer> mSendsById = new HashMap<>();
     private final Map<String, List<Run>> mRunsById = new HashMap<>();
-    private Counts mCounts = new Counts(0, 0, 0, 0, 0, 0);
+    private Counts mCounts = Counts.NONE;
 
     /**
      * A run of a request.
@@ -51,6 +51,9 @@
             long cutCopies,
             long sentAgain,
             long sentAgainOnConnection) {
+        /** Those of a replica that got nothing. */
+        public static final Counts NONE = new Counts(0, 0, 0, 0, 0, 0);
+
         /** Returns the sum. */
         public Counts plus(Counts other) {
             return new Counts(
--- a/rhubarbward-standin/src/main/java/io/rhubarbward/standin/fleet/SampleConfig.java
+++ b/rhubarbward-standin/src/main/java/io/rhubarbward/standin/fleet/SampleConfig.java
@@ -20,6 +20,8 @@
              "routes":[
               {"name":"plain","host":"127.0.0.1","pathPrefix":"/plain/","kind":"non_idempotent",
                "timeoutMs":4000,"targetLatencyMs":300,"service":"orders","maxAttempts":1},
+              {"name":"repeat","host":"127.0.0.1","pathPrefix":"/repeat/","kind":"idempotent",
+               "timeoutMs":4000,"targetLatencyMs":300,"service":"orders","maxAttempts":3},
               {"name":"stream","host":"127.0.0.1","pathPrefix":"/stream/","kind":"streaming",
                "timeoutMs":4000,"targetLatencyMs":300,"service":"chat","maxAttempts":1}],
              "services":[
