Believe another router's refusal only if it names the attempt

What callers could see: a request that ran, or still ran, refused as "not run" with 503, or sent once more.

Cause: a router's refusal of a forwarded request bore no id, and PeerCall read it before it compared any id. Any refusal that stood on the connection was believed, whichever request it answered.

PeerGateway names the attempt in each refusal of its own. PeerCall believes a refusal that names this attempt; one without an id only on a connection that carried nothing before, as ServerCall does. Any other one fails the call as one that may have run. RequestDialect.attemptId gives the field, since its name is the platform's.

Routers of both builds side by side: an earlier build's refusal names nothing and is believed on a new connection only. Queries go over the same connections, so most of these count as "may have run" until that router is upgraded: 502 for a request that may run once. An earlier build ignores the new field.

--- a/rhubarbward-core/src/main/java/io/rhubarbward/forward/PeerCall.java
+++ b/rhubarbward-core/src/main/java/io/rhubarbward/forward/PeerCall.java
@@ -118,22 +118,36 @@
         if (mEnded) {
             return;
         }
+        ResponseMetadata metadata = mContext.dialect().readAnswer(status, headers);
         Optional<PeerRefusal> refusal = headers.first(PeerHeaders.REFUSAL).map(PeerRefusal::decode);
-        if (refusal.isPresent()) {
+        if (!answersThisAttempt(metadata, refusal.isPresent())) {
+            fail();
+        } else if (refusal.isPresent()) {
             if (end(SendResult.SHED)) {
                 if (mCall != null) {
                     mDiscardedBody = new DiscardedBody(mCall, mContext.timers());
                 }
                 mListener.onPeerRefused(mPeer, refusal.get());
             }
-            return;
-        }
-        ResponseMetadata metadata = mContext.dialect().readAnswer(status, headers);
-        boolean answersThisAttempt =
-                metadata.attemptId().map(mRequest.metadata().attemptId()::equals).orElse(false);
-        if (answersThisAttempt && metadata.genuine()) {
+        } else if (metadata.genuine()) {
             mListener.onHead(status, headers);
-        } else if (end(SendResult.BROKEN)) {
+        } else {
+            fail();
+        }
+    }
+
+    /**
+     * Returns whether the answer names this attempt. Routers of earlier builds do not name it in
+     * refusals: such a one is taken on a new connection, where it can be no earlier request's.
+     */
+    private boolean answersThisAttempt(ResponseMetadata metadata, boolean refused) {
+        return metadata.attemptId()
+                .map(mRequest.metadata().attemptId()::equals)
+                .orElse(refused && mCall != null && !connection().kept());
+    }
+
+    private void fail() {
+        if (end(SendResult.BROKEN)) {
             if (mCall != null) {
                 mCall.cancel();
             }
--- a/rhubarbward-core/src/main/java/io/rhubarbward/forward/PeerGateway.java
+++ b/rhubarbward-core/src/main/java/io/rhubarbward/forward/PeerGateway.java
@@ -69,7 +69,7 @@
         if (request.headers().first(PeerHeaders.QUERY_BY).isPresent()) {
             return answerQuery(response);
         }
-        PeerResponse peerResponse = new PeerResponse(response);
+        PeerResponse peerResponse = new PeerResponse(response, attemptId(request));
         Optional<String> router =
                 request.headers().first(PeerHeaders.FORWARDED_BY).filter(mIsRouter);
         boolean current = number(request, PeerHeaders.CATALOG_VERSION) <= version();
@@ -105,6 +105,14 @@
         return ForwardingService.NO_OP_LISTENER;
     }
 
+    /** Returns the field by which the answer names the request; none if the request has no id. */
+    private HeaderFields attemptId(CallerRequest request) {
+        return mContext.dialect()
+                .read(request)
+                .map(metadata -> mContext.dialect().attemptId(metadata.attemptId()))
+                .getOrElse(HeaderFields.NONE);
+    }
+
     private CallerListener refuse(PeerResponse response, Refusal refusal) {
         response.refuse(refusal, mContext.dialect()::retryAfter);
         return ForwardingService.NO_OP_LISTENER;
@@ -128,8 +136,13 @@
                 .orElse(0L);
     }
 
-    /** The response to another router; marks this router's own refusals. */
-    private record PeerResponse(CallerResponse delegate) implements CallerResponse {
+    /**
+     * The response to another router; marks this router's own refusals.
+     *
+     * @param attemptId the header field that names the request
+     */
+    private record PeerResponse(CallerResponse delegate, HeaderFields attemptId)
+            implements CallerResponse {
         @Override
         public void begin(int status, HeaderFields headers) {
             delegate.begin(status, PeerHeaders.strip(headers));
@@ -170,7 +183,8 @@
             delegate.begin(
                     refusal.code().status(),
                     HeaderFields.of("content-length", "0")
-                            .with(PeerHeaders.REFUSAL, marked.encode()));
+                            .with(PeerHeaders.REFUSAL, marked.encode())
+                            .and(attemptId));
             delegate.finish();
         }
     }
--- a/rhubarbward-core/src/main/java/io/rhubarbward/forward/RequestDialect.java
+++ b/rhubarbward-core/src/main/java/io/rhubarbward/forward/RequestDialect.java
@@ -27,6 +27,9 @@
     /** Returns the header fields of an answer that are passed on to the caller. */
     HeaderFields toCaller(HeaderFields fromServer);
 
+    /** Returns the header field that names an attempt, in a request or in its answer. */
+    HeaderFields attemptId(String id);
+
     /** Returns the header field that tells a caller to retry after the given time. */
     HeaderFields retryAfter(long millis);
 }
--- a/rhubarbward-core/src/test/java/io/rhubarbward/forward/PeerForwardingTest.java
+++ b/rhubarbward-core/src/test/java/io/rhubarbward/forward/PeerForwardingTest.java
@@ -118,6 +118,42 @@
                 .isEqualTo(Optional.of("1000"));
     }
 
+    // Guards against a request that ran, or runs, and is refused as not run or sent again.
+    @ParameterizedTest
+    @ValueSource(strings = {"overloaded 1000 not-run", "not-ready 400 not-run"})
+    void aRefusalThatNamesAnotherAttemptProvesNothing(String refusal) {
+        mFixture.cutOff("front-2", "front-3");
+        ForwardFixture.PendingRequest pending = mFixture.send("/order/1");
+        FakeBackends.Sent sent = last().head(503, refusal(refusal).with("id", "r-0"));
+        assertThat(pending.response().status()).isEqualTo(502);
+        assertThat(sent.cancelled()).isTrue();
+        assertThat(last()).isSameInstanceAs(sent);
+    }
+
+    // Guards against an earlier request's refusal that is taken for the one of this request.
+    @ParameterizedTest
+    @ValueSource(strings = {"overloaded 1000 not-run", "not-ready 400 not-run"})
+    void aRefusalThatNamesNoAttemptProvesNothingOnAKeptConnection(String refusal) {
+        mFixture.mBackends.keepConnections();
+        mFixture.cutOff("front-2", "front-3");
+        ForwardFixture.PendingRequest pending = mFixture.send("/order/1");
+        FakeBackends.Sent sent = last().head(503, refusal(refusal));
+        assertThat(pending.response().status()).isEqualTo(502);
+        assertThat(sent.cancelled()).isTrue();
+        assertThat(last()).isSameInstanceAs(sent);
+    }
+
+    @Test
+    void aRefusalThatNamesThisAttemptIsTakenOnAKeptConnection() {
+        mFixture.mBackends.keepConnections();
+        mFixture.cutOff("front-2", "front-3");
+        ForwardFixture.PendingRequest pending = mFixture.send("/order/1");
+        last().head(503, refusal("not-ready 400 not-run").with("id", "r-1"));
+        assertThat(last().server()).isEqualTo("front-3");
+        last().head(503, refusal("overloaded 1000 not-run").with("id", "r-1"));
+        assertThat(pending.response().status()).isEqualTo(503);
+    }
+
     // A promise that the request did not run must be true behind two routers too.
     @ParameterizedTest
     @CsvSource({"backend-lost 0 unknown, 502", "deadline-exceeded 0 unknown, 504", "odd, 502"})
--- a/rhubarbward-core/src/test/java/io/rhubarbward/forward/PeerGatewayTest.java
+++ b/rhubarbward-core/src/test/java/io/rhubarbward/forward/PeerGatewayTest.java
@@ -87,6 +87,17 @@
                 .isEqualTo(Optional.of("backend-lost 0 unknown"));
     }
 
+    // Guards against a refusal that the other router takes for that of a later request.
+    @Test
+    void eachRefusalNamesItsAttempt() {
+        RecordingResponse refused = forward("/order/1", "front-9", "2");
+        mFixture.mBackends.last().fail(BackendFailure.CONNECTION_LOST);
+        assertThat(refused.headers().first("id")).isEqualTo(Optional.of("r-1"));
+        mTakesRequests = false;
+        assertThat(forward("/order/1", "front-9", "2").headers().first("id"))
+                .isEqualTo(Optional.of("r-1"));
+    }
+
     @Test
     void theAttemptsThatWereUsedBeforeCount() {
         RecordingResponse response = forward("/status/1", "front-9", "1");
--- a/rhubarbward-core/src/test/java/io/rhubarbward/testing/FakeRequestDialect.java
+++ b/rhubarbward-core/src/test/java/io/rhubarbward/testing/FakeRequestDialect.java
@@ -82,6 +82,11 @@
         return fromServer;
     }
 
+    @Override
+    public HeaderFields attemptId(String id) {
+        return HeaderFields.of("id", id);
+    }
+
     @Override
     public HeaderFields retryAfter(long millis) {
         return HeaderFields.of("retry-after-ms", Long.toString(millis));
