Drop the times of old requests when a request is counted

What operators could see: a router whose memory grew with each request, as long as a service needed no retry.

Cause: LocalRetryBudget kept the time of each request and dropped those older than the window only in tryAcquire, which is called for a retry.

recordRequest drops them too, so that no more than one window of times is kept for a service that gets requests.

Evidence: requestsOlderThanTheWindowAreNotKept failed before: 20,000 times kept, at most 201 expected (20 requests a second, a window of 10 s). It passes now, and so does requestsInTheWindowAllowTheirShareOfRetries, before as after.

--- a/rhubarbward-core/src/main/java/io/rhubarbward/forward/LocalRetryBudget.java
+++ b/rhubarbward-core/src/main/java/io/rhubarbward/forward/LocalRetryBudget.java
@@ -37,7 +37,10 @@
 
     /** Counts a caller's request for the service. */
     void recordRequest(String service) {
-        window(service).mRequestMillis.addLast(mTimers.nowMillis());
+        Window window = window(service);
+        long now = mTimers.nowMillis();
+        window.removeBefore(now - mFleetBound.window().toMillis());
+        window.mRequestMillis.addLast(now);
     }
 
     /** Counts one retry for the service if the budget allows it; returns whether it does. */
@@ -56,6 +59,12 @@
         return true;
     }
 
+    /** Returns how many times of requests and retries for the service are kept. */
+    int timesKept(String service) {
+        Window window = window(service);
+        return window.mRequestMillis.size() + window.mRetryMillis.size();
+    }
+
     private Window window(String service) {
         return mWindowsByService.computeIfAbsent(service, name -> new Window());
     }
