Give queries between routers an id that pairs their answers

What callers could see: a request forwarded to a router that no longer forwards, and refused there.

Cause: a query whether a router forwards bore no id, so ResponseGuard took any answer that came on its connection for the one to this query, also one to an earlier query or to a forwarded request.

ForwardingPeers gives each query an id of its own, in the field that ResponseGuard pairs by, and PeerGateway names it in the answer. Answers with another id are discarded by the guard. Routers of both builds side by side: an earlier build answers without an id, which the guard passes on as before, and its own queries without an id are answered without one.

--- a/rhubarbward-core/src/main/java/io/rhubarbward/forward/PeerGateway.java
+++ b/rhubarbward-core/src/main/java/io/rhubarbward/forward/PeerGateway.java
@@ -67,7 +67,7 @@
     /** Answers a query, or serves a forwarded request. */
     public CallerListener serve(CallerRequest request, CallerResponse response) {
         if (request.headers().first(PeerHeaders.QUERY_BY).isPresent()) {
-            return answerQuery(response);
+            return answerQuery(request, response);
         }
         PeerResponse peerResponse = new PeerResponse(response, attemptId(request));
         Optional<String> router =
@@ -93,14 +93,15 @@
                 origin);
     }
 
-    private CallerListener answerQuery(CallerResponse response) {
+    private CallerListener answerQuery(CallerRequest query, CallerResponse response) {
         response.begin(
                 willing() ? OK : SERVICE_UNAVAILABLE,
                 HeaderFields.of("content-length", "0")
                         .with(PeerHeaders.CATALOG_VERSION, Long.toString(version()))
                         .with(
                                 PeerHeaders.OPEN_REQUESTS,
-                                Integer.toString(mForwarding.openRequests())));
+                                Integer.toString(mForwarding.openRequests()))
+                        .and(attemptId(query)));
         response.finish();
         return ForwardingService.NO_OP_LISTENER;
     }
--- a/rhubarbward-core/src/main/java/io/rhubarbward/node/FleetRouter.java
+++ b/rhubarbward-core/src/main/java/io/rhubarbward/node/FleetRouter.java
@@ -207,6 +207,7 @@
                 mSettings.dataCentre(),
                 mRouters::routers,
                 mPorts.backends(),
+                mPorts.dialect()::attemptId,
                 this::catalogVersion,
                 mPorts.timers(),
                 mPorts.events());
--- a/rhubarbward-core/src/main/java/io/rhubarbward/reach/ForwardingPeers.java
+++ b/rhubarbward-core/src/main/java/io/rhubarbward/reach/ForwardingPeers.java
@@ -24,6 +24,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.TreeSet;
+import java.util.function.Function;
 import java.util.function.LongSupplier;
 import java.util.function.Supplier;
 import java.util.stream.Collectors;
@@ -63,6 +64,7 @@
     private final String mDataCentre;
     private final Supplier<Map<String, RouterPresence>> mRouters;
     private final BackendClient mClient;
+    private final Function<String, HeaderFields> mIdField;
     private final LongSupplier mCatalogVersion;
     private final TimerService mTimers;
     private final EventLog mEvents;
@@ -72,6 +74,7 @@
     private boolean mActive;
     private int mNextCandidate;
     private long mSeenCatalogVersion;
+    private long mQueriesSent;
     private Set<String> mLoggedWilling = Set.of();
 
     /**
@@ -80,6 +83,7 @@
      * @param self this router's VM name
      * @param routers returns the listed routers by VM name
      * @param client sends requests to other routers
+     * @param idField returns the header field that pairs a request with its answer
      * @param catalogVersion returns the version of the catalogue in force at this router
      */
     public ForwardingPeers(
@@ -87,6 +91,7 @@
             String dataCentre,
             Supplier<Map<String, RouterPresence>> routers,
             BackendClient client,
+            Function<String, HeaderFields> idField,
             LongSupplier catalogVersion,
             TimerService timers,
             EventLog events) {
@@ -94,6 +99,7 @@
         mDataCentre = dataCentre;
         mRouters = routers;
         mClient = client;
+        mIdField = idField;
         mCatalogVersion = catalogVersion;
         mTimers = timers;
         mEvents = events;
@@ -240,12 +246,18 @@
                                 "GET",
                                 "/",
                                 HeaderFields.of("host", peer.endpoint().address())
-                                        .with(PeerHeaders.QUERY_BY, mSelf),
+                                        .with(PeerHeaders.QUERY_BY, mSelf)
+                                        .and(mIdField.apply(nextQueryId())),
                                 ByteBuffer.allocate(0)),
                         query);
         query.mExpiry = mTimers.afterReading(QUERY_TIMEOUT, () -> query.expire(call));
     }
 
+    /** Returns an id of its own for each query, so that no late answer is taken for the next. */
+    private String nextQueryId() {
+        return "query/" + mSelf + '/' + mQueriesSent++;
+    }
+
     /** A query that is open at a router. */
     private final class Query implements BackendListener {
         private final ForwardingPeer mPeer;
--- a/rhubarbward-core/src/test/java/io/rhubarbward/forward/ForwardFixture.java
+++ b/rhubarbward-core/src/test/java/io/rhubarbward/forward/ForwardFixture.java
@@ -49,7 +49,14 @@
     ReachState mReachState = ReachState.CONNECTED;
     final ForwardingPeers mPeers =
             new ForwardingPeers(
-                    "front-1", "a", ForwardFixture::routers, mBackends, () -> 7, mTimers, mEvents);
+                    "front-1",
+                    "a",
+                    ForwardFixture::routers,
+                    mBackends,
+                    id -> HeaderFields.of("id", id),
+                    () -> 7,
+                    mTimers,
+                    mEvents);
     final ForwardContext mContext;
     final ForwardingService mService;
 
--- a/rhubarbward-core/src/test/java/io/rhubarbward/forward/PeerForwardingTest.java
+++ b/rhubarbward-core/src/test/java/io/rhubarbward/forward/PeerForwardingTest.java
@@ -9,6 +9,7 @@
 import io.rhubarbward.testing.Catalogs;
 import io.rhubarbward.testing.FakeBackends;
 import java.time.Duration;
+import java.util.List;
 import java.util.Optional;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -214,6 +215,20 @@
         assertThat(mFixture.mBackends.sent()).hasSize(sent);
     }
 
+    // Guards against a late answer to an earlier query that counts as that of the next one.
+    @Test
+    void eachQueryHasAnIdOfItsOwn() {
+        mFixture.cutOff("front-2", "front-3");
+        mFixture.mTimers.advance(Duration.ofMillis(200));
+        List<Optional<String>> ids =
+                mFixture.mBackends.sent().stream()
+                        .map(query -> query.request().headers().first("id"))
+                        .toList();
+        assertThat(ids.size()).isAtLeast(4);
+        assertThat(ids).doesNotContain(Optional.empty());
+        assertThat(ids).containsNoDuplicates();
+    }
+
     @Test
     void theServersAreUsedAgainOnceTheyAreReached() {
         mFixture.cutOff("front-2");
--- a/rhubarbward-core/src/test/java/io/rhubarbward/forward/PeerGatewayTest.java
+++ b/rhubarbward-core/src/test/java/io/rhubarbward/forward/PeerGatewayTest.java
@@ -98,6 +98,27 @@
                 .isEqualTo(Optional.of("r-1"));
     }
 
+    // Guards against an answer to a query that the other router takes for that of a later one.
+    @Test
+    void theAnswerToAQueryNamesIt() {
+        RecordingResponse response = new RecordingResponse();
+        mGateway.serve(
+                new CallerRequest(
+                        "GET",
+                        "/",
+                        HeaderFields.of("router-query-by", "front-9").with("id", "q-1"),
+                        ByteBuffer.allocate(0)),
+                response);
+        assertThat(response.status()).isEqualTo(200);
+        assertThat(response.headers().first("id")).isEqualTo(Optional.of("q-1"));
+    }
+
+    @Test
+    void aQueryOfAnEarlierBuildHasNoIdAndIsAnswered() {
+        assertThat(query().status()).isEqualTo(200);
+        assertThat(query().headers().first("id")).isEmpty();
+    }
+
     @Test
     void theAttemptsThatWereUsedBeforeCount() {
         RecordingResponse response = forward("/status/1", "front-9", "1");
