--- a/rhubarbward-core/src/test/java/io/rhubarbward/forward/PeerGatewayTest.java
+++ b/rhubarbward-core/src/test/java/io/rhubarbward/forward/PeerGatewayTest.java
@@ -87,6 +87,38 @@
                 .isEqualTo(Optional.of("backend-lost 0 unknown"));
     }
 
+    // Guards against a refusal that the other router takes for that of a later request.
+    @Test
+    void eachRefusalNamesItsAttempt() {
+        RecordingResponse refused = forward("/order/1", "front-9", "2");
+        mFixture.mBackends.last().fail(BackendFailure.CONNECTION_LOST);
+        assertThat(refused.headers().first("id")).isEqualTo(Optional.of("r-1"));
+        mTakesRequests = false;
+        assertThat(forward("/order/1", "front-9", "2").headers().first("id"))
+                .isEqualTo(Optional.of("r-1"));
+    }
+
+    // Guards against an answer to a query that the other router takes for that of a later one.
+    @Test
+    void theAnswerToAQueryNamesIt() {
+        RecordingResponse response = new RecordingResponse();
+        mGateway.serve(
+                new CallerRequest(
+                        "GET",
+                        "/",
+                        HeaderFields.of("router-query-by", "front-9").with("id", "q-1"),
+                        ByteBuffer.allocate(0)),
+                response);
+        assertThat(response.status()).isEqualTo(200);
+        assertThat(response.headers().first("id")).isEqualTo(Optional.of("q-1"));
+    }
+
+    @Test
+    void aQueryOfAnEarlierBuildHasNoIdAndIsAnswered() {
+        assertThat(query().status()).isEqualTo(200);
+        assertThat(query().headers().first("id")).isEmpty();
+    }
+
     @Test
     void theAttemptsThatWereUsedBeforeCount() {
         RecordingResponse response = forward("/status/1", "front-9", "1");
