--- a/rhubarbward-net/src/main/java/io/rhubarbward/net/http/CallerConnection.java
+++ b/rhubarbward-net/src/main/java/io/rhubarbward/net/http/CallerConnection.java
@@ -30,6 +30,7 @@
 import java.util.Queue;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
+import java.util.function.Supplier;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -44,10 +45,11 @@
     private static final int MAX_PIPELINED_MESSAGES = 16;
 
     private final TimerService mTimers;
-    private final HttpLimits mLimits;
+    private final Supplier<HttpLimits> mCurrentLimits;
     private final HttpHandler mHandler;
     private final BooleanSupplier mKeepAliveDisabled;
     private final Queue<HttpObject> mPipelined = new ArrayDeque<>();
+    private HttpLimits mLimits;
     private @Nullable HttpRequest mRequestHead;
     private ByteBuf mRequestBody = Unpooled.EMPTY_BUFFER;
     private @Nullable ScheduledFuture<?> mReadTimeout;
@@ -59,16 +61,18 @@
     /**
      * Creates the handler of one connection.
      *
+     * @param limits the limits that are in force; asked for each request
      * @param keepAliveDisabled whether the connection closes after its response; asked when a
      *     response begins
      */
     CallerConnection(
             TimerService timers,
-            HttpLimits limits,
+            Supplier<HttpLimits> limits,
             HttpHandler handler,
             BooleanSupplier keepAliveDisabled) {
         mTimers = timers;
-        mLimits = limits;
+        mCurrentLimits = limits;
+        mLimits = limits.get();
         mHandler = handler;
         mKeepAliveDisabled = keepAliveDisabled;
     }
@@ -79,11 +83,21 @@
     }
 
     private void startIdleTimeout(ChannelHandlerContext context) {
+        closeAfterIdleTime(context, 0);
+    }
+
+    /** Closes the connection after the idle time in force, which may be raised until then. */
+    private void closeAfterIdleTime(ChannelHandlerContext context, long idleMillis) {
+        long maxIdleMillis = mCurrentLimits.get().idleMillis();
+        if (idleMillis > 0 && idleMillis >= maxIdleMillis) {
+            closeIfIdle(context.channel());
+            return;
+        }
         mIdleTimeout =
                 context.executor()
                         .schedule(
-                                () -> closeIfIdle(context.channel()),
-                                mLimits.idleMillis(),
+                                () -> closeAfterIdleTime(context, maxIdleMillis),
+                                maxIdleMillis - idleMillis,
                                 TimeUnit.MILLISECONDS);
     }
 
@@ -123,8 +137,13 @@
     }
 
     private void startRequest(ChannelHandlerContext context, HttpRequest head) {
+        mLimits = mCurrentLimits.get();
+        if (!mLimits.allowHead(head)) {
+            sendRefusal(context, mLimits.headTooLarge());
+            return;
+        }
         if (HttpUtil.getContentLength(head, 0L) > mLimits.maxBodyBytes()) {
-            sendRefusal(context, bodyTooLarge());
+            sendRefusal(context, mLimits.bodyTooLarge());
             return;
         }
         mRequestHead = head;
@@ -147,7 +166,7 @@
     private void appendBody(ChannelHandlerContext context, HttpContent content) {
         if (mRequestBody.readableBytes() + content.content().readableBytes()
                 > mLimits.maxBodyBytes()) {
-            sendRefusal(context, bodyTooLarge());
+            sendRefusal(context, mLimits.bodyTooLarge());
             return;
         }
         mRequestBody.writeBytes(content.content());
@@ -208,13 +227,7 @@
     }
 
     private void onReadTimeout(ChannelHandlerContext context) {
-        sendRefusal(
-                context,
-                Refusal.of(
-                        RefusalCode.REQUEST_TIMEOUT,
-                        "expected the whole request within "
-                                + mLimits.requestReadMillis()
-                                + " ms"));
+        sendRefusal(context, mLimits.requestTimeout());
     }
 
     private void discardRequest() {
@@ -227,20 +240,12 @@
         }
     }
 
-    private Refusal bodyTooLarge() {
-        return Refusal.of(
-                RefusalCode.BODY_TOO_LARGE,
-                "expected at most " + mLimits.maxBodyBytes() + " bytes");
-    }
-
     private Refusal decodeFailure(Throwable cause) {
         boolean tooLong =
                 cause instanceof TooLongHttpHeaderException
                         || cause instanceof TooLongHttpLineException;
         return tooLong
-                ? Refusal.of(
-                        RefusalCode.HEAD_TOO_LARGE,
-                        "expected at most " + mLimits.maxHeadBytes() + " bytes")
+                ? mLimits.headTooLarge()
                 : Refusal.of(RefusalCode.MALFORMED_REQUEST, "expected an HTTP/1.1 request");
     }
 
--- a/rhubarbward-net/src/main/java/io/rhubarbward/net/http/HttpListener.java
+++ b/rhubarbward-net/src/main/java/io/rhubarbward/net/http/HttpListener.java
@@ -31,7 +31,8 @@
  * }</pre>
  *
  * <p>Handlers run on the timer service's thread, socket I/O on Netty's threads. The limits are read
- * once per connection, when it is accepted.
+ * for each request, except that a head is read up to {@link #MIN_READABLE_HEAD_BYTES}, or the limit
+ * at the time when the connection was accepted if that is larger.
  */
 public final class HttpListener implements AutoCloseable {
     /** Accept backlog, large enough that a burst of connections loses no SYN packets. */
@@ -40,6 +41,12 @@
     /** Reads from one connection in one iteration of the event loop: Netty's default. */
     private static final int MAX_READS = 16;
 
+    /**
+     * Size up to which heads are read whatever their limit, so that it can be raised on an open
+     * connection: the library's decoder has one limit for good.
+     */
+    static final int MIN_READABLE_HEAD_BYTES = 65_536;
+
     private final Channel mServerChannel;
     private final ChannelGroup mConnections;
     private final AtomicBoolean mKeepAliveDisabled;
@@ -99,13 +106,12 @@
                                     @Override
                                     protected void initChannel(SocketChannel channel) {
                                         connections.add(channel);
-                                        HttpLimits currentLimits = limits.get();
                                         channel.pipeline()
-                                                .addLast(codec(currentLimits))
+                                                .addLast(codec(limits.get()))
                                                 .addLast(
                                                         new CallerConnection(
                                                                 timers,
-                                                                currentLimits,
+                                                                limits,
                                                                 handler,
                                                                 keepAliveDisabled::get));
                                     }
@@ -116,10 +122,11 @@
     }
 
     private static HttpServerCodec codec(HttpLimits limits) {
+        int readableBytes = Math.max(MIN_READABLE_HEAD_BYTES, limits.maxHeadBytes());
         return new HttpServerCodec(
                 new HttpDecoderConfig()
-                        .setMaxInitialLineLength(limits.maxHeadBytes())
-                        .setMaxHeaderSize(limits.maxHeadBytes()));
+                        .setMaxInitialLineLength(readableBytes)
+                        .setMaxHeaderSize(readableBytes));
     }
 
     /** Returns the address that the listener is bound to. */
--- a/rhubarbward-net/src/test/java/io/rhubarbward/net/http/HttpListenerTest.java
+++ b/rhubarbward-net/src/test/java/io/rhubarbward/net/http/HttpListenerTest.java
@@ -136,6 +136,58 @@
         assertThat(responses.indexOf("\"/2\"")).isLessThan(responses.indexOf("\"/3\""));
     }
 
+    /** Guards against an open connection that refuses what a new configuration allows. */
+    @Test
+    void raisedLimitsHoldForTheNextRequestOnAnOpenConnection() throws IOException {
+        try (Socket socket = open("GET /1 HTTP/1.1\r\nHost: a\r\n\r\n")) {
+            readUntil(socket, "\"/1\"");
+            mLimits = new HttpLimits(4096, 8192, READ_TIMEOUT_MILLIS, IDLE_MILLIS);
+            write(
+                    socket,
+                    "POST /2 HTTP/1.1\r\nHost: a\r\nContent-Length: 4000\r\n\r\n"
+                            + "x".repeat(4000)
+                            + "GET /3 HTTP/1.1\r\nHost: a\r\nConnection: close\r\nPad: "
+                            + "x".repeat(2000)
+                            + "\r\n\r\n");
+            socket.getInputStream().readAllBytes();
+        }
+        assertThat(mServedTargets).containsExactly("/1", "/2", "/3").inOrder();
+    }
+
+    /** Guards against an open connection that accepts what a new configuration forbids. */
+    @Test
+    void loweredLimitsHoldForTheNextRequestOnAnOpenConnection() throws IOException {
+        assertThat(afterLowerLimits("GET /" + "x".repeat(600) + " HTTP/1.1\r\nHost: a\r\n\r\n"))
+                .contains("\"code\":\"head-too-large\"");
+        assertThat(afterLowerLimits("POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 600\r\n\r\n"))
+                .contains("\"code\":\"body-too-large\"");
+    }
+
+    private String afterLowerLimits(String request) throws IOException {
+        mLimits = LONG_READ_TIMEOUT;
+        try (Socket socket = open("GET /1 HTTP/1.1\r\nHost: a\r\n\r\n")) {
+            readUntil(socket, "\"/1\"");
+            mLimits = new HttpLimits(512, 512, READ_TIMEOUT_MILLIS, IDLE_MILLIS);
+            write(socket, request);
+            return new String(socket.getInputStream().readAllBytes(), StandardCharsets.UTF_8);
+        }
+    }
+
+    private static void readUntil(Socket socket, String end) throws IOException {
+        StringBuilder read = new StringBuilder();
+        while (!read.toString().contains(end)) {
+            int next = socket.getInputStream().read();
+            if (next < 0) {
+                throw new IOException("expected " + end + " in " + read);
+            }
+            read.append((char) next);
+        }
+    }
+
+    private static void write(Socket socket, String request) throws IOException {
+        socket.getOutputStream().write(request.getBytes(StandardCharsets.UTF_8));
+    }
+
     private String responseTo(String request) throws IOException {
         try (Socket socket = open(request)) {
             return new String(socket.getInputStream().readAllBytes(), StandardCharsets.UTF_8);
@@ -145,7 +197,7 @@
     private Socket open(String request) throws IOException {
         Socket socket = new Socket(InetAddress.getLoopbackAddress(), mListener.port());
         socket.setSoTimeout(READ_TIMEOUT_MILLIS);
-        socket.getOutputStream().write(request.getBytes(StandardCharsets.UTF_8));
+        write(socket, request);
         return socket;
     }
 }
