--- a/rhubarbward-daemon/src/test/java/io/rhubarbward/daemon/RepeatedRefusalTest.java
+++ b/rhubarbward-daemon/src/test/java/io/rhubarbward/daemon/RepeatedRefusalTest.java
@@ -10,7 +10,6 @@
 import java.io.IOException;
 import java.util.List;
 import org.jspecify.annotations.Nullable;
-import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 
@@ -25,7 +24,6 @@
 
     /** Guards against the same where the connection of the refusal is free again. */
     @Test
-    @Tag("known-red")
     void aCopyOfTheFirstOfTwoRefusalsIsNotTheAnswerToTheSendThatRuns() throws IOException {
         sendToReplicaWithFormerNames(List.of("i-1", "i-2"));
     }
