Use a connection of its own for each call to an engine

What operators could see: an old load report counted as an engine's load of now, or a controller that gives up its lease (OLD_FENCE) for a refusal of an earlier order.

Cause: load reports and orders name no call, and their client keeps connections. A second answer to one call, written when the next one is due on that connection, was taken for the next one's.

Each call has a connection of its own now, on which no earlier call's answer can stand. The cost is a new connection for each poll: one a second and engine, by one router of each data centre (every five seconds for remote engines of larger sites).

--- a/rhubarbward-net/src/main/java/io/rhubarbward/net/backend/HttpEngineClient.java
+++ b/rhubarbward-net/src/main/java/io/rhubarbward/net/backend/HttpEngineClient.java
@@ -4,6 +4,8 @@
 import com.fasterxml.jackson.databind.DeserializationFeature;
 import com.fasterxml.jackson.databind.ObjectMapper;
 import com.fasterxml.jackson.databind.json.JsonMapper;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaderValues;
 import io.rhubarbward.config.BackendServer;
 import io.rhubarbward.engine.EngineClient;
 import io.rhubarbward.engine.LoadReport;
@@ -16,7 +18,12 @@
 import org.asynchttpclient.Response;
 import org.jspecify.annotations.Nullable;
 
-/** Fetches load reports from engines over HTTP: {@code GET /engine/load}. */
+/**
+ * Fetches load reports from engines over HTTP: {@code GET /engine/load}.
+ *
+ * <p>Each call has a connection of its own: reports name no call, so that an engine's second answer
+ * to one could not be told from the answer to the next.
+ */
 public final class HttpEngineClient implements EngineClient {
     private static final Duration TIMEOUT = Duration.ofSeconds(1);
     private static final long MAX_REPLY_BYTES = 65_536;
@@ -37,6 +44,7 @@
     public CompletionStage<Either<EngineFailure, LoadReport>> load(BackendServer server) {
         CompletableFuture<Either<EngineFailure, LoadReport>> result = new CompletableFuture<>();
         mClient.prepareGet("http://" + server.address() + "/engine/load")
+                .setHeader(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE)
                 .setRequestTimeout(TIMEOUT)
                 .execute(new BoundedReply(MAX_REPLY_BYTES))
                 .toCompletableFuture()
--- a/rhubarbward-net/src/main/java/io/rhubarbward/net/backend/HttpEngineOrders.java
+++ b/rhubarbward-net/src/main/java/io/rhubarbward/net/backend/HttpEngineOrders.java
@@ -4,6 +4,8 @@
 import com.fasterxml.jackson.databind.DeserializationFeature;
 import com.fasterxml.jackson.databind.ObjectMapper;
 import com.fasterxml.jackson.databind.json.JsonMapper;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaderValues;
 import io.rhubarbward.config.BackendServer;
 import io.rhubarbward.move.EngineOrder;
 import io.rhubarbward.move.EngineOrders;
@@ -18,7 +20,11 @@
 import org.asynchttpclient.Response;
 import org.jspecify.annotations.Nullable;
 
-/** Sends orders to engines and reads them back: {@code POST} and {@code GET /engine/orders}. */
+/**
+ * Sends orders to engines and reads them back: {@code POST} and {@code GET /engine/orders}.
+ *
+ * <p>Each call has a connection of its own, as those of {@link HttpEngineClient}.
+ */
 public final class HttpEngineOrders implements EngineOrders {
     private static final Duration TIMEOUT = Duration.ofSeconds(1);
     private static final long MAX_REPLY_BYTES = 65_536;
@@ -54,7 +60,8 @@
 
     private CompletionStage<Either<OrderFailure, EngineOrder>> call(BoundRequestBuilder request) {
         CompletableFuture<Either<OrderFailure, EngineOrder>> result = new CompletableFuture<>();
-        request.setRequestTimeout(TIMEOUT)
+        request.setHeader(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE)
+                .setRequestTimeout(TIMEOUT)
                 .execute(new BoundedReply(MAX_REPLY_BYTES))
                 .toCompletableFuture()
                 .whenComplete(
