--- a/rhubarbward-daemon/src/test/java/io/rhubarbward/daemon/RefusalSoakTest.java
+++ b/rhubarbward-daemon/src/test/java/io/rhubarbward/daemon/RefusalSoakTest.java
@@ -4,7 +4,6 @@
 
 import io.rhubarbward.event.EventLog;
 import java.util.stream.LongStream;
-import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.MethodSource;
@@ -28,7 +27,6 @@
     @ParameterizedTest
     @MethodSource("seeds")
     @Timeout(120)
-    @Tag("known-red")
     void callersAreToldWhatRan(long seed) throws Exception {
         RefusalSoak.Result result =
                 RefusalSoak.run(new RefusalSoak.Plan(seed, REQUESTS), EventLog.none());
