Print the counts of each seed of the refusal soak

The logger's name was below no logger that the log configuration lets through, so that -DrefusalSoak.seeds printed nothing. Seen in the test's report: no line for three seeds.

--- a/rhubarbward-daemon/src/test/java/io/rhubarbward/daemon/RefusalSoakTest.java
+++ b/rhubarbward-daemon/src/test/java/io/rhubarbward/daemon/RefusalSoakTest.java
@@ -14,7 +14,7 @@
  * <p>Other seeds by hand: {@code -DrefusalSoak.firstSeed=101 -DrefusalSoak.seeds=50}.
  */
 final class RefusalSoakTest {
-    private static final System.Logger LOGGER = System.getLogger("refusal-soak");
+    private static final System.Logger LOGGER = System.getLogger("rhubarbward.refusal-soak");
     private static final int REQUESTS = 1500;
     private static final int SEEDS = 3;
 
