Count each of several servers that a part crashes at once

Callers saw: requests with a prompt part that crashes servers came ten at a time.

Cause: crashes within 100 ms count as one, as a lost data centre ends many connections at once. A batch counted once, however many servers it took, and a part needs three crashes to be blamed.

Crashes of one moment now count each if five servers or more, most of those lost then, had the part in flight, no request with it was answered since, and ten others of the service were, over two seconds. A part that was in flight by chance is answered elsewhere; a lost service answers nobody; a router whose links broke receives nothing, and only routers that lost such requests count. An answer that goes on for a second counts, so that long streams show in time. Several requests at one server remain one crash. Blame is judged in BlameRule, moved out of CrashSuspects; new in it is how the crashes of other traits are counted beside a suspect of which each crash counts.

While builds are mixed, an earlier router that does not know the field has another digest, and is sent all suspects at most once a second.

--- a/rhubarbward-core/src/main/java/io/rhubarbward/crash/CrashSuspect.java
+++ b/rhubarbward-core/src/main/java/io/rhubarbward/crash/CrashSuspect.java
@@ -17,14 +17,16 @@
  *     with the time in Unix milliseconds
  * @param answers a sketch of the requests with the trait that were answered in full since the first
  *     crash: one bit is set for each
+ * @param otherAnswers a sketch of the requests without the trait that were answered since then
+ *     while none with it was, see {@link CoincidentCrashes}
  */
-public record CrashSuspect(long trait, Map<Long, Long> crashes, long answers) {
+public record CrashSuspect(long trait, Map<Long, Long> crashes, long answers, long otherAnswers) {
     /** Crashes kept for each trait; more add nothing to the evidence. */
     static final int MAX_CRASHES = 16;
 
     /**
-     * Time within which crashes count as one. A lost data centre or a reset VM ends many
-     * connections at once, whatever their requests are.
+     * Time within which crashes count as one, unless each counts. A lost data centre or a reset VM
+     * ends many connections at once, whatever their requests are.
      */
     private static final long SAME_EVENT_MILLIS = 100;
 
@@ -37,6 +39,11 @@
         crashes = crashes.size() <= MAX_CRASHES ? Map.copyOf(crashes) : newest(crashes);
     }
 
+    /** Creates a suspect without answers of other requests. */
+    public CrashSuspect(long trait, Map<Long, Long> crashes, long answers) {
+        this(trait, crashes, answers, 0);
+    }
+
     private static Map<Long, Long> newest(Map<Long, Long> crashes) {
         return crashes.entrySet().stream()
                 .sorted(
@@ -54,14 +61,23 @@
     CrashSuspect mergedWith(CrashSuspect other) {
         Map<Long, Long> union = new HashMap<>(crashes);
         other.crashes.forEach((server, millis) -> union.merge(server, millis, Math::min));
-        return new CrashSuspect(trait, union, answers | other.answers);
+        return new CrashSuspect(
+                trait, union, answers | other.answers, otherAnswers | other.otherAnswers);
     }
 
     CrashSuspect withAnswer(long requestHash) {
         if (Long.bitCount(answers) >= MAX_SET_BITS) {
             return this;
         }
-        return new CrashSuspect(trait, crashes, answers | 1L << (requestHash >>> 58));
+        return new CrashSuspect(trait, crashes, answers | bit(requestHash), otherAnswers);
+    }
+
+    CrashSuspect withOtherAnswer(long requestHash) {
+        return new CrashSuspect(trait, crashes, answers, otherAnswers | bit(requestHash));
+    }
+
+    private static long bit(long requestHash) {
+        return 1L << (requestHash >>> 58);
     }
 
     /**
@@ -78,7 +94,8 @@
                                 Collectors.toMap(
                                         Map.Entry::getKey,
                                         crash -> Math.min(crash.getValue(), epochMillis))),
-                answers);
+                answers,
+                otherAnswers);
     }
 
     /** Returns a hash of the observations, without the times, which may differ by the clocks. */
@@ -87,7 +104,11 @@
                 crashes.keySet().stream()
                         .sorted()
                         .map(String::valueOf)
-                        .collect(Collectors.joining("/", trait + "/" + answers + "/", "")));
+                        .collect(
+                                Collectors.joining(
+                                        "/",
+                                        trait + "/" + answers + "/",
+                                        otherAnswers == 0 ? "" : "/" + otherAnswers)));
     }
 
     long newestCrashMillis() {
@@ -100,7 +121,36 @@
 
     /** Returns the number of separate crashes, without those of the given servers. */
     int separateCrashes(Set<Long> explainedServers) {
-        return separate(crashes, explainedServers);
+        return eachCrashCounts()
+                ? (int)
+                        crashes.keySet().stream()
+                                .filter(server -> !explainedServers.contains(server))
+                                .count()
+                : separate(crashes, explainedServers);
+    }
+
+    /** Returns whether crashes of several servers at the same moment are separate ones. */
+    boolean eachCrashCounts() {
+        return Long.bitCount(otherAnswers) >= CoincidentCrashes.MIN_OTHER_ANSWERS;
+    }
+
+    /** Returns whether one of the crashes was at the same moment. */
+    boolean crashedAround(long epochMillis) {
+        return crashes.values().stream()
+                .anyMatch(millis -> Math.abs(millis - epochMillis) < SAME_EVENT_MILLIS);
+    }
+
+    /** Returns whether the same is known of the trait; times may differ by the clocks. */
+    boolean sameEvidence(CrashSuspect other) {
+        return crashes.keySet().equals(other.crashes.keySet())
+                && answers == other.answers
+                && otherAnswers == other.otherAnswers;
+    }
+
+    /** Returns whether this has evidence against the trait that the other one lacks. */
+    public boolean worseThan(CrashSuspect other) {
+        return !crashes.keySet().equals(other.crashes.keySet())
+                || (eachCrashCounts() && !other.eachCrashCounts());
     }
 
     /** Counts the crashes that are not within a moment of the one before. */
--- a/rhubarbward-core/src/main/java/io/rhubarbward/crash/CrashSuspects.java
+++ b/rhubarbward-core/src/main/java/io/rhubarbward/crash/CrashSuspects.java
@@ -10,13 +10,11 @@
 import java.util.Collection;
 import java.util.Comparator;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
 import java.util.Set;
-import java.util.stream.Collectors;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -29,12 +27,7 @@
  * }</pre>
  *
  * <p>A crash loses all requests in flight at the server, and most of them have nothing to do with
- * it. A trait is blamed once requests with it were lost in several separate crashes, and hardly any
- * were answered in between. Of the traits that the same crashes point to, the one with the fewest
- * answers is blamed and the others are not: a system prompt that occurs in each lost request also
- * occurs in those that are answered. If parts occur only together, they are blamed only together,
- * until a request with one of them tells more. Where servers crash for other reasons all the while,
- * more crashes are needed.
+ * it; {@link BlameRule} tells which trait is to blame.
  */
 public final class CrashSuspects {
     /** How long requests with a blamed trait are refused after its last crash. */
@@ -46,24 +39,6 @@
      */
     static final Duration MEMORY_TIME = BLOCK_TIME.multipliedBy(2);
 
-    /** Separate crashes from which a trait may be blamed that was lost in all of them. */
-    private static final int MIN_CRASHES = 3;
-
-    /**
-     * The same if some crashes in the meantime had nothing to do with the trait, or if several
-     * traits share the same evidence, most of which do so by chance.
-     */
-    private static final int MIN_CRASHES_IF_UNCERTAIN = 4;
-
-    /** The same if most crashes in the meantime had nothing to do with the trait. */
-    private static final int MIN_CRASHES_AMONG_OTHERS = 5;
-
-    /** Share of the crashes in the meantime below which most have nothing to do with a trait. */
-    private static final double MIN_SHARE_OF_CRASHES = 1 / 3.0;
-
-    /** Answers that outweigh one crash. */
-    private static final int ANSWERS_PER_CRASH = 3;
-
     /**
      * Time since an answer began from which its request is not suspected: requests that crash
      * servers do so when their answer begins.
@@ -83,6 +58,7 @@
     private final TimerService mTimers;
     private final EventLog mEvents;
     private final Map<Long, CrashSuspect> mSuspects = new HashMap<>();
+    private final CoincidentCrashes mCoincident = new CoincidentCrashes();
     private final List<Subscriber> mSubscribers = new ArrayList<>();
     private Set<Long> mBlamed = Set.of();
 
@@ -91,8 +67,8 @@
 
     private long mDigest;
 
-    /** Grows with each crash that is recorded for a trait. */
-    private int mKnownCrashes;
+    /** Grows whenever there is more evidence against a trait. */
+    private int mEvidenceChanges;
 
     /** Creates a registry without suspects. */
     public CrashSuspects(TimerService timers, EventLog events) {
@@ -135,24 +111,31 @@
     /**
      * Records that a server was lost during a request.
      *
+     * @param service the service of the server
      * @param server identifies the incarnation of the server
      * @param answerMillis how long the answer had been arriving; negative if it had not begun
      */
-    public void recordCrash(List<Long> traits, long server, long answerMillis) {
-        if (answerMillis > MAX_ANSWER_MILLIS) {
+    public void recordCrash(List<Long> traits, String service, long server, long answerMillis) {
+        if (outlivesSuspicion(answerMillis)) {
             return;
         }
         long epochMillis = mTimers.epochMillis();
-        notifySubscribers(
+        List<CrashSuspect> changed =
                 merge(
                         traits.stream()
                                 .map(trait -> CrashSuspect.ofCrash(trait, server, epochMillis))
-                                .toList()),
-                true);
+                                .toList());
+        mCoincident.recordLoss(traits, service, mSuspects.keySet(), mTimers.nowMillis());
+        notifySubscribers(changed, true);
+    }
+
+    /** Returns whether a request whose answer has been arriving for so long crashes no server. */
+    public static boolean outlivesSuspicion(long answerMillis) {
+        return answerMillis > MAX_ANSWER_MILLIS;
     }
 
-    /** Records that a request was answered in full. */
-    public void recordAnswer(List<Long> traits, String attemptId) {
+    /** Records that a request was answered in full, or for longer than those that are suspected. */
+    public void recordAnswer(List<Long> traits, String service, String attemptId) {
         long requestHash = RendezvousHash.hash(attemptId);
         notifySubscribers(
                 merge(
@@ -162,6 +145,16 @@
                                 .map(suspect -> suspect.withAnswer(requestHash))
                                 .toList()),
                 false);
+        List<CrashSuspect> notAnswered =
+                merge(
+                        mCoincident
+                                .notAnswered(
+                                        traits, service, mSuspects.values(), mTimers.nowMillis())
+                                .stream()
+                                .map(suspect -> suspect.withOtherAnswer(requestHash))
+                                .toList());
+        notifySubscribers(
+                notAnswered, notAnswered.stream().anyMatch(CrashSuspect::eachCrashCounts));
     }
 
     private void notifySubscribers(List<CrashSuspect> changed, boolean crashed) {
@@ -173,7 +166,7 @@
     /** Adds observations; returns the suspects that have changed. */
     public List<CrashSuspect> merge(Collection<CrashSuspect> observed) {
         long now = mTimers.epochMillis();
-        int crashesBefore = mKnownCrashes;
+        int changesBefore = mEvidenceChanges;
         List<Long> changedTraits =
                 observed.stream()
                         .map(suspect -> suspect.notAfter(now))
@@ -192,7 +185,7 @@
         boolean blamedAnswered =
                 changed.stream().anyMatch(suspect -> mBlamed.contains(suspect.trait()));
         // Answers alone never add to the evidence against a trait that is not blamed.
-        if (mKnownCrashes != crashesBefore || blamedAnswered) {
+        if (mEvidenceChanges != changesBefore || blamedAnswered) {
             updateBlamed();
         }
         return changed;
@@ -223,17 +216,16 @@
             return false;
         }
         CrashSuspect merged = known == null ? observed : known.mergedWith(observed);
-        boolean changed =
-                known == null
-                        || !known.crashes().keySet().equals(merged.crashes().keySet())
-                        || known.answers() != merged.answers();
+        boolean changed = known == null || !known.sameEvidence(merged);
         if (changed) {
             if (known != null) {
                 remove(known);
             }
             mSuspects.put(merged.trait(), merged);
             mDigest ^= merged.digest();
-            mKnownCrashes += merged.crashes().size() - (known == null ? 0 : known.crashes().size());
+            if (known == null || merged.worseThan(known)) {
+                mEvidenceChanges++;
+            }
         }
         return changed;
     }
@@ -264,88 +256,11 @@
     }
 
     private void updateBlamed() {
-        Set<Long> blamed = new HashSet<>();
-        Set<Long> explainedServers = new HashSet<>();
-        List<CrashSuspect> strongest = strongest(blamed, explainedServers);
-        while (!strongest.isEmpty()) {
-            strongest.forEach(suspect -> blamed.add(suspect.trait()));
-            strongest.forEach(suspect -> explainedServers.addAll(suspect.crashes().keySet()));
-            strongest = strongest(blamed, explainedServers);
-        }
+        Set<Long> blamed = new BlameRule(mSuspects.values()).blamed();
         blamed.stream().filter(trait -> !mBlamed.contains(trait)).forEach(this::logBlamed);
         mBlamed = blamed;
     }
 
-    /**
-     * Returns the traits with the strongest evidence that suffices to blame them; none if there is
-     * no such evidence.
-     */
-    private List<CrashSuspect> strongest(Set<Long> blamed, Set<Long> explainedServers) {
-        Comparator<CrashSuspect> byEvidence =
-                Comparator.<CrashSuspect>comparingInt(CrashSuspect::answered)
-                        .thenComparing(
-                                Comparator.<CrashSuspect>comparingInt(
-                                                suspect ->
-                                                        suspect.separateCrashes(explainedServers))
-                                        .reversed())
-                        .thenComparing(
-                                Comparator.<CrashSuspect>comparingLong(
-                                                suspect ->
-                                                        RequestTraits.specificity(suspect.trait()))
-                                        .reversed());
-        List<CrashSuspect> candidates =
-                mSuspects.values().stream()
-                        .filter(suspect -> suspect.crashes().size() >= MIN_CRASHES)
-                        .filter(suspect -> !blamed.contains(suspect.trait()))
-                        .filter(suspect -> hasEnoughCrashes(suspect, explainedServers))
-                        .sorted(byEvidence)
-                        .toList();
-        if (candidates.isEmpty()) {
-            return candidates;
-        }
-        CrashSuspect best = candidates.get(0);
-        List<CrashSuspect> tied =
-                candidates.stream()
-                        .filter(suspect -> byEvidence.compare(suspect, best) == 0)
-                        .toList();
-        return tied.size() == 1
-                        || best.separateCrashes(explainedServers) >= MIN_CRASHES_IF_UNCERTAIN
-                ? tied
-                : List.of();
-    }
-
-    private boolean hasEnoughCrashes(CrashSuspect suspect, Set<Long> explainedServers) {
-        int crashes = suspect.separateCrashes(explainedServers);
-        double crashesNotOutweighed = crashes - suspect.answered() / (double) ANSWERS_PER_CRASH;
-        if (crashesNotOutweighed < MIN_CRASHES) {
-            return false;
-        }
-        int crashesMeanwhile = crashesDuring(suspect, explainedServers);
-        int required;
-        if (crashes == crashesMeanwhile) {
-            required = MIN_CRASHES;
-        } else if (crashes >= MIN_SHARE_OF_CRASHES * crashesMeanwhile) {
-            required = MIN_CRASHES_IF_UNCERTAIN;
-        } else {
-            required = MIN_CRASHES_AMONG_OTHERS;
-        }
-        return crashesNotOutweighed >= required;
-    }
-
-    /** Returns the number of separate crashes from the suspect's first one to its newest. */
-    private int crashesDuring(CrashSuspect suspect, Set<Long> explainedServers) {
-        long first = suspect.crashes().values().stream().mapToLong(Long::longValue).min().orElse(0);
-        Map<Long, Long> during =
-                mSuspects.values().stream()
-                        .flatMap(other -> other.crashes().entrySet().stream())
-                        .filter(crash -> crash.getValue() >= first)
-                        .filter(crash -> crash.getValue() <= suspect.newestCrashMillis())
-                        .collect(
-                                Collectors.toMap(
-                                        Map.Entry::getKey, Map.Entry::getValue, Math::min));
-        return CrashSuspect.separate(during, explainedServers);
-    }
-
     private void logBlamed(long trait) {
         CrashSuspect suspect = Objects.requireNonNull(mSuspects.get(trait));
         mEvents.log(
--- a/rhubarbward-core/src/main/java/io/rhubarbward/forward/ServerCall.java
+++ b/rhubarbward-core/src/main/java/io/rhubarbward/forward/ServerCall.java
@@ -1,5 +1,6 @@
 package io.rhubarbward.forward;
 
+import io.rhubarbward.crash.CrashSuspects;
 import io.rhubarbward.event.EventField;
 import io.rhubarbward.event.LogEvent;
 import io.rhubarbward.placement.SendResult;
@@ -42,6 +43,7 @@
     private long mFirstByteMillis = NO_FIRST_BYTE;
     private long mBytesAfterFirstPart;
     private boolean mTimed;
+    private boolean mSurvived;
     private long mAnswerBegunMillis = NOT_BEGUN;
     private EventStreamFraming mFraming = new EventStreamFraming(HeaderFields.NONE);
     private @Nullable DiscardedBody mDiscardedBody;
@@ -239,6 +241,10 @@
                     time(sinceSentMillis);
                 }
             }
+            if (mStatus < MIN_SERVER_ERROR_STATUS
+                    && CrashSuspects.outlivesSuspicion(answerMillis())) {
+                recordSurvived();
+            }
             mFraming.read(part);
             mListener.onPart(part);
         }
@@ -254,14 +260,25 @@
         SendResult result =
                 mStatus >= MIN_SERVER_ERROR_STATUS ? SendResult.SERVER_ERROR : SendResult.ANSWERED;
         if (end(result)) {
-            if (result == SendResult.ANSWERED && !mContext.crashSuspects().empty()) {
-                mContext.crashSuspects()
-                        .recordAnswer(mRequest.traits(), mRequest.metadata().attemptId());
+            if (result == SendResult.ANSWERED) {
+                recordSurvived();
             }
             mListener.onComplete();
         }
     }
 
+    /** Records, once, that the request did not crash the server when its answer began. */
+    private void recordSurvived() {
+        if (!mSurvived && !mContext.crashSuspects().empty()) {
+            mSurvived = true;
+            mContext.crashSuspects()
+                    .recordAnswer(
+                            mRequest.traits(),
+                            mServer.server().service(),
+                            mRequest.metadata().attemptId());
+        }
+    }
+
     private void endDiscardedBody() {
         if (mDiscardedBody != null) {
             mDiscardedBody.onEnd();
@@ -311,6 +328,7 @@
                                     mContext.crashSuspects()
                                             .recordCrash(
                                                     mRequest.traits(),
+                                                    mServer.server().service(),
                                                     mServer.incarnation(),
                                                     answerMillis));
         }
--- a/rhubarbward-core/src/main/java/io/rhubarbward/relay/SuspectExchange.java
+++ b/rhubarbward-core/src/main/java/io/rhubarbward/relay/SuspectExchange.java
@@ -93,14 +93,14 @@
         List<CrashSuspect> toSend =
                 fromAggregator(sender) ? unknownTo(news.suspects(), changed) : changed;
         if (!toSend.isEmpty()) {
-            boolean crashed = toSend.stream().anyMatch(suspect -> hasNewCrash(suspect, known));
+            boolean crashed = toSend.stream().anyMatch(suspect -> isWorse(suspect, known));
             sendAfter(crashed ? SEND_DELAY : ANSWERS_SEND_DELAY, toSend);
         }
     }
 
-    private static boolean hasNewCrash(CrashSuspect suspect, Map<Long, CrashSuspect> known) {
+    private static boolean isWorse(CrashSuspect suspect, Map<Long, CrashSuspect> known) {
         CrashSuspect before = known.get(suspect.trait());
-        return before == null || !before.crashes().keySet().equals(suspect.crashes().keySet());
+        return before == null || suspect.worseThan(before);
     }
 
     private boolean fromAggregator(String sender) {
--- a/rhubarbward-core/src/test/java/io/rhubarbward/crash/CrashSuspectsTest.java
+++ b/rhubarbward-core/src/test/java/io/rhubarbward/crash/CrashSuspectsTest.java
@@ -15,6 +15,8 @@
 import org.junit.jupiter.params.provider.ValueSource;
 
 final class CrashSuspectsTest {
+    private static final String SERVICE = "chat";
+
     private final VirtualTimerService mTimers = new VirtualTimerService();
     private final CrashSuspects mSuspects = suspects();
 
@@ -29,7 +31,7 @@
     }
 
     private void crash(CrashSuspects suspects, int server, String... parts) {
-        suspects.recordCrash(traits(parts), server, 40);
+        suspects.recordCrash(traits(parts), SERVICE, server, 40);
         mTimers.advance(Duration.ofSeconds(1));
     }
 
@@ -63,16 +65,102 @@
         for (int server = 0; server < 4; server++) {
             crash(mSuspects, server, "sys-" + server, "hot");
             for (int answer = 0; answer < 4; answer++) {
-                mSuspects.recordAnswer(traits("hot"), "q-" + server + "-" + answer);
+                mSuspects.recordAnswer(traits("hot"), SERVICE, "q-" + server + "-" + answer);
             }
         }
         assertThat(mSuspects.blockedMillis(traits("hot"))).isEqualTo(0);
     }
 
+    private void crashTogether(int servers, String... parts) {
+        for (int server = 0; server < servers; server++) {
+            mSuspects.recordCrash(traits(parts), SERVICE, server, 0);
+        }
+    }
+
+    /** Answers requests of a service for some seconds, ten a second. */
+    private void answer(int seconds, String service, String part) {
+        for (int answer = 0; answer < 10 * seconds; answer++) {
+            mTimers.advance(Duration.ofMillis(100));
+            mSuspects.recordAnswer(traits(part), service, part + "-" + answer);
+        }
+    }
+
+    private boolean blocks(String part) {
+        return mSuspects.blockedMillis(traits(part)) > 0;
+    }
+
+    // Guards against counting the crashes of several servers within 100 ms as one crash.
+    @Test
+    void serversThatCrashAtTheSameTimeCountEachIfOnlyOtherRequestsAreAnsweredAfterwards() {
+        crashTogether(5, "bad");
+        assertThat(blocks("bad")).isFalse();
+        answer(3, SERVICE, "sys");
+        assertThat(blocks("bad")).isTrue();
+        assertThat(blocks("sys")).isFalse();
+    }
+
+    @Test
+    void requestsLostAtOneServerAreOneCrash() {
+        for (int request = 0; request < 20; request++) {
+            mSuspects.recordCrash(traits("bad"), SERVICE, request % 4, 0);
+        }
+        answer(3, SERVICE, "sys");
+        assertThat(blocks("bad")).isFalse();
+    }
+
+    // The loss of a whole service must not block what was in flight there.
+    @Test
+    void answersOfOtherServicesSayNothingOfServersThatAreLostTogether() {
+        crashTogether(12, "common");
+        answer(5, "other", "sys");
+        assertThat(blocks("common")).isFalse();
+    }
+
+    @Test
+    void aPartThatIsAnsweredDidNotCrashTheServersThatAreLostTogether() {
+        crashTogether(5, "common");
+        answer(1, SERVICE, "common");
+        answer(5, SERVICE, "sys");
+        assertThat(blocks("common")).isFalse();
+    }
+
+    @Test
+    void aPartOfTheFewerServersDidNotCrashAllThatAreLostTogether() {
+        crashTogether(5, "rare");
+        for (int server = 10; server < 15; server++) {
+            mSuspects.recordCrash(traits("sys-" + server), SERVICE, server, 0);
+        }
+        answer(5, SERVICE, "sys");
+        assertThat(blocks("rare")).isFalse();
+    }
+
+    // A router whose own links broke has no answers to judge by; others tell it what they saw.
+    @Test
+    void onlyARouterThatLostRequestsJudgesServersThatAreLostTogether() {
+        CrashSuspects source = suspects();
+        List<CrashSuspect> observations = new ArrayList<>();
+        source.subscribe((changed, crashed) -> observations.addAll(changed));
+        for (int server = 0; server < 5; server++) {
+            source.recordCrash(traits("bad"), SERVICE, server, 0);
+        }
+        mSuspects.merge(observations);
+        answer(5, SERVICE, "sys");
+        assertThat(blocks("bad")).isFalse();
+        for (int answer = 0; answer < 30; answer++) {
+            mTimers.advance(Duration.ofMillis(100));
+            source.recordAnswer(traits("sys"), SERVICE, "q-" + answer);
+        }
+        mSuspects.merge(observations);
+        assertThat(blocks("bad")).isTrue();
+        long part = traits("bad").get(0);
+        assertThat(mSuspects.find(part)).isEqualTo(source.find(part));
+    }
+
     @Test
     void aCallerWhoInventsPartsTakesBoundedMemory() {
         for (int request = 0; request < 2000; request++) {
-            mSuspects.recordCrash(traits("invented-" + request, "other-" + request), request, 40);
+            mSuspects.recordCrash(
+                    traits("invented-" + request, "other-" + request), SERVICE, request, 40);
         }
         assertThat(mSuspects.all().size()).isAtMost(256);
     }
@@ -86,7 +174,7 @@
         source.subscribe((changed, crashed) -> observations.addAll(changed));
         for (int server = 0; server < 4; server++) {
             crash(source, server, "sys-1", "bad");
-            source.recordAnswer(traits("sys-1", "doc"), "q-" + server);
+            source.recordAnswer(traits("sys-1", "doc"), SERVICE, "q-" + server);
         }
         observations.addAll(List.copyOf(observations));
         Collections.shuffle(observations, new Random(seed));
--- a/rhubarbward-net/src/main/java/io/rhubarbward/gen/fleet/CrashSuspectStruct.java
+++ b/rhubarbward-net/src/main/java/io/rhubarbward/gen/fleet/CrashSuspectStruct.java
@@ -13,6 +13,7 @@
   private static final org.apache.thrift.protocol.TField TRAIT_FIELD_DESC = new org.apache.thrift.protocol.TField("trait", org.apache.thrift.protocol.TType.I64, (short)1);
   private static final org.apache.thrift.protocol.TField CRASHES_FIELD_DESC = new org.apache.thrift.protocol.TField("crashes", org.apache.thrift.protocol.TType.MAP, (short)2);
   private static final org.apache.thrift.protocol.TField ANSWERS_FIELD_DESC = new org.apache.thrift.protocol.TField("answers", org.apache.thrift.protocol.TType.I64, (short)3);
+  private static final org.apache.thrift.protocol.TField OTHER_ANSWERS_FIELD_DESC = new org.apache.thrift.protocol.TField("otherAnswers", org.apache.thrift.protocol.TType.I64, (short)4);
 
   private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY = new CrashSuspectStructStandardSchemeFactory();
   private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY = new CrashSuspectStructTupleSchemeFactory();
@@ -20,12 +21,14 @@
   private long trait; // required
   private @org.apache.thrift.annotation.Nullable java.util.Map<java.lang.Long,java.lang.Long> crashes; // required
   private long answers; // required
+  private long otherAnswers; // optional
 
   /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
   public enum _Fields implements org.apache.thrift.TFieldIdEnum {
     TRAIT((short)1, "trait"),
     CRASHES((short)2, "crashes"),
-    ANSWERS((short)3, "answers");
+    ANSWERS((short)3, "answers"),
+    OTHER_ANSWERS((short)4, "otherAnswers");
 
     private static final java.util.Map<java.lang.String, _Fields> byName = new java.util.HashMap<java.lang.String, _Fields>();
 
@@ -47,6 +50,8 @@
           return CRASHES;
         case 3: // ANSWERS
           return ANSWERS;
+        case 4: // OTHER_ANSWERS
+          return OTHER_ANSWERS;
         default:
           return null;
       }
@@ -92,7 +97,9 @@
   // isset id assignments
   private static final int __TRAIT_ISSET_ID = 0;
   private static final int __ANSWERS_ISSET_ID = 1;
+  private static final int __OTHERANSWERS_ISSET_ID = 2;
   private byte __isset_bitfield = 0;
+  private static final _Fields optionals[] = {_Fields.OTHER_ANSWERS};
   public static final java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> metaDataMap;
   static {
     java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> tmpMap = new java.util.EnumMap<_Fields, org.apache.thrift.meta_data.FieldMetaData>(_Fields.class);
@@ -104,6 +111,8 @@
             new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64))));
     tmpMap.put(_Fields.ANSWERS, new org.apache.thrift.meta_data.FieldMetaData("answers", org.apache.thrift.TFieldRequirementType.REQUIRED, 
         new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
+    tmpMap.put(_Fields.OTHER_ANSWERS, new org.apache.thrift.meta_data.FieldMetaData("otherAnswers", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
+        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
     metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
     org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(CrashSuspectStruct.class, metaDataMap);
   }
@@ -135,6 +144,7 @@
       this.crashes = __this__crashes;
     }
     this.answers = other.answers;
+    this.otherAnswers = other.otherAnswers;
   }
 
   @Override
@@ -149,6 +159,8 @@
     this.crashes = null;
     setAnswersIsSet(false);
     this.answers = 0;
+    setOtherAnswersIsSet(false);
+    this.otherAnswers = 0;
   }
 
   public long getTrait() {
@@ -233,6 +245,29 @@
     __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __ANSWERS_ISSET_ID, value);
   }
 
+  public long getOtherAnswers() {
+    return this.otherAnswers;
+  }
+
+  public CrashSuspectStruct setOtherAnswers(long otherAnswers) {
+    this.otherAnswers = otherAnswers;
+    setOtherAnswersIsSet(true);
+    return this;
+  }
+
+  public void unsetOtherAnswers() {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __OTHERANSWERS_ISSET_ID);
+  }
+
+  /** Returns true if field otherAnswers is set (has been assigned a value) and false otherwise */
+  public boolean isSetOtherAnswers() {
+    return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __OTHERANSWERS_ISSET_ID);
+  }
+
+  public void setOtherAnswersIsSet(boolean value) {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __OTHERANSWERS_ISSET_ID, value);
+  }
+
   @Override
   public void setFieldValue(_Fields field, @org.apache.thrift.annotation.Nullable java.lang.Object value) {
     switch (field) {
@@ -260,6 +295,14 @@
       }
       break;
 
+    case OTHER_ANSWERS:
+      if (value == null) {
+        unsetOtherAnswers();
+      } else {
+        setOtherAnswers((java.lang.Long)value);
+      }
+      break;
+
     }
   }
 
@@ -276,6 +319,9 @@
     case ANSWERS:
       return getAnswers();
 
+    case OTHER_ANSWERS:
+      return getOtherAnswers();
+
     }
     throw new java.lang.IllegalStateException();
   }
@@ -294,6 +340,8 @@
       return isSetCrashes();
     case ANSWERS:
       return isSetAnswers();
+    case OTHER_ANSWERS:
+      return isSetOtherAnswers();
     }
     throw new java.lang.IllegalStateException();
   }
@@ -338,6 +386,15 @@
         return false;
     }
 
+    boolean this_present_otherAnswers = true && this.isSetOtherAnswers();
+    boolean that_present_otherAnswers = true && that.isSetOtherAnswers();
+    if (this_present_otherAnswers || that_present_otherAnswers) {
+      if (!(this_present_otherAnswers && that_present_otherAnswers))
+        return false;
+      if (this.otherAnswers != that.otherAnswers)
+        return false;
+    }
+
     return true;
   }
 
@@ -353,6 +410,10 @@
 
     hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(answers);
 
+    hashCode = hashCode * 8191 + ((isSetOtherAnswers()) ? 131071 : 524287);
+    if (isSetOtherAnswers())
+      hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(otherAnswers);
+
     return hashCode;
   }
 
@@ -394,6 +455,16 @@
         return lastComparison;
       }
     }
+    lastComparison = java.lang.Boolean.compare(isSetOtherAnswers(), other.isSetOtherAnswers());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetOtherAnswers()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.otherAnswers, other.otherAnswers);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
     return 0;
   }
 
@@ -433,6 +504,12 @@
     sb.append("answers:");
     sb.append(this.answers);
     first = false;
+    if (isSetOtherAnswers()) {
+      if (!first) sb.append(", ");
+      sb.append("otherAnswers:");
+      sb.append(this.otherAnswers);
+      first = false;
+    }
     sb.append(")");
     return sb.toString();
   }
@@ -521,6 +598,14 @@
               org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
             break;
+          case 4: // OTHER_ANSWERS
+            if (schemeField.type == org.apache.thrift.protocol.TType.I64) {
+              struct.otherAnswers = iprot.readI64();
+              struct.setOtherAnswersIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
+            }
+            break;
           default:
             org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
         }
@@ -562,6 +647,11 @@
       oprot.writeFieldBegin(ANSWERS_FIELD_DESC);
       oprot.writeI64(struct.answers);
       oprot.writeFieldEnd();
+      if (struct.isSetOtherAnswers()) {
+        oprot.writeFieldBegin(OTHER_ANSWERS_FIELD_DESC);
+        oprot.writeI64(struct.otherAnswers);
+        oprot.writeFieldEnd();
+      }
       oprot.writeFieldStop();
       oprot.writeStructEnd();
     }
@@ -590,6 +680,14 @@
         }
       }
       oprot.writeI64(struct.answers);
+      java.util.BitSet optionals = new java.util.BitSet();
+      if (struct.isSetOtherAnswers()) {
+        optionals.set(0);
+      }
+      oprot.writeBitSet(optionals, 1);
+      if (struct.isSetOtherAnswers()) {
+        oprot.writeI64(struct.otherAnswers);
+      }
     }
 
     @Override
@@ -612,6 +710,11 @@
       struct.setCrashesIsSet(true);
       struct.answers = iprot.readI64();
       struct.setAnswersIsSet(true);
+      java.util.BitSet incoming = iprot.readBitSet(1);
+      if (incoming.get(0)) {
+        struct.otherAnswers = iprot.readI64();
+        struct.setOtherAnswersIsSet(true);
+      }
     }
   }
 
--- a/rhubarbward-net/src/main/java/io/rhubarbward/net/peer/RelayCodecs.java
+++ b/rhubarbward-net/src/main/java/io/rhubarbward/net/peer/RelayCodecs.java
@@ -247,11 +247,20 @@
     }
 
     private static CrashSuspectStruct toStruct(CrashSuspect suspect) {
-        return new CrashSuspectStruct(suspect.trait(), suspect.crashes(), suspect.answers());
+        CrashSuspectStruct struct =
+                new CrashSuspectStruct(suspect.trait(), suspect.crashes(), suspect.answers());
+        // An earlier build writes no such field, and its frames must be the same.
+        return suspect.otherAnswers() == 0
+                ? struct
+                : struct.setOtherAnswers(suspect.otherAnswers());
     }
 
     private static CrashSuspect fromStruct(CrashSuspectStruct struct) {
-        return new CrashSuspect(struct.getTrait(), struct.getCrashes(), struct.getAnswers());
+        return new CrashSuspect(
+                struct.getTrait(),
+                struct.getCrashes(),
+                struct.getAnswers(),
+                struct.getOtherAnswers());
     }
 
     private static ObjectStateStruct toStruct(ObjectState object) {
--- a/rhubarbward-net/src/main/thrift/fleet.thrift
+++ b/rhubarbward-net/src/main/thrift/fleet.thrift
@@ -88,6 +88,8 @@
   2: required map<i64, i64> crashes;
   // One bit for each request that was answered in full.
   3: required i64 answers;
+  // The same for requests without the trait, while none with it was answered.
+  4: optional i64 otherAnswers;
 }
 
 struct SuspectNewsStruct {
--- a/rhubarbward-net/src/test/java/io/rhubarbward/net/peer/PeerFrameCodecTest.java
+++ b/rhubarbward-net/src/test/java/io/rhubarbward/net/peer/PeerFrameCodecTest.java
@@ -63,7 +63,10 @@
                 new LoadReport(3, -9, Map.of(-5, 2), LIMITS, VERSIONS),
                 new LoadTotals(3, -9, Map.of(-5, 2, 9, 1), LIMITS, VERSIONS),
                 new DataCentreLoad("entry-2", 80, true, -9, Map.of(9, 1), LIMITS, VERSIONS),
-                new SuspectNews(List.of(new CrashSuspect(-4, Map.of(-8L, 5L), 3))));
+                new SuspectNews(
+                        List.of(
+                                new CrashSuspect(-4, Map.of(-8L, 5L), 3),
+                                new CrashSuspect(-8, Map.of(-8L, 5L), 0, 6))));
     }
 
     @ParameterizedTest
