Keep to what brittle servers say until they no longer do

Cause: BrittleService forgot the statement three seconds after the last answer that made it. Without requests there are no answers, so that routers sent as to sound servers and repeated what was declined.

Servers that are brittle say so in all their answers, so that only an answer without the statement ends it. One that comes within three seconds of the last statement may be from before it, and is ignored.

--- a/rhubarbward-core/src/main/java/io/rhubarbward/placement/BrittleService.java
+++ b/rhubarbward-core/src/main/java/io/rhubarbward/placement/BrittleService.java
@@ -4,34 +4,37 @@
 
 /**
  * Whether the servers of a service fall over when they must decline many requests, as they say in
- * their answers.
+ * all their answers.
  *
  * <p>What one server says holds for all of the service: one that has just started has not answered
- * yet.
+ * yet. It holds until answers no longer say so, however long no request is sent.
  */
 final class BrittleService {
-    /** Time since the last statement after which the servers are no longer brittle. */
-    private static final long HELD_MILLIS = 3000;
+    /** Time since the last statement in which answers without one may have been given before it. */
+    private static final long LATE_ANSWER_MILLIS = 3000;
 
-    private double mDeclinesPerSecond;
-    private long mStatedMillis = Long.MIN_VALUE / 2;
+    private OptionalDouble mDeclinesPerSecond = OptionalDouble.empty();
+    private long mStatedMillis;
 
     /**
-     * Records a statement.
+     * Records what an answer says.
      *
-     * @param declinesPerSecond requests a second that each server can decline; NaN changes nothing
+     * @param declinesPerSecond requests a second that each server can decline; empty if the answer
+     *     does not say that servers are brittle, NaN changes nothing
      */
-    void state(double declinesPerSecond, long nowMillis) {
-        if (!Double.isNaN(declinesPerSecond)) {
+    void recordAnswer(OptionalDouble declinesPerSecond, long nowMillis) {
+        if (declinesPerSecond.isEmpty()) {
+            if (nowMillis - mStatedMillis >= LATE_ANSWER_MILLIS) {
+                mDeclinesPerSecond = OptionalDouble.empty();
+            }
+        } else if (!Double.isNaN(declinesPerSecond.getAsDouble())) {
             mDeclinesPerSecond = declinesPerSecond;
             mStatedMillis = nowMillis;
         }
     }
 
-    /** Returns what was stated last; empty if that was long ago. */
-    OptionalDouble declinesPerSecond(long nowMillis) {
-        return nowMillis - mStatedMillis < HELD_MILLIS
-                ? OptionalDouble.of(mDeclinesPerSecond)
-                : OptionalDouble.empty();
+    /** Returns what was stated last; empty if the servers are not brittle. */
+    OptionalDouble declinesPerSecond() {
+        return mDeclinesPerSecond;
     }
 }
--- a/rhubarbward-core/src/main/java/io/rhubarbward/placement/ServerTable.java
+++ b/rhubarbward-core/src/main/java/io/rhubarbward/placement/ServerTable.java
@@ -113,7 +113,7 @@
         OptionalDouble before = brittlePerSecond(service);
         BrittleService brittle =
                 mBrittleServices.computeIfAbsent(service, name -> new BrittleService());
-        perSecond.ifPresent(declines -> brittle.state(declines, mTimers.nowMillis()));
+        brittle.recordAnswer(perSecond, mTimers.nowMillis());
         OptionalDouble after = brittlePerSecond(service);
         if (!after.equals(before)) {
             mEvents.log(
@@ -131,9 +131,7 @@
      */
     OptionalDouble brittlePerSecond(String service) {
         BrittleService brittle = mBrittleServices.get(service);
-        return brittle == null
-                ? OptionalDouble.empty()
-                : brittle.declinesPerSecond(mTimers.nowMillis());
+        return brittle == null ? OptionalDouble.empty() : brittle.declinesPerSecond();
     }
 
     /** Records that a server that declined a request wants no other one for a time. */
