--- a/rhubarbward-standin/src/main/java/io/rhubarbward/standin/fleet/SampleConfig.java
+++ b/rhubarbward-standin/src/main/java/io/rhubarbward/standin/fleet/SampleConfig.java
@@ -20,6 +20,8 @@
              "routes":[
               {"name":"plain","host":"127.0.0.1","pathPrefix":"/plain/","kind":"non_idempotent",
                "timeoutMs":4000,"targetLatencyMs":300,"service":"orders","maxAttempts":1},
+              {"name":"repeat","host":"127.0.0.1","pathPrefix":"/repeat/","kind":"idempotent",
+               "timeoutMs":4000,"targetLatencyMs":300,"service":"orders","maxAttempts":3},
               {"name":"stream","host":"127.0.0.1","pathPrefix":"/stream/","kind":"streaming",
                "timeoutMs":4000,"targetLatencyMs":300,"service":"chat","maxAttempts":1}],
              "services":[
@@ -33,10 +35,15 @@
 
     private SampleConfig() {}
 
+    /** Writes the configuration into the store, and no server objects. */
+    public static void writeTo(StoreStandin store) {
+        store.put("config", "main", JSON_TEMPLATE.formatted(API_KEY));
+    }
+
     /** Writes the configuration and one server object per replica into the store. */
     public static void writeTo(
             StoreStandin store, ReplicaStandin plainReplica, ReplicaStandin engineReplica) {
-        store.put("config", "main", JSON_TEMPLATE.formatted(API_KEY));
+        writeTo(store);
         store.put("servers", plainReplica.id(), plainReplica.serverSpec(PLAIN_SERVICE, "a"));
         store.put("servers", engineReplica.id(), engineReplica.serverSpec(ENGINE_SERVICE, "a"));
     }
