--- a/rhubarbward-core/src/main/java/io/rhubarbward/forward/PeerGateway.java
+++ b/rhubarbward-core/src/main/java/io/rhubarbward/forward/PeerGateway.java
@@ -67,9 +67,9 @@
     /** Answers a query, or serves a forwarded request. */
     public CallerListener serve(CallerRequest request, CallerResponse response) {
         if (request.headers().first(PeerHeaders.QUERY_BY).isPresent()) {
-            return answerQuery(response);
+            return answerQuery(request, response);
         }
-        PeerResponse peerResponse = new PeerResponse(response);
+        PeerResponse peerResponse = new PeerResponse(response, attemptId(request));
         Optional<String> router =
                 request.headers().first(PeerHeaders.FORWARDED_BY).filter(mIsRouter);
         boolean current = number(request, PeerHeaders.CATALOG_VERSION) <= version();
@@ -93,18 +93,27 @@
                 origin);
     }
 
-    private CallerListener answerQuery(CallerResponse response) {
+    private CallerListener answerQuery(CallerRequest query, CallerResponse response) {
         response.begin(
                 willing() ? OK : SERVICE_UNAVAILABLE,
                 HeaderFields.of("content-length", "0")
                         .with(PeerHeaders.CATALOG_VERSION, Long.toString(version()))
                         .with(
                                 PeerHeaders.OPEN_REQUESTS,
-                                Integer.toString(mForwarding.openRequests())));
+                                Integer.toString(mForwarding.openRequests()))
+                        .and(attemptId(query)));
         response.finish();
         return ForwardingService.NO_OP_LISTENER;
     }
 
+    /** Returns the field by which the answer names the request; none if the request has no id. */
+    private HeaderFields attemptId(CallerRequest request) {
+        return mContext.dialect()
+                .read(request)
+                .map(metadata -> mContext.dialect().attemptId(metadata.attemptId()))
+                .getOrElse(HeaderFields.NONE);
+    }
+
     private CallerListener refuse(PeerResponse response, Refusal refusal) {
         response.refuse(refusal, mContext.dialect()::retryAfter);
         return ForwardingService.NO_OP_LISTENER;
@@ -128,8 +137,13 @@
                 .orElse(0L);
     }
 
-    /** The response to another router; marks this router's own refusals. */
-    private record PeerResponse(CallerResponse delegate) implements CallerResponse {
+    /**
+     * The response to another router; marks this router's own refusals.
+     *
+     * @param attemptId the header field that names the request
+     */
+    private record PeerResponse(CallerResponse delegate, HeaderFields attemptId)
+            implements CallerResponse {
         @Override
         public void begin(int status, HeaderFields headers) {
             delegate.begin(status, PeerHeaders.strip(headers));
@@ -170,7 +184,8 @@
             delegate.begin(
                     refusal.code().status(),
                     HeaderFields.of("content-length", "0")
-                            .with(PeerHeaders.REFUSAL, marked.encode()));
+                            .with(PeerHeaders.REFUSAL, marked.encode())
+                            .and(attemptId));
             delegate.finish();
         }
     }
--- a/rhubarbward-daemon/src/main/java/io/rhubarbward/cli/Main.java
+++ b/rhubarbward-daemon/src/main/java/io/rhubarbward/cli/Main.java
@@ -33,6 +33,13 @@
 
     /** Runs the command and exits with its {@link ExitCode}. */
     public static void main(String[] arguments) {
+        // Threads that the command started would keep the process when this one fails.
+        Thread.currentThread()
+                .setUncaughtExceptionHandler(
+                        (thread, cause) -> {
+                            cause.printStackTrace();
+                            System.exit(ExitCode.FAILED.status());
+                        });
         System.exit(run(Console.system(), arguments).status());
     }
 
--- a/rhubarbward-net/src/main/java/io/rhubarbward/net/http/CallerConnection.java
+++ b/rhubarbward-net/src/main/java/io/rhubarbward/net/http/CallerConnection.java
@@ -26,10 +26,12 @@
 import io.rhubarbward.request.Refusal;
 import io.rhubarbward.request.RefusalCode;
 import io.rhubarbward.timer.TimerService;
+import java.nio.ByteBuffer;
 import java.util.ArrayDeque;
 import java.util.Queue;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
+import java.util.function.Supplier;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -43,13 +45,21 @@
     /** Parts of requests that are read ahead, each of at most 8 KB. */
     private static final int MAX_PIPELINED_MESSAGES = 16;
 
+    /** Time after which a refused request may find room for its body. */
+    private static final long BODY_MEMORY_RETRY_MILLIS = 1000;
+
     private final TimerService mTimers;
-    private final HttpLimits mLimits;
+    private final Supplier<HttpLimits> mCurrentLimits;
     private final HttpHandler mHandler;
     private final BooleanSupplier mKeepAliveDisabled;
     private final Queue<HttpObject> mPipelined = new ArrayDeque<>();
+    private final RequestBodyMemory.Reservation mBodyMemory;
+    private HttpLimits mLimits;
     private @Nullable HttpRequest mRequestHead;
     private ByteBuf mRequestBody = Unpooled.EMPTY_BUFFER;
+    // Whether the rest of the body of a refused request is being read and dropped.
+    private boolean mDiscarding;
+    private long mDiscardedBytes;
     private @Nullable ScheduledFuture<?> mReadTimeout;
     private @Nullable NettyResponse mResponse;
     private @Nullable ScheduledFuture<?> mIdleTimeout;
@@ -59,16 +69,21 @@
     /**
      * Creates the handler of one connection.
      *
+     * @param limits the limits that are in force; asked for each request
+     * @param bodyMemory where the bodies of requests find room
      * @param keepAliveDisabled whether the connection closes after its response; asked when a
      *     response begins
      */
     CallerConnection(
             TimerService timers,
-            HttpLimits limits,
+            Supplier<HttpLimits> limits,
+            RequestBodyMemory bodyMemory,
             HttpHandler handler,
             BooleanSupplier keepAliveDisabled) {
         mTimers = timers;
-        mLimits = limits;
+        mCurrentLimits = limits;
+        mBodyMemory = bodyMemory.reservation();
+        mLimits = limits.get();
         mHandler = handler;
         mKeepAliveDisabled = keepAliveDisabled;
     }
@@ -79,23 +94,45 @@
     }
 
     private void startIdleTimeout(ChannelHandlerContext context) {
+        cancelIdleTimeout();
+        closeAfterIdleTime(context, 0);
+    }
+
+    private void cancelIdleTimeout() {
+        if (mIdleTimeout != null) {
+            mIdleTimeout.cancel(false);
+            mIdleTimeout = null;
+        }
+    }
+
+    /** Closes the connection after the idle time in force, which may be raised until then. */
+    private void closeAfterIdleTime(ChannelHandlerContext context, long idleMillis) {
+        long maxIdleMillis = mCurrentLimits.get().idleMillis();
+        if (idleMillis > 0 && idleMillis >= maxIdleMillis) {
+            closeIfIdle(context.channel());
+            return;
+        }
         mIdleTimeout =
                 context.executor()
                         .schedule(
-                                () -> closeIfIdle(context.channel()),
-                                mLimits.idleMillis(),
+                                () -> closeAfterIdleTime(context, maxIdleMillis),
+                                maxIdleMillis - idleMillis,
                                 TimeUnit.MILLISECONDS);
     }
 
     /** Closes the connection unless a request is in progress. */
     void closeIfIdle(Channel channel) {
-        if (mRequestHead == null && mResponse == null) {
+        if (mRequestHead == null && mResponse == null && !mDiscarding) {
             channel.close();
         }
     }
 
     @Override
     protected void channelRead0(ChannelHandlerContext context, HttpObject message) {
+        if (mDiscarding) {
+            discard(context, message);
+            return;
+        }
         if (mResponse != null) {
             mPipelined.add(ReferenceCountUtil.retain(message));
             if (mPipelined.size() >= MAX_PIPELINED_MESSAGES) {
@@ -111,10 +148,7 @@
         if (result.isFailure()) {
             sendRefusal(context, decodeFailure(result.cause()));
         } else if (message instanceof HttpRequest head) {
-            if (mIdleTimeout != null) {
-                mIdleTimeout.cancel(false);
-                mIdleTimeout = null;
-            }
+            cancelIdleTimeout();
             startRequest(context, head);
         }
         if (message instanceof HttpContent content && mRequestHead != null) {
@@ -123,18 +157,24 @@
     }
 
     private void startRequest(ChannelHandlerContext context, HttpRequest head) {
+        mLimits = mCurrentLimits.get();
+        if (!mLimits.allowHead(head)) {
+            sendRefusal(context, mLimits.headTooLarge());
+            return;
+        }
         if (HttpUtil.getContentLength(head, 0L) > mLimits.maxBodyBytes()) {
-            sendRefusal(context, bodyTooLarge());
+            sendRefusal(context, mLimits.bodyTooLarge());
             return;
         }
         mRequestHead = head;
-        mRequestBody = context.alloc().buffer(0);
-        mReadTimeout =
-                context.executor()
-                        .schedule(
-                                () -> onReadTimeout(context),
-                                mLimits.requestReadMillis(),
-                                TimeUnit.MILLISECONDS);
+        startReadTimeout(context);
+        long expectedBytes = HttpUtil.getContentLength(head, 0L);
+        if (!mBodyMemory.growTo(expectedBytes)) {
+            refuseForLackOfMemory(context, head, false);
+            return;
+        }
+        // Not pooled, so that the request takes over the array, which has the body's size.
+        mRequestBody = Unpooled.buffer((int) expectedBytes);
         if (HttpUtil.is100ContinueExpected(head)) {
             context.writeAndFlush(
                     new DefaultFullHttpResponse(
@@ -144,10 +184,30 @@
         }
     }
 
+    private void startReadTimeout(ChannelHandlerContext context) {
+        mReadTimeout =
+                context.executor()
+                        .schedule(
+                                () -> onReadTimeout(context),
+                                mLimits.requestReadMillis(),
+                                TimeUnit.MILLISECONDS);
+    }
+
+    private void cancelReadTimeout() {
+        if (mReadTimeout != null) {
+            mReadTimeout.cancel(false);
+            mReadTimeout = null;
+        }
+    }
+
     private void appendBody(ChannelHandlerContext context, HttpContent content) {
-        if (mRequestBody.readableBytes() + content.content().readableBytes()
-                > mLimits.maxBodyBytes()) {
-            sendRefusal(context, bodyTooLarge());
+        int bytes = mRequestBody.readableBytes() + content.content().readableBytes();
+        if (bytes > mLimits.maxBodyBytes()) {
+            sendRefusal(context, mLimits.bodyTooLarge());
+            return;
+        }
+        if (mRequestHead != null && !mBodyMemory.growTo(bytes)) {
+            refuseForLackOfMemory(context, mRequestHead, content instanceof LastHttpContent);
             return;
         }
         mRequestBody.writeBytes(content.content());
@@ -164,6 +224,50 @@
         }
     }
 
+    /**
+     * Refuses the request at once. The rest of its body is read and dropped: if the connection were
+     * closed with bytes unread, the caller might not receive the answer.
+     */
+    private void refuseForLackOfMemory(
+            ChannelHandlerContext context, HttpRequest head, boolean bodyEnded) {
+        Refusal refusal =
+                new Refusal(
+                        RefusalCode.BODY_MEMORY_FULL,
+                        "expected fewer or smaller bodies at a time",
+                        BODY_MEMORY_RETRY_MILLIS);
+        if (HttpUtil.is100ContinueExpected(head)) {
+            // Whether the caller sends the body all the same can't be told from what follows.
+            sendRefusal(context, refusal);
+            return;
+        }
+        discardRequest();
+        mBodyMemory.release();
+        NettyResponse response =
+                startResponse(context, head.protocolVersion(), HttpUtil.isKeepAlive(head));
+        mTimers.execute(() -> refusal.sendTo(response));
+        if (!bodyEnded) {
+            mDiscarding = true;
+            mDiscardedBytes = 0;
+            startReadTimeout(context);
+            processPipelined(context);
+        }
+    }
+
+    private void discard(ChannelHandlerContext context, HttpObject message) {
+        if (message instanceof HttpContent content) {
+            mDiscardedBytes += content.content().readableBytes();
+        }
+        if (message.decoderResult().isFailure() || mDiscardedBytes > mLimits.maxBodyBytes()) {
+            context.close();
+        } else if (message instanceof LastHttpContent) {
+            mDiscarding = false;
+            cancelReadTimeout();
+            if (mResponse == null) {
+                startIdleTimeout(context);
+            }
+        }
+    }
+
     private void serve(CallerRequest request, NettyResponse response) {
         ActiveExchange exchange = new ActiveExchange();
         mActiveExchange = exchange;
@@ -184,19 +288,28 @@
 
     private void onResponseWritten(ChannelHandlerContext context) {
         mResponse = null;
+        mBodyMemory.release();
         mTimers.execute(() -> mActiveExchange = null);
         startIdleTimeout(context);
-        while (mResponse == null && !mPipelined.isEmpty()) {
+        processPipelined(context);
+        if (mPipelined.isEmpty()) {
+            context.channel().config().setAutoRead(true);
+        }
+    }
+
+    private void processPipelined(ChannelHandlerContext context) {
+        while ((mResponse == null || mDiscarding) && !mPipelined.isEmpty()) {
             HttpObject next = mPipelined.remove();
             try {
-                process(context, next);
+                if (mDiscarding) {
+                    discard(context, next);
+                } else {
+                    process(context, next);
+                }
             } finally {
                 ReferenceCountUtil.release(next);
             }
         }
-        if (mPipelined.isEmpty()) {
-            context.channel().config().setAutoRead(true);
-        }
     }
 
     private void sendRefusal(ChannelHandlerContext context, Refusal refusal) {
@@ -208,29 +321,18 @@
     }
 
     private void onReadTimeout(ChannelHandlerContext context) {
-        sendRefusal(
-                context,
-                Refusal.of(
-                        RefusalCode.REQUEST_TIMEOUT,
-                        "expected the whole request within "
-                                + mLimits.requestReadMillis()
-                                + " ms"));
+        if (mDiscarding) {
+            context.close();
+            return;
+        }
+        sendRefusal(context, mLimits.requestTimeout());
     }
 
     private void discardRequest() {
         mRequestHead = null;
         mRequestBody.release();
         mRequestBody = Unpooled.EMPTY_BUFFER;
-        if (mReadTimeout != null) {
-            mReadTimeout.cancel(false);
-            mReadTimeout = null;
-        }
-    }
-
-    private Refusal bodyTooLarge() {
-        return Refusal.of(
-                RefusalCode.BODY_TOO_LARGE,
-                "expected at most " + mLimits.maxBodyBytes() + " bytes");
+        cancelReadTimeout();
     }
 
     private Refusal decodeFailure(Throwable cause) {
@@ -238,9 +340,7 @@
                 cause instanceof TooLongHttpHeaderException
                         || cause instanceof TooLongHttpLineException;
         return tooLong
-                ? Refusal.of(
-                        RefusalCode.HEAD_TOO_LARGE,
-                        "expected at most " + mLimits.maxHeadBytes() + " bytes")
+                ? mLimits.headTooLarge()
                 : Refusal.of(RefusalCode.MALFORMED_REQUEST, "expected an HTTP/1.1 request");
     }
 
@@ -254,7 +354,9 @@
                 head.method().name(),
                 head.uri(),
                 headers,
-                java.nio.ByteBuffer.wrap(ByteBufUtil.getBytes(body)));
+                ByteBuffer.wrap(
+                        ByteBufUtil.getBytes(
+                                body, body.readerIndex(), body.readableBytes(), false)));
     }
 
     @Override
@@ -271,9 +373,8 @@
     @Override
     public void channelInactive(ChannelHandlerContext context) {
         discardRequest();
-        if (mIdleTimeout != null) {
-            mIdleTimeout.cancel(false);
-        }
+        cancelIdleTimeout();
+        mBodyMemory.release();
         mPipelined.forEach(ReferenceCountUtil::release);
         mPipelined.clear();
         mTimers.execute(
--- a/rhubarbward-net/src/main/java/io/rhubarbward/net/http/HttpListener.java
+++ b/rhubarbward-net/src/main/java/io/rhubarbward/net/http/HttpListener.java
@@ -31,7 +31,8 @@
  * }</pre>
  *
  * <p>Handlers run on the timer service's thread, socket I/O on Netty's threads. The limits are read
- * once per connection, when it is accepted.
+ * for each request, except that a head is read up to {@link #MIN_READABLE_HEAD_BYTES}, or the limit
+ * at the time when the connection was accepted if that is larger.
  */
 public final class HttpListener implements AutoCloseable {
     /** Accept backlog, large enough that a burst of connections loses no SYN packets. */
@@ -40,6 +41,12 @@
     /** Reads from one connection in one iteration of the event loop: Netty's default. */
     private static final int MAX_READS = 16;
 
+    /**
+     * Size up to which heads are read whatever their limit, so that it can be raised on an open
+     * connection: the library's decoder has one limit for good.
+     */
+    static final int MIN_READABLE_HEAD_BYTES = 65_536;
+
     private final Channel mServerChannel;
     private final ChannelGroup mConnections;
     private final AtomicBoolean mKeepAliveDisabled;
@@ -51,14 +58,25 @@
         mKeepAliveDisabled = keepAliveDisabled;
     }
 
-    /** Opens a listener; port 0 binds to a free port. */
+    /** Opens a listener with a memory for bodies of its own; port 0 binds to a free port. */
+    public static HttpListener open(
+            EventLoopGroup group,
+            InetSocketAddress address,
+            TimerService timers,
+            Supplier<HttpLimits> limits,
+            HttpHandler handler) {
+        return open(group, address, timers, limits, RequestBodyMemory.ofHeap(), handler);
+    }
+
+    /** Opens a listener whose requests share the memory for bodies with other listeners. */
     public static HttpListener open(
             EventLoopGroup group,
             InetSocketAddress address,
             TimerService timers,
             Supplier<HttpLimits> limits,
+            RequestBodyMemory bodyMemory,
             HttpHandler handler) {
-        return open(group, bind(address), timers, limits, handler);
+        return open(group, bind(address), timers, limits, bodyMemory, handler);
     }
 
     /** Binds a socket; connections wait in its backlog until a listener is opened on it. */
@@ -78,6 +96,7 @@
             ServerSocketChannel socket,
             TimerService timers,
             Supplier<HttpLimits> limits,
+            RequestBodyMemory bodyMemory,
             HttpHandler handler) {
         ChannelGroup connections = new DefaultChannelGroup(GlobalEventExecutor.INSTANCE);
         AtomicBoolean keepAliveDisabled = new AtomicBoolean();
@@ -99,13 +118,13 @@
                                     @Override
                                     protected void initChannel(SocketChannel channel) {
                                         connections.add(channel);
-                                        HttpLimits currentLimits = limits.get();
                                         channel.pipeline()
-                                                .addLast(codec(currentLimits))
+                                                .addLast(codec(limits.get()))
                                                 .addLast(
                                                         new CallerConnection(
                                                                 timers,
-                                                                currentLimits,
+                                                                limits,
+                                                                bodyMemory,
                                                                 handler,
                                                                 keepAliveDisabled::get));
                                     }
@@ -116,10 +135,11 @@
     }
 
     private static HttpServerCodec codec(HttpLimits limits) {
+        int readableBytes = Math.max(MIN_READABLE_HEAD_BYTES, limits.maxHeadBytes());
         return new HttpServerCodec(
                 new HttpDecoderConfig()
-                        .setMaxInitialLineLength(limits.maxHeadBytes())
-                        .setMaxHeaderSize(limits.maxHeadBytes()));
+                        .setMaxInitialLineLength(readableBytes)
+                        .setMaxHeaderSize(readableBytes));
     }
 
     /** Returns the address that the listener is bound to. */
