--- a/rhubarbward-net/src/test/java/io/rhubarbward/net/backend/RefusedRequestsTest.java
+++ b/rhubarbward-net/src/test/java/io/rhubarbward/net/backend/RefusedRequestsTest.java
@@ -29,4 +29,16 @@
         other.close();
         assertThat(mRefused.connectionCount()).isEqualTo(0);
     }
+
+    /** Guards against a connection that is kept forever, since it was closed before. */
+    @Test
+    void doesNotKeepAConnectionThatWasClosedBefore() {
+        EmbeddedChannel open = new EmbeddedChannel();
+        mRefused.record("10.0.0.1:80", open, "r-2");
+        mConnection.close();
+        mRefused.record("10.0.0.1:80", mConnection, "r-1");
+        assertThat(mRefused.connectionCount()).isEqualTo(1);
+        open.close();
+        assertThat(mRefused.connectionCount()).isEqualTo(0);
+    }
 }
