--- a/rhubarbward-net/src/test/java/io/rhubarbward/net/backend/BrokenAnswerTest.java
+++ b/rhubarbward-net/src/test/java/io/rhubarbward/net/backend/BrokenAnswerTest.java
@@ -14,10 +14,12 @@
 import io.rhubarbward.request.HeaderFields;
 import io.rhubarbward.timer.SystemTimerService;
 import java.io.IOException;
+import java.lang.reflect.Field;
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
 import java.util.Objects;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
@@ -156,6 +158,33 @@
         assertThat(mServer.connectionCount()).isEqualTo(3);
     }
 
+    /** Guards against memory and pool scans that grow with each request sent again. */
+    @Test
+    void theConnectionOfARequestSentAgainLeavesNothingInThePool() throws Exception {
+        int requests = 20;
+        for (int request = 0; request < requests; request++) {
+            Answer first = send("r-" + request);
+            mServer.takeRequest().respond(answer("r-" + request, 503, ""));
+            assertThat(first.await()).containsExactly("head 503", "complete").inOrder();
+            Answer second = send("r-" + request);
+            mServer.takeRequest().respond(answer("r-" + request, 200, "ran"));
+            assertThat(second.await()).containsExactly("head 200", "ran", "complete").inOrder();
+        }
+        assertThat(poolPartitions()).hasSize(1);
+    }
+
+    /** The library's pool has no accessor for its partitions. */
+    private Map<?, ?> poolPartitions() throws ReflectiveOperationException {
+        Object pool = field(field(mHttp, "channelManager"), "channelPool");
+        return (Map<?, ?>) field(pool, "partitions");
+    }
+
+    private static Object field(Object owner, String name) throws ReflectiveOperationException {
+        Field field = owner.getClass().getDeclaredField(name);
+        field.setAccessible(true);
+        return field.get(owner);
+    }
+
     /** Its text can't belong to the body, which states the sizes of its chunks. */
     @Test
     void aRefusalBetweenHeadAndBodyFailsTheAnswer() throws Exception {
