Show that a refusal below 400 does not bar its connection

The test fails for status 307: the dialect takes any answer but a success with the statement for a refusal, and the client notes only those from 400 on.

--- a/rhubarbward-net/src/test/java/io/rhubarbward/net/backend/BrokenAnswerTest.java
+++ b/rhubarbward-net/src/test/java/io/rhubarbward/net/backend/BrokenAnswerTest.java
@@ -123,7 +123,7 @@
 
     /** Guards against a copy of a refusal that is taken for the answer to a request sent again. */
     @ParameterizedTest
-    @ValueSource(ints = {421, 429, 503})
+    @ValueSource(ints = {307, 421, 429, 503})
     void aCopyOfARefusalIsNotTheAnswerToTheSameRequestSentAgain(int status) throws Exception {
         Answer first = send("r-1");
         ScriptedServer.PendingRequest refused = mServer.takeRequest();
