Close the connection of a request sent again after its answer

Its partition of the pool can serve no other request, but stayed in the pool for good, with an idle connection of up to 4 s. BrokenAnswerTest.theConnectionOfARequestSentAgainLeavesNothingInThePool failed before (21, expected 1) and passes.

--- a/rhubarbward-net/src/main/java/io/rhubarbward/net/backend/AsyncBackendClient.java
+++ b/rhubarbward-net/src/main/java/io/rhubarbward/net/backend/AsyncBackendClient.java
@@ -1,6 +1,8 @@
 package io.rhubarbward.net.backend;
 
 import io.netty.channel.Channel;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaderValues;
 import io.rhubarbward.request.BackendCall;
 import io.rhubarbward.request.BackendClient;
 import io.rhubarbward.request.BackendListener;
@@ -87,6 +89,9 @@
                                 builder.setHeader(LibraryHeaders.KEEP_ACCEPT, "1");
                             }
                         });
+        if (partition.separate() != SHARED) {
+            builder.setHeader(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
+        }
         if (request.body().hasRemaining()) {
             builder.setBody(request.body());
         }
