Note every refusal that the dialect believes

The dialect believes a statement of "not run" with any status but a success; the client noted those from 400 on. BrokenAnswerTest.aCopyOfARefusalIsNotTheAnswerToTheSameRequestSentAgain failed before for 307 and passes.

--- a/rhubarbward-net/src/main/java/io/rhubarbward/net/backend/BackendExchange.java
+++ b/rhubarbward-net/src/main/java/io/rhubarbward/net/backend/BackendExchange.java
@@ -22,7 +22,7 @@
 
 /** One HTTP call; passes its events to a listener on the timer service's thread. */
 final class BackendExchange implements AsyncHandler<Boolean>, BackendCall {
-    private static final int FIRST_ERROR_STATUS = 400;
+    private static final int FIRST_STATUS_BEYOND_SUCCESS = 300;
 
     private final BackendListener mListener;
     private final TimerService mTimers;
@@ -46,7 +46,7 @@
         /** The call timed out, so that idle connections to the address may be broken too. */
         void onExpired();
 
-        /** An error answer began; returns whether its connection may be reused after it. */
+        /** An answer other than a success began; returns whether its connection may be reused. */
         boolean onErrorAnswer(Channel connection);
     }
 
@@ -117,7 +117,7 @@
     public State onHeadersReceived(HttpHeaders headers) {
         int status = mStatus;
         Channel channel = mChannel;
-        if (status >= FIRST_ERROR_STATUS && channel != null) {
+        if (status >= FIRST_STATUS_BEYOND_SUCCESS && channel != null) {
             mConnectionReusable = mConnections.onErrorAnswer(channel);
         }
         HeaderFields fields =
