--- a/rhubarbward-net/src/main/java/io/rhubarbward/net/backend/RefusedRequests.java
+++ b/rhubarbward-net/src/main/java/io/rhubarbward/net/backend/RefusedRequests.java
@@ -29,17 +29,16 @@
      * @return whether the connection may be reused
      */
     synchronized boolean record(String address, Channel connection, String id) {
-        Set<String> ids =
-                mIdsByAddress
-                        .computeIfAbsent(address, unused -> new HashMap<>())
-                        .computeIfAbsent(connection, opened -> watch(address, opened));
-        ids.add(id);
-        return ids.size() < MAX_IDS_PER_CONNECTION;
-    }
-
-    private Set<String> watch(String address, Channel connection) {
+        Map<Channel, Set<String>> idsByConnection =
+                mIdsByAddress.computeIfAbsent(address, unused -> new HashMap<>());
+        Set<String> known = idsByConnection.get(connection);
+        if (known != null) {
+            known.add(id);
+            return known.size() < MAX_IDS_PER_CONNECTION;
+        }
+        idsByConnection.put(connection, new HashSet<>(Set.of(id)));
         connection.closeFuture().addListener(closed -> remove(address, connection));
-        return new HashSet<>();
+        return true;
     }
 
     private synchronized void remove(String address, Channel connection) {
