--- a/rhubarbward-daemon/src/test/java/io/rhubarbward/daemon/RefusalSoakTest.java
+++ b/rhubarbward-daemon/src/test/java/io/rhubarbward/daemon/RefusalSoakTest.java
@@ -35,6 +35,7 @@
         assertThat(result.withStatus(200)).isGreaterThan(0);
         assertThat(result.counts().copies()).isGreaterThan(0);
         assertThat(result.counts().sentAgain()).isGreaterThan(0);
+        assertThat(result.counts().sentAgainOnConnection()).isEqualTo(0);
         assertThat(result.ids(RefusalVerdict.Failure.REFUSED)).isEmpty();
         assertThat(result.ids(RefusalVerdict.Failure.TWICE)).isEmpty();
         assertThat(result.ids(RefusalVerdict.Failure.MIXED)).isEmpty();
