Lose no answer that follows a cut chunked one

What callers saw: 504 at the deadline for a request that its server had answered at once.

Cause: a copy of an earlier answer that is cut after "0" and CR, in the line that ends its chunks. The status line that follows is read as an extension of that line, and the head as trailers. The copy has another request's id, so that all of it is discarded, and the answer with it.

Evidence: aResponseAfterACutChunkedOneFailsTheRequest failed at that cut, and passed at the 12 others.

A discarded answer whose trailers have an id now fails the open request, as other answers within answers do.

--- a/rhubarbward-net/src/main/java/io/rhubarbward/net/backend/ResponseGuard.java
+++ b/rhubarbward-net/src/main/java/io/rhubarbward/net/backend/ResponseGuard.java
@@ -161,7 +161,7 @@
         boolean cutShort = false;
         if (object instanceof HttpContent content) {
             mDiscardedBytes += content.content().readableBytes();
-            cutShort = mScanner.beginsWithin(content.content());
+            cutShort = mScanner.beginsWithin(content.content()) || hasIdInTrailers(content);
         } else {
             mDiscardedBytes += HEAD_BYTES;
             mScanner.reset();
@@ -174,6 +174,12 @@
         }
     }
 
+    /** The chunk size that ends a body takes a status line that follows it for an extension. */
+    private boolean hasIdInTrailers(HttpContent content) {
+        return content instanceof LastHttpContent last
+                && last.trailingHeaders().contains(mIdHeader);
+    }
+
     private void fail(ChannelHandlerContext context, String detail) {
         exceptionCaught(
                 context,
--- a/rhubarbward-net/src/test/java/io/rhubarbward/net/backend/ResponseGuardTest.java
+++ b/rhubarbward-net/src/test/java/io/rhubarbward/net/backend/ResponseGuardTest.java
@@ -22,8 +22,10 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
+import java.util.stream.IntStream;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.MethodSource;
 import org.junit.jupiter.params.provider.ValueSource;
 
 final class ResponseGuardTest {
@@ -198,6 +200,28 @@
         assertThat(completeResponseIds()).containsExactly("r-1");
     }
 
+    private static final String EARLIER_CHUNKED =
+            "HTTP/1.1 503 No\r\n"
+                    + (ID_HEADER + ": r-1\r\ntransfer-encoding: chunked\r\n\r\n")
+                    + "3\r\none\r\n0\r\n\r\n";
+
+    static IntStream cutsOfTheEarlierChunkedResponse() {
+        return IntStream.range(EARLIER_CHUNKED.indexOf("3\r\n"), EARLIER_CHUNKED.length());
+    }
+
+    /** Guards against a response that is read as the trailers of an earlier one, and lost. */
+    @ParameterizedTest
+    @MethodSource("cutsOfTheEarlierChunkedResponse")
+    void aResponseAfterACutChunkedOneFailsTheRequest(int cut) {
+        sendRequest("r-1");
+        receive(response("r-1", "one"));
+        sendRequest("r-2");
+        receive(EARLIER_CHUNKED.substring(0, cut));
+        assertThrows(Exception.class, () -> receive(response("r-2", "two")));
+        assertThat(completeResponseIds()).containsExactly("r-1");
+        assertThat(mChannel.isActive()).isFalse();
+    }
+
     @Test
     void unsolicitedResponseClosesTheConnection() {
         sendRequest("r-1");
