Count long answers for the crashes that come while they go on

An answer counted for the crashes known when it had gone on for a second, and no more when it ended. The part of a long stream could seem to be unanswered after a later crash. It counts again each second that it goes on, and at its end.

--- a/rhubarbward-core/src/main/java/io/rhubarbward/forward/ServerCall.java
+++ b/rhubarbward-core/src/main/java/io/rhubarbward/forward/ServerCall.java
@@ -43,7 +43,10 @@
     private long mFirstByteMillis = NO_FIRST_BYTE;
     private long mBytesAfterFirstPart;
     private boolean mTimed;
-    private boolean mSurvived;
+
+    /** How long the answer had been arriving when it was last recorded that it goes on. */
+    private long mRecordedAnswerMillis;
+
     private long mAnswerBegunMillis = NOT_BEGUN;
     private EventStreamFraming mFraming = new EventStreamFraming(HeaderFields.NONE);
     private @Nullable DiscardedBody mDiscardedBody;
@@ -242,7 +245,7 @@
                 }
             }
             if (mStatus < MIN_SERVER_ERROR_STATUS
-                    && CrashSuspects.outlivesSuspicion(answerMillis())) {
+                    && CrashSuspects.outlivesSuspicion(answerMillis() - mRecordedAnswerMillis)) {
                 recordSurvived();
             }
             mFraming.read(part);
@@ -267,10 +270,10 @@
         }
     }
 
-    /** Records, once, that the request did not crash the server when its answer began. */
+    /** Records that the request did not crash the server when its answer began. */
     private void recordSurvived() {
-        if (!mSurvived && !mContext.crashSuspects().empty()) {
-            mSurvived = true;
+        if (!mContext.crashSuspects().empty()) {
+            mRecordedAnswerMillis = answerMillis();
             mContext.crashSuspects()
                     .recordAnswer(
                             mRequest.traits(),
