Take no load of another server for that of the one that was asked

A 421 is the answer of another server at the address. Its limit, leaving and rest were not taken for those of the server that was asked, but its load was.

--- a/rhubarbward-core/src/main/java/io/rhubarbward/forward/ServerCall.java
+++ b/rhubarbward-core/src/main/java/io/rhubarbward/forward/ServerCall.java
@@ -157,7 +157,6 @@
             fail(SendResult.BROKEN);
             return;
         }
-        metadata.load().ifPresent(load -> mServer.recordLoad(load, mContext.timers().nowMillis()));
         if (status != ForwardedExchange.MISDIRECTED_STATUS) {
             recordStatements(metadata);
         }
@@ -201,6 +200,7 @@
 
     /** Records what the server says of itself; a misdirected answer is one of another server. */
     private void recordStatements(ResponseMetadata metadata) {
+        metadata.load().ifPresent(load -> mServer.recordLoad(load, mContext.timers().nowMillis()));
         mContext.table().recordLimit(mServer, metadata.limitPerSecond());
         mContext.table().recordBrittle(mServer, metadata.brittlePerSecond());
         if (metadata.leaving()) {
--- a/rhubarbward-net/src/main/java/io/rhubarbward/net/backend/ResponseGuard.java
+++ b/rhubarbward-net/src/main/java/io/rhubarbward/net/backend/ResponseGuard.java
@@ -23,6 +23,9 @@
  * Pairs responses with requests on one connection; stands between the HTTP codec and the client in
  * the pipeline.
  *
+ * <p>An id tells responses apart only if it is not sent twice on one connection after a refusal;
+ * see {@link RefusedRequests}.
+ *
  * <ul>
  *   <li>A response with the id of another request, or an interim response, is discarded, and the
  *       request stays open, unless what is discarded for it goes on for too long.
