Take note of a leaving server in answers of another router

What callers could see: a request sent to a server after this router had passed on an answer with Server-Leaving, which DRAIN forbids to the machine that passed it on.

Cause: a router that is cut off gets answers through another one, which does not say whose answer it is. PeerCall ignored the statement, so that the server got requests again once this router reached it, as long as the store did not list it as draining.

PeerGateway names the server's incarnation, the same hash at all routers, in answers that say that it leaves. PeerCall records it in the server table and strips the field. ForwardedExchange tells its response which server answers. Routers of both builds side by side: an earlier one that gets the field passes it on to its caller, and one that gives none is believed as little as before.

Evidence: before, aServerThatLeavesIsKnownFromTheAnswerThatAnotherRouter- PassesOn failed (no server leaving, one expected), and so did anAnswerOfAServerThatLeavesNamesTheServer.

--- a/rhubarbward-core/src/main/java/io/rhubarbward/forward/ForwardedExchange.java
+++ b/rhubarbward-core/src/main/java/io/rhubarbward/forward/ForwardedExchange.java
@@ -327,6 +327,9 @@
             refuse(RefusalCode.BACKEND_LOST, "the server answered " + status);
             return;
         }
+        if (mCall instanceof ServerCall call) {
+            mResponse.answeredBy(call.server().incarnation());
+        }
         mResponse.begin(status, mContext.dialect().toCaller(headers));
     }
 
--- a/rhubarbward-core/src/main/java/io/rhubarbward/forward/PeerCall.java
+++ b/rhubarbward-core/src/main/java/io/rhubarbward/forward/PeerCall.java
@@ -130,12 +130,28 @@
                 mListener.onPeerRefused(mPeer, refusal.get());
             }
         } else if (metadata.genuine()) {
-            mListener.onHead(status, headers);
+            if (metadata.leaving()) {
+                recordLeaving(headers);
+            }
+            mListener.onHead(status, PeerHeaders.strip(headers));
         } else {
             fail();
         }
     }
 
+    /** Records that the server leaves: its caller is told so by this router too. */
+    private void recordLeaving(HeaderFields headers) {
+        headers.first(PeerHeaders.SERVER).stream()
+                .flatMap(
+                        incarnation ->
+                                mContext.table().servers(mRequest.service().name()).stream()
+                                        .filter(
+                                                server ->
+                                                        Long.toString(server.incarnation())
+                                                                .equals(incarnation)))
+                .forEach(mContext.table()::recordLeaving);
+    }
+
     /**
      * Returns whether the answer names this attempt. Routers of earlier builds do not name it in
      * refusals: such a one is taken on a new connection, where it can be no earlier request's.
--- a/rhubarbward-core/src/main/java/io/rhubarbward/forward/PeerGateway.java
+++ b/rhubarbward-core/src/main/java/io/rhubarbward/forward/PeerGateway.java
@@ -13,6 +13,7 @@
 import io.vavr.control.Try;
 import java.nio.ByteBuffer;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.function.BooleanSupplier;
 import java.util.function.LongFunction;
 import java.util.function.LongSupplier;
@@ -137,41 +138,61 @@
                 .orElse(0L);
     }
 
-    /**
-     * The response to another router; marks this router's own refusals.
-     *
-     * @param attemptId the header field that names the request
-     */
-    private record PeerResponse(CallerResponse delegate, HeaderFields attemptId)
-            implements CallerResponse {
+    /** The response to another router; marks this router's own refusals. */
+    private final class PeerResponse implements CallerResponse {
+        private final CallerResponse mDelegate;
+        private final HeaderFields mAttemptId;
+        private OptionalLong mServer = OptionalLong.empty();
+
+        /**
+         * Creates a response that has not begun.
+         *
+         * @param attemptId the header field that names the request
+         */
+        PeerResponse(CallerResponse delegate, HeaderFields attemptId) {
+            mDelegate = delegate;
+            mAttemptId = attemptId;
+        }
+
+        @Override
+        public void answeredBy(long incarnation) {
+            mServer = OptionalLong.of(incarnation);
+        }
+
         @Override
         public void begin(int status, HeaderFields headers) {
-            delegate.begin(status, PeerHeaders.strip(headers));
+            HeaderFields answer = PeerHeaders.strip(headers);
+            boolean leaving = mContext.dialect().readAnswer(status, answer).leaving();
+            mDelegate.begin(
+                    status,
+                    leaving && mServer.isPresent()
+                            ? answer.with(PeerHeaders.SERVER, Long.toString(mServer.getAsLong()))
+                            : answer);
         }
 
         @Override
         public void write(ByteBuffer part) {
-            delegate.write(part);
+            mDelegate.write(part);
         }
 
         @Override
         public void finish() {
-            delegate.finish();
+            mDelegate.finish();
         }
 
         @Override
         public void abort() {
-            delegate.abort();
+            mDelegate.abort();
         }
 
         @Override
         public void whenDelivered(Runnable action) {
-            delegate.whenDelivered(action);
+            mDelegate.whenDelivered(action);
         }
 
         @Override
         public boolean callerPresent() {
-            return delegate.callerPresent();
+            return mDelegate.callerPresent();
         }
 
         @Override
@@ -181,12 +202,12 @@
                             refusal.code(),
                             refusal.retryAfterMillis(),
                             refusal.runState() != RunState.NOT_RUN);
-            delegate.begin(
+            mDelegate.begin(
                     refusal.code().status(),
                     HeaderFields.of("content-length", "0")
                             .with(PeerHeaders.REFUSAL, marked.encode())
-                            .and(attemptId));
-            delegate.finish();
+                            .and(mAttemptId));
+            mDelegate.finish();
         }
     }
 }
--- a/rhubarbward-core/src/main/java/io/rhubarbward/reach/PeerHeaders.java
+++ b/rhubarbward-core/src/main/java/io/rhubarbward/reach/PeerHeaders.java
@@ -27,8 +27,18 @@
     /** In a router's own refusal of a forwarded request: see {@link PeerRefusal}. */
     public static final String REFUSAL = "router-refusal";
 
+    /** In an answer of a backend server that leaves: a hash that names its incarnation. */
+    public static final String SERVER = "router-server";
+
     private static final Set<String> ALL =
-            Set.of(FORWARDED_BY, QUERY_BY, CATALOG_VERSION, ATTEMPTS_LEFT, OPEN_REQUESTS, REFUSAL);
+            Set.of(
+                    FORWARDED_BY,
+                    QUERY_BY,
+                    CATALOG_VERSION,
+                    ATTEMPTS_LEFT,
+                    OPEN_REQUESTS,
+                    REFUSAL,
+                    SERVER);
 
     private PeerHeaders() {}
 
--- a/rhubarbward-core/src/main/java/io/rhubarbward/request/CallerResponse.java
+++ b/rhubarbward-core/src/main/java/io/rhubarbward/request/CallerResponse.java
@@ -11,6 +11,13 @@
  * the answer is not written completely yet.
  */
 public interface CallerResponse {
+    /**
+     * Tells which backend server gives the answer; called before {@link #begin}, if one does.
+     *
+     * @param incarnation a hash that names the server's incarnation, the same at every router
+     */
+    default void answeredBy(long incarnation) {}
+
     /** Sends the status and header fields. */
     void begin(int status, HeaderFields headers);
 
--- a/rhubarbward-core/src/test/java/io/rhubarbward/forward/PeerForwardingTest.java
+++ b/rhubarbward-core/src/test/java/io/rhubarbward/forward/PeerForwardingTest.java
@@ -3,6 +3,7 @@
 import static com.google.common.truth.Truth.assertThat;
 
 import io.rhubarbward.catalog.RouteKind;
+import io.rhubarbward.placement.TrackedServer;
 import io.rhubarbward.reach.ReachState;
 import io.rhubarbward.request.BackendFailure;
 import io.rhubarbward.request.HeaderFields;
@@ -229,6 +230,27 @@
         assertThat(ids).containsNoDuplicates();
     }
 
+    // Guards against requests to a server of which this router told a caller that it leaves.
+    @Test
+    void aServerThatLeavesIsKnownFromTheAnswerThatAnotherRouterPassesOn() {
+        TrackedServer leaving = mFixture.mTable.servers("orders").get(0);
+        mFixture.cutOff("front-2");
+        ForwardFixture.PendingRequest pending = mFixture.send("/order/1");
+        last().head(
+                        200,
+                        HeaderFields.of("id", "r-1")
+                                .with("leaving", "1")
+                                .with("router-server", Long.toString(leaving.incarnation())))
+                .complete();
+        assertThat(pending.response().finished()).isTrue();
+        assertThat(
+                        mFixture.mTable.servers("orders").stream()
+                                .filter(TrackedServer::leaving)
+                                .toList())
+                .containsExactly(leaving);
+        assertThat(pending.response().headers().first("router-server")).isEmpty();
+    }
+
     @Test
     void theServersAreUsedAgainOnceTheyAreReached() {
         mFixture.cutOff("front-2");
--- a/rhubarbward-core/src/test/java/io/rhubarbward/forward/PeerGatewayTest.java
+++ b/rhubarbward-core/src/test/java/io/rhubarbward/forward/PeerGatewayTest.java
@@ -3,9 +3,11 @@
 import static com.google.common.truth.Truth.assertThat;
 
 import io.rhubarbward.catalog.RouteKind;
+import io.rhubarbward.placement.TrackedServer;
 import io.rhubarbward.reach.ReachState;
 import io.rhubarbward.request.BackendFailure;
 import io.rhubarbward.request.CallerRequest;
+import io.rhubarbward.request.HeaderField;
 import io.rhubarbward.request.HeaderFields;
 import io.rhubarbward.testing.Catalogs;
 import io.rhubarbward.testing.RecordingResponse;
@@ -119,6 +121,30 @@
         assertThat(query().headers().first("id")).isEmpty();
     }
 
+    // Guards against a router that goes on to use a server whose farewell it passed to a caller.
+    @Test
+    void anAnswerOfAServerThatLeavesNamesTheServer() {
+        RecordingResponse response = forward("/order/1", "front-9", "2");
+        String name = mFixture.mBackends.last().server();
+        TrackedServer server =
+                mFixture.mTable.servers("orders").stream()
+                        .filter(listed -> listed.server().name().equals(name))
+                        .findFirst()
+                        .orElseThrow();
+        mFixture.answer(200, "r-1", "leaving", "router-server").complete();
+        assertThat(response.headers().fields().stream().map(HeaderField::name).toList())
+                .containsExactly("id", "leaving", "router-server");
+        assertThat(response.headers().first("router-server"))
+                .isEqualTo(Optional.of(Long.toString(server.incarnation())));
+    }
+
+    @Test
+    void anAnswerOfAServerThatStaysNamesNoServer() {
+        RecordingResponse response = forward("/order/1", "front-9", "2");
+        mFixture.answer(200, "r-1", "router-server").complete();
+        assertThat(response.headers().first("router-server")).isEmpty();
+    }
+
     @Test
     void theAttemptsThatWereUsedBeforeCount() {
         RecordingResponse response = forward("/status/1", "front-9", "1");
