--- a/rhubarbward-net/src/main/java/io/rhubarbward/net/backend/RefusedRequests.java
+++ b/rhubarbward-net/src/main/java/io/rhubarbward/net/backend/RefusedRequests.java
@@ -7,8 +7,8 @@
 import java.util.Set;
 
 /**
- * The ids of the requests that were answered with an error, by the open connection that carried the
- * answer.
+ * The ids of the requests that were refused or answered with any other status than a success, by
+ * the open connection that carried the answer.
  *
  * <p>A server may write a refusal once more, later. On the connection that carried it, the copy
  * cannot be told from the answer to the same request sent again, so that such a request needs
@@ -21,7 +21,7 @@
     private final Map<String, Map<Channel, Set<String>>> mIdsByAddress = new HashMap<>();
 
     /**
-     * Records a request that was answered with an error.
+     * Records a request that was not answered with a success.
      *
      * @param address the server's host and port
      * @param connection the connection that carried the answer
@@ -50,13 +50,13 @@
                 });
     }
 
-    /** Returns whether an open connection to the address carried an error answer to the request. */
+    /** Returns whether an open connection to the address carried such an answer to the request. */
     synchronized boolean contains(String address, String id) {
         return mIdsByAddress.getOrDefault(address, Map.of()).values().stream()
                 .anyMatch(ids -> ids.contains(id));
     }
 
-    /** Returns the number of connections that carried an error answer and are open. */
+    /** Returns the number of connections that carried such an answer and are open. */
     synchronized int connectionCount() {
         return mIdsByAddress.values().stream().mapToInt(Map::size).sum();
     }
