--- a/rhubarbward-core/src/main/java/io/rhubarbward/forward/ServerCall.java
+++ b/rhubarbward-core/src/main/java/io/rhubarbward/forward/ServerCall.java
@@ -1,5 +1,6 @@
 package io.rhubarbward.forward;
 
+import io.rhubarbward.crash.CrashSuspects;
 import io.rhubarbward.event.EventField;
 import io.rhubarbward.event.LogEvent;
 import io.rhubarbward.placement.SendResult;
@@ -42,6 +43,10 @@
     private long mFirstByteMillis = NO_FIRST_BYTE;
     private long mBytesAfterFirstPart;
     private boolean mTimed;
+
+    /** How long the answer had been arriving when it was last recorded that it goes on. */
+    private long mRecordedAnswerMillis;
+
     private long mAnswerBegunMillis = NOT_BEGUN;
     private EventStreamFraming mFraming = new EventStreamFraming(HeaderFields.NONE);
     private @Nullable DiscardedBody mDiscardedBody;
@@ -152,7 +157,6 @@
             fail(SendResult.BROKEN);
             return;
         }
-        metadata.load().ifPresent(load -> mServer.recordLoad(load, mContext.timers().nowMillis()));
         if (status != ForwardedExchange.MISDIRECTED_STATUS) {
             recordStatements(metadata);
         }
@@ -196,6 +200,7 @@
 
     /** Records what the server says of itself; a misdirected answer is one of another server. */
     private void recordStatements(ResponseMetadata metadata) {
+        metadata.load().ifPresent(load -> mServer.recordLoad(load, mContext.timers().nowMillis()));
         mContext.table().recordLimit(mServer, metadata.limitPerSecond());
         mContext.table().recordBrittle(mServer, metadata.brittlePerSecond());
         if (metadata.leaving()) {
@@ -239,6 +244,10 @@
                     time(sinceSentMillis);
                 }
             }
+            if (mStatus < MIN_SERVER_ERROR_STATUS
+                    && CrashSuspects.outlivesSuspicion(answerMillis() - mRecordedAnswerMillis)) {
+                recordSurvived();
+            }
             mFraming.read(part);
             mListener.onPart(part);
         }
@@ -254,14 +263,25 @@
         SendResult result =
                 mStatus >= MIN_SERVER_ERROR_STATUS ? SendResult.SERVER_ERROR : SendResult.ANSWERED;
         if (end(result)) {
-            if (result == SendResult.ANSWERED && !mContext.crashSuspects().empty()) {
-                mContext.crashSuspects()
-                        .recordAnswer(mRequest.traits(), mRequest.metadata().attemptId());
+            if (result == SendResult.ANSWERED) {
+                recordSurvived();
             }
             mListener.onComplete();
         }
     }
 
+    /** Records that the request did not crash the server when its answer began. */
+    private void recordSurvived() {
+        if (!mContext.crashSuspects().empty()) {
+            mRecordedAnswerMillis = answerMillis();
+            mContext.crashSuspects()
+                    .recordAnswer(
+                            mRequest.traits(),
+                            mServer.server().service(),
+                            mRequest.metadata().attemptId());
+        }
+    }
+
     private void endDiscardedBody() {
         if (mDiscardedBody != null) {
             mDiscardedBody.onEnd();
@@ -311,6 +331,7 @@
                                     mContext.crashSuspects()
                                             .recordCrash(
                                                     mRequest.traits(),
+                                                    mServer.server().service(),
                                                     mServer.incarnation(),
                                                     answerMillis));
         }
--- a/rhubarbward-net/src/main/java/io/rhubarbward/net/backend/ResponseGuard.java
+++ b/rhubarbward-net/src/main/java/io/rhubarbward/net/backend/ResponseGuard.java
@@ -23,6 +23,9 @@
  * Pairs responses with requests on one connection; stands between the HTTP codec and the client in
  * the pipeline.
  *
+ * <p>An id tells responses apart only if it is not sent twice on one connection after a refusal;
+ * see {@link RefusedRequests}.
+ *
  * <ul>
  *   <li>A response with the id of another request, or an interim response, is discarded, and the
  *       request stays open, unless what is discarded for it goes on for too long.
@@ -161,7 +164,7 @@
         boolean cutShort = false;
         if (object instanceof HttpContent content) {
             mDiscardedBytes += content.content().readableBytes();
-            cutShort = mScanner.beginsWithin(content.content());
+            cutShort = mScanner.beginsWithin(content.content()) || hasIdInTrailers(content);
         } else {
             mDiscardedBytes += HEAD_BYTES;
             mScanner.reset();
@@ -174,6 +177,12 @@
         }
     }
 
+    /** The chunk size that ends a body takes a status line that follows it for an extension. */
+    private boolean hasIdInTrailers(HttpContent content) {
+        return content instanceof LastHttpContent last
+                && last.trailingHeaders().contains(mIdHeader);
+    }
+
     private void fail(ChannelHandlerContext context, String detail) {
         exceptionCaught(
                 context,
