Read rollout orders only where rollouts are in force

Without the contract on rollouts a router may use no request to try a version, yet each relay watched the store for orders, at a call every 1.5 s. Such a router is ready without having listed any.

--- a/rhubarbward-core/src/main/java/io/rhubarbward/node/FleetRouter.java
+++ b/rhubarbward-core/src/main/java/io/rhubarbward/node/FleetRouter.java
@@ -43,6 +43,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
+import java.util.stream.Stream;
 
 /**
  * A router on the users' platform: wires its components together over {@link FleetPorts}, without
@@ -121,7 +122,7 @@
     private final KindWatcher<ListedServer> mServerWatcher;
     private final KindWatcher<String> mEvacuationWatcher;
     private final KindWatcher<RouterPresence> mRouterWatcher;
-    private final KindWatcher<RolloutOrder> mRolloutWatcher;
+    private final Optional<KindWatcher<RolloutOrder>> mRolloutWatcher;
     private final ServerReachability mReach;
     private final ForwardingPeers mForwardingPeers;
     private final ForwardingService mForwarding;
@@ -151,14 +152,19 @@
         mEvacuationWatcher = watcher(ports.store().evacuations(), mEvacuations, EVACUATIONS_TIMING);
         mRouterWatcher = watcher(ports.store().routers(), mRouters, ROUTERS_TIMING);
         mRollouts = rollouts(table);
-        mRolloutWatcher = watcher(ports.store().rollouts(), mRollouts, ROLLOUTS_TIMING);
+        mRolloutWatcher =
+                settings.bounds().allowsRollouts()
+                        ? Optional.of(watcher(ports.store().rollouts(), mRollouts, ROLLOUTS_TIMING))
+                        : Optional.empty();
         List<KindWatcher<?>> watchers =
-                List.of(
-                        mCatalogWatcher,
-                        mServerWatcher,
-                        mEvacuationWatcher,
-                        mRouterWatcher,
-                        mRolloutWatcher);
+                Stream.<KindWatcher<?>>concat(
+                                Stream.of(
+                                        mCatalogWatcher,
+                                        mServerWatcher,
+                                        mEvacuationWatcher,
+                                        mRouterWatcher),
+                                mRolloutWatcher.stream())
+                        .toList();
         mStoreFollower =
                 new StoreFollower(
                         settings.vm(),
@@ -419,7 +425,7 @@
         return mCatalog.current().isPresent()
                 && mServerWatcher.hasListed()
                 && mEvacuationWatcher.hasListed()
-                && mRolloutWatcher.hasListed();
+                && mRolloutWatcher.map(KindWatcher::hasListed).orElse(true);
     }
 
     /**
--- a/rhubarbward-core/src/test/java/io/rhubarbward/node/StartingRouterTest.java
+++ b/rhubarbward-core/src/test/java/io/rhubarbward/node/StartingRouterTest.java
@@ -21,4 +21,15 @@
         fleet.advance(2000);
         assertThat(router.ready()).isTrue();
     }
+
+    /** Guards against a router that waits for orders, and pays for calls, where there are none. */
+    @Test
+    void aRouterReadsNoRolloutsWhereTheyAreNotInForce() {
+        RouterFleet fleet = new RouterFleet(1, 3, 6, 64, 0);
+        RouterFleet.Router router = fleet.mRouters.get(0);
+        fleet.mStore.refuseKinds(RouterFleet.ROLLOUTS::equals);
+        router.restart();
+        fleet.advance(2000);
+        assertThat(router.ready()).isTrue();
+    }
 }
--- a/rhubarbward-core/src/test/java/io/rhubarbward/testing/RouterFleet.java
+++ b/rhubarbward-core/src/test/java/io/rhubarbward/testing/RouterFleet.java
@@ -60,6 +60,7 @@
     public final List<Sent> mSent = new ArrayList<>();
     public final SplittableRandom mRandom;
     private final int mSlots;
+    private final double mExposureShare;
     private int mAnnouncements;
     private final Map<String, String> mDataCentreByServer = new HashMap<>();
     private final Map<String, String> mVersionByServer = new HashMap<>();
@@ -80,7 +81,13 @@
 
     /** Starts routers, and servers that each say that they run so many requests concurrently. */
     public RouterFleet(long seed, int routers, int servers, int slots) {
+        this(seed, routers, servers, slots, 0.1);
+    }
+
+    /** Starts routers that may use the share of the requests to try versions. */
+    public RouterFleet(long seed, int routers, int servers, int slots, double exposureShare) {
         mSlots = slots;
+        mExposureShare = exposureShare;
         mRandom = new SplittableRandom(seed);
         mStore.put(CATALOGS, "main", "");
         IntStream.range(0, servers)
@@ -272,7 +279,7 @@
                             true,
                             Duration.ofSeconds(5),
                             new LocalRetryBudget.Bound(0.2, Duration.ofSeconds(10), 50),
-                            0.1,
+                            mExposureShare,
                             Duration.ofSeconds(8));
             mPeers.remove(mName);
             return new FleetRouter(
