Tell accounts of other routers apart by service

Cause: the key of a count between routers was one hash over service and account, so that a router could not tell which of the accounts that only others serve belong to a service; a max-min fair share would have counted all of them. Nothing sends the key yet.

Change: the upper 16 bits of the key are a hash of the service alone, and placesByKey returns the places at one service by account. ownPlaces returns a view instead of a copy, since it is asked for each request. A service without open requests is not asked for room. The largest counts are kept in a bounded heap instead of sorting all of them, as an aggregator has thousands.

--- a/rhubarbward-core/src/main/java/io/rhubarbward/admission/AccountUsage.java
+++ b/rhubarbward-core/src/main/java/io/rhubarbward/admission/AccountUsage.java
@@ -2,9 +2,11 @@
 
 import io.rhubarbward.hash.RendezvousHash;
 import io.rhubarbward.timer.TimerService;
+import java.util.Collections;
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.Map;
+import java.util.PriorityQueue;
 import java.util.function.Predicate;
 import java.util.stream.Collectors;
 
@@ -33,6 +35,16 @@
     /** Below it, a count is only what rounding leaves of places that were added and removed. */
     private static final double MIN_PLACES = 1e-6;
 
+    /**
+     * Bits of a key that name the service. Without them, the accounts of other routers could not be
+     * told apart by service.
+     */
+    private static final long SERVICE_MASK = 0xffff_0000_0000_0000L;
+
+    private static final Comparator<Map.Entry<Long, Integer>> LARGEST_FIRST =
+            Map.Entry.<Long, Integer>comparingByValue(Comparator.reverseOrder())
+                    .thenComparing(Map.Entry.comparingByKey());
+
     private final TimerService mTimers;
     private final Map<String, Map<String, Double>> mOwnPlaces = new HashMap<>();
     private Map<Long, Integer> mOthers = Map.of();
@@ -43,9 +55,17 @@
         mTimers = timers;
     }
 
-    /** Returns the key of a service and an account in messages between routers. */
+    /**
+     * Returns the key of a service and an account in messages between routers: a hash of both whose
+     * upper 16 bits depend on the service alone.
+     */
     public static long key(String service, String account) {
-        return RendezvousHash.hash(service + '/' + account);
+        return serviceBits(service)
+                | (RendezvousHash.hash(service + '/' + account) & ~SERVICE_MASK);
+    }
+
+    private static long serviceBits(String service) {
+        return RendezvousHash.hash(service) & SERVICE_MASK;
     }
 
     /** Counts an open request of the account; the account is empty for requests without one. */
@@ -63,9 +83,9 @@
                         account, (name, sum) -> sum - places < MIN_PLACES ? null : sum - places);
     }
 
-    /** Returns the places of this router's open requests at the service, by account. */
+    /** Returns a view of the places of this router's open requests at the service, by account. */
     public Map<String, Double> ownPlaces(String service) {
-        return Map.copyOf(mOwnPlaces.getOrDefault(service, Map.of()));
+        return Collections.unmodifiableMap(mOwnPlaces.getOrDefault(service, Map.of()));
     }
 
     /** Returns the places that the account's open requests take at the service at all routers. */
@@ -74,9 +94,31 @@
         return own + othersPlaces(key(service, account));
     }
 
+    /**
+     * Returns the places that open requests at the service take at all routers, by {@link #key} of
+     * the account. Of other routers, the accounts with the most places are known.
+     */
+    public Map<Long, Double> placesByKey(String service) {
+        Map<Long, Double> places = new HashMap<>();
+        ownPlaces(service).forEach((account, own) -> places.put(key(service, account), own));
+        long serviceBits = serviceBits(service);
+        recentOthers()
+                .forEach(
+                        (key, units) -> {
+                            if ((key & SERVICE_MASK) == serviceBits) {
+                                places.merge(key, units / UNITS_PER_PLACE, Double::sum);
+                            }
+                        });
+        return places;
+    }
+
     private double othersPlaces(long key) {
+        return recentOthers().getOrDefault(key, 0) / UNITS_PER_PLACE;
+    }
+
+    private Map<Long, Integer> recentOthers() {
         boolean recent = mTimers.nowMillis() - mOthersUpdatedMillis <= OTHERS_MAX_AGE_MILLIS;
-        return recent ? mOthers.getOrDefault(key, 0) / UNITS_PER_PLACE : 0;
+        return recent ? mOthers : Map.of();
     }
 
     /**
@@ -89,7 +131,7 @@
         Map<Long, Integer> counts = new HashMap<>();
         mOwnPlaces.forEach(
                 (service, places) -> {
-                    if (wantsRoom.test(service)) {
+                    if (!places.isEmpty() && wantsRoom.test(service)) {
                         places.forEach(
                                 (account, own) -> counts.put(key(service, account), inUnits(own)));
                     }
@@ -103,14 +145,21 @@
 
     /** Returns the largest entries of the counts. */
     public static Map<Long, Integer> largest(Map<Long, Integer> counts, int maxEntries) {
-        return counts.size() <= maxEntries
-                ? counts
-                : counts.entrySet().stream()
-                        .sorted(
-                                Map.Entry.<Long, Integer>comparingByValue(Comparator.reverseOrder())
-                                        .thenComparing(Map.Entry.comparingByKey()))
-                        .limit(maxEntries)
-                        .collect(Collectors.toMap(Map.Entry::getKey, Map.Entry::getValue));
+        if (counts.size() <= maxEntries) {
+            return counts;
+        }
+        // An aggregator has thousands of entries, most of which are below the smallest one kept.
+        PriorityQueue<Map.Entry<Long, Integer>> kept =
+                new PriorityQueue<>(maxEntries, LARGEST_FIRST.reversed());
+        for (Map.Entry<Long, Integer> entry : counts.entrySet()) {
+            if (kept.size() < maxEntries) {
+                kept.add(entry);
+            } else if (LARGEST_FIRST.compare(entry, kept.element()) < 0) {
+                kept.remove();
+                kept.add(entry);
+            }
+        }
+        return kept.stream().collect(Collectors.toMap(Map.Entry::getKey, Map.Entry::getValue));
     }
 
     /**
