--- a/rhubarbward-core/src/main/java/io/rhubarbward/placement/PlacementPolicy.java
+++ b/rhubarbward-core/src/main/java/io/rhubarbward/placement/PlacementPolicy.java
@@ -61,7 +61,7 @@
     private static final double MILLIS_PER_SECOND = 1000;
 
     /** Load per slot from which a server gets no further requests. */
-    private static final double MAX_LOAD_PER_SLOT = 1.5;
+    static final double MAX_LOAD_PER_SLOT = 1.5;
 
     /** Part of a brittle server's slots left from which only some requests go there. */
     private static final double BRITTLE_TAPER = 0.4;
--- a/rhubarbward-core/src/main/java/io/rhubarbward/placement/ServerTable.java
+++ b/rhubarbward-core/src/main/java/io/rhubarbward/placement/ServerTable.java
@@ -30,6 +30,9 @@
     private final List<Runnable> mSendSubscribers = new ArrayList<>();
     private boolean mOthersKnowLimits;
 
+    /** Half the minimum, so that subtracting it from a time cannot overflow. */
+    private long mOthersUpdatedMillis = Long.MIN_VALUE / 2;
+
     /** Creates an empty table. */
     public ServerTable(TimerService timers, EventLog events) {
         mTimers = timers;
@@ -152,6 +155,7 @@
      */
     public void updateInFlightFromOthers(Map<Integer, Integer> inFlight) {
         long now = mTimers.nowMillis();
+        mOthersUpdatedMillis = now;
         mServersById
                 .values()
                 .forEach(
@@ -160,6 +164,11 @@
                                         inFlight.getOrDefault(server.hash(), 0), now));
     }
 
+    /** Returns the time since the other routers last announced their requests in flight. */
+    long othersAgeMillis() {
+        return mTimers.nowMillis() - mOthersUpdatedMillis;
+    }
+
     /** Calls the subscriber whenever this router sends a request to a server. */
     public void subscribeToSends(Runnable subscriber) {
         mSendSubscribers.add(subscriber);
--- a/rhubarbward-core/src/main/java/io/rhubarbward/placement/TrackedServer.java
+++ b/rhubarbward-core/src/main/java/io/rhubarbward/placement/TrackedServer.java
@@ -39,7 +39,7 @@
     private static final int MAX_UNREPORTED_LOAD_FACTOR = 3;
 
     /** Age above which the in-flight counts of other routers are ignored. */
-    private static final long OTHERS_MAX_AGE_MILLIS = 1500;
+    static final long OTHERS_MAX_AGE_MILLIS = 1500;
 
     /** Half the minimum, so that subtracting it from a time cannot overflow. */
     private static final long NEVER_MILLIS = Long.MIN_VALUE / 2;
