--- a/rhubarbward-core/src/main/java/io/rhubarbward/node/FleetRouter.java
+++ b/rhubarbward-core/src/main/java/io/rhubarbward/node/FleetRouter.java
@@ -1,5 +1,8 @@
 package io.rhubarbward.node;
 
+import io.rhubarbward.admission.AccountUsage;
+import io.rhubarbward.admission.RoomEstimate;
+import io.rhubarbward.admission.ServiceRoom;
 import io.rhubarbward.catalog.CallerLimits;
 import io.rhubarbward.catalog.Catalog;
 import io.rhubarbward.catalog.CurrentCatalog;
@@ -22,9 +25,11 @@
 import io.rhubarbward.move.RolloutOrder;
 import io.rhubarbward.placement.PlacementPolicy;
 import io.rhubarbward.placement.ServerTable;
+import io.rhubarbward.placement.TableRoomEstimate;
 import io.rhubarbward.reach.ForwardingPeers;
 import io.rhubarbward.reach.ReachState;
 import io.rhubarbward.reach.ServerReachability;
+import io.rhubarbward.relay.ExchangedState;
 import io.rhubarbward.relay.LoadExchange;
 import io.rhubarbward.relay.RelayMetrics;
 import io.rhubarbward.relay.StoreFollower;
@@ -115,6 +120,9 @@
     private final RouterDirectory mRouters;
     private final CrashSuspects mCrashSuspects;
     private final FleetRollouts mRollouts;
+    private final FleetLimitSplitter mLimitSplitter;
+    private final AccountUsage mAccountUsage;
+    private final RoomEstimate mRoomEstimate;
     private final LoadExchange mLoadExchange;
     private final StoreFollower mStoreFollower;
     private final KindWatcher<Catalog> mCatalogWatcher;
@@ -172,6 +180,9 @@
                         this::relistAfterClockJump);
         RelayMetrics.register(ports.metrics(), mStoreFollower, watchers);
         mCrashSuspects = new CrashSuspects(ports.timers(), ports.events());
+        mLimitSplitter = new FleetLimitSplitter(settings.vm(), mRouters::names);
+        mAccountUsage = new AccountUsage(ports.timers());
+        mRoomEstimate = roomEstimate(table);
         mLoadExchange = loadExchange(table);
         mReach =
                 new ServerReachability(table, ports.connectProbe(), ports.timers(), ports.events());
@@ -188,6 +199,11 @@
         subscribeToReachability(table, context.metrics());
     }
 
+    private RoomEstimate roomEstimate(ServerTable table) {
+        return new TableRoomEstimate(
+                mPorts.timers(), table, mLimitSplitter, mEvacuations::contains, mAccountUsage);
+    }
+
     private LoadExchange loadExchange(ServerTable table) {
         return new LoadExchange(
                 mSettings.vm(),
@@ -195,12 +211,19 @@
                 mRouters::routers,
                 mStoreFollower::aggregator,
                 mPorts.peers(),
-                mCrashSuspects,
-                mRollouts,
-                table,
+                new ExchangedState(
+                        mCrashSuspects, mRollouts, table, mAccountUsage, this::needsAccountCounts),
                 mPorts.timers());
     }
 
+    private boolean needsAccountCounts(String service) {
+        return mCatalog.current()
+                .flatMap(catalog -> catalog.service(service))
+                .map(mRoomEstimate::room)
+                .filter(ServiceRoom::needsAccountCounts)
+                .isPresent();
+    }
+
     private ForwardingPeers forwardingPeers() {
         return new ForwardingPeers(
                 mSettings.vm(),
@@ -256,13 +279,12 @@
     }
 
     private ForwardContext forwardContext(ServerTable table) {
-        FleetLimitSplitter limitSplitter = new FleetLimitSplitter(mSettings.vm(), mRouters::names);
         PlacementPolicy policy =
                 new PlacementPolicy(
                         mSettings.dataCentre(),
                         mPorts.timers(),
                         table,
-                        limitSplitter,
+                        mLimitSplitter,
                         mEvacuations::contains,
                         mRollouts);
         return new ForwardContext(
@@ -275,7 +297,7 @@
                         this::relistAfterClockJump),
                 policy,
                 table,
-                new LocalRetryBudget(mSettings.bounds().retries(), mPorts.timers(), limitSplitter),
+                new LocalRetryBudget(mSettings.bounds().retries(), mPorts.timers(), mLimitSplitter),
                 mCrashSuspects,
                 mRollouts,
                 mReach,
--- a/rhubarbward-core/src/main/java/io/rhubarbward/relay/DataCentreLoad.java
+++ b/rhubarbward-core/src/main/java/io/rhubarbward/relay/DataCentreLoad.java
@@ -16,6 +16,7 @@
  *     LoadReport}
  * @param limits what these routers know of servers that state a limit, keyed likewise
  * @param versions figures of open rollouts, by service, target version and route
+ * @param accountPlaces the largest sums of the counts in {@link LoadReport}, keyed likewise
  */
 public record DataCentreLoad(
         String aggregator,
@@ -24,16 +25,25 @@
         long suspectsDigest,
         Map<Integer, Integer> inFlight,
         Map<Integer, LimitObservation> limits,
-        Map<String, PairedFigures> versions)
+        Map<String, PairedFigures> versions,
+        Map<Long, Integer> accountPlaces)
         implements PeerMessage {
     public DataCentreLoad {
         inFlight = Map.copyOf(inFlight);
         limits = Map.copyOf(limits);
         versions = Map.copyOf(versions);
+        accountPlaces = Map.copyOf(accountPlaces);
     }
 
     DataCentreLoad asForwarded() {
         return new DataCentreLoad(
-                aggregator, unheardMillis, true, suspectsDigest, inFlight, limits, versions);
+                aggregator,
+                unheardMillis,
+                true,
+                suspectsDigest,
+                inFlight,
+                limits,
+                versions,
+                accountPlaces);
     }
 }
--- a/rhubarbward-core/src/main/java/io/rhubarbward/relay/LoadAggregator.java
+++ b/rhubarbward-core/src/main/java/io/rhubarbward/relay/LoadAggregator.java
@@ -1,5 +1,6 @@
 package io.rhubarbward.relay;
 
+import io.rhubarbward.admission.AccountUsage;
 import io.rhubarbward.directory.RouterPresence;
 import io.rhubarbward.membership.Peer;
 import io.rhubarbward.membership.PeerTransport;
@@ -41,6 +42,10 @@
     private static final long RECONNECT_AFTER_MILLIS = 1500;
 
     private static final long MIN_RECONNECT_INTERVAL_MILLIS = 2000;
+
+    /** Entries of a sum by account, which bound a message; accounts below them use little. */
+    private static final int MAX_ACCOUNTS = 256;
+
     private static final long NEVER = Long.MIN_VALUE / 2;
 
     private final String mSelf;
@@ -56,7 +61,9 @@
     private final Map<String, Received<DataCentreLoad>> mSumsByAggregator = new HashMap<>();
     private final Map<String, RemoteDataCentre> mRemoteDataCentres = new HashMap<>();
     private final Map<Integer, Integer> mOwnSum = new HashMap<>();
+    private final Map<Long, Integer> mOwnAccountPlaces = new HashMap<>();
     private Map<Integer, Integer> mPublishedOwnSum = Map.of();
+    private Map<Long, Integer> mPublishedAccountPlaces = Map.of();
     private long mExchangedMillis = NEVER;
     private long mPublishedMillis = NEVER;
     private boolean mPublishPending;
@@ -121,24 +128,39 @@
         mSuspects.compareDigest(sender, report.suspectsDigest());
         Received<LoadReport> before =
                 mReports.put(sender, new Received<>(report, mTimers.nowMillis()));
-        Map<Integer, Integer> inFlightBefore =
-                before == null ? Map.of() : before.message().inFlight();
-        if (!inFlightBefore.equals(report.inFlight())) {
-            add(inFlightBefore, -1);
-            add(report.inFlight(), 1);
-        }
-        if (before == null || !inFlightBefore.equals(report.inFlight())) {
+        boolean inFlightChanged =
+                replace(
+                        mOwnSum,
+                        before == null ? Map.of() : before.message().inFlight(),
+                        report.inFlight());
+        boolean accountPlacesChanged =
+                replace(
+                        mOwnAccountPlaces,
+                        before == null ? Map.of() : before.message().accountPlaces(),
+                        report.accountPlaces());
+        if (before == null || inFlightChanged || accountPlacesChanged) {
             publishSoon();
         }
     }
 
-    private void add(Map<Integer, Integer> inFlight, int sign) {
-        inFlight.forEach(
-                (server, count) ->
-                        mOwnSum.compute(
-                                server,
-                                (key, sum) -> {
-                                    int changed = Objects.requireNonNullElse(sum, 0) + sign * count;
+    /** Replaces the counts of one report in the sum; returns whether they differ. */
+    private static <K> boolean replace(
+            Map<K, Integer> sum, Map<K, Integer> before, Map<K, Integer> after) {
+        boolean changed = !before.equals(after);
+        if (changed) {
+            add(sum, before, -1);
+            add(sum, after, 1);
+        }
+        return changed;
+    }
+
+    private static <K> void add(Map<K, Integer> sum, Map<K, Integer> counts, int sign) {
+        counts.forEach(
+                (key, count) ->
+                        sum.compute(
+                                key,
+                                (ignored, old) -> {
+                                    int changed = Objects.requireNonNullElse(old, 0) + sign * count;
                                     return changed == 0 ? null : changed;
                                 }));
     }
@@ -166,7 +188,9 @@
         }
         Received<DataCentreLoad> before =
                 mSumsByAggregator.put(load.aggregator(), new Received<>(load, now));
-        if (before == null || !before.message().inFlight().equals(load.inFlight())) {
+        if (before == null
+                || !before.message().inFlight().equals(load.inFlight())
+                || !before.message().accountPlaces().equals(load.accountPlaces())) {
             publishSoon();
         }
     }
@@ -201,15 +225,14 @@
         }
         exchange(now);
         Map<Integer, Integer> totals = new HashMap<>(mOwnSum);
+        Map<Long, Integer> accountPlaces = new HashMap<>(mOwnAccountPlaces);
         mSumsByAggregator
                 .values()
                 .forEach(
-                        sum ->
-                                sum.message()
-                                        .inFlight()
-                                        .forEach(
-                                                (server, count) ->
-                                                        totals.merge(server, count, Integer::sum)));
+                        sum -> {
+                            add(totals, sum.message().inFlight(), 1);
+                            add(accountPlaces, sum.message().accountPlaces(), 1);
+                        });
         Map<Integer, LimitObservation> limits = ownLimits(now);
         mSumsByAggregator
                 .values()
@@ -220,6 +243,8 @@
         Map<Integer, Integer> sharedTotals = Map.copyOf(totals);
         Map<Integer, LimitObservation> sharedLimits = Map.copyOf(limits);
         Map<String, PairedFigures> sharedVersions = Map.copyOf(versions);
+        Map<Long, Integer> sharedAccountPlaces =
+                Map.copyOf(AccountUsage.largest(accountPlaces, MAX_ACCOUNTS));
         mReports.forEach(
                 (vm, report) ->
                         tell(
@@ -229,7 +254,8 @@
                                         mSuspects.digest(),
                                         sharedTotals,
                                         sharedLimits,
-                                        sharedVersions)));
+                                        sharedVersions,
+                                        sharedAccountPlaces)));
     }
 
     private void expire(long now) {
@@ -242,7 +268,8 @@
                 vm -> {
                     Received<LoadReport> report = mReports.remove(vm);
                     if (report != null) {
-                        add(report.message().inFlight(), -1);
+                        add(mOwnSum, report.message().inFlight(), -1);
+                        add(mOwnAccountPlaces, report.message().accountPlaces(), -1);
                     }
                 });
         mSumsByAggregator.values().removeIf(sum -> sum.expired(now));
@@ -298,12 +325,15 @@
 
     /** Sends this data centre's sum to the others, if it has changed or was not sent for long. */
     private void exchange(long now) {
-        boolean changed = !mOwnSum.equals(mPublishedOwnSum);
+        Map<Long, Integer> accountPlaces = AccountUsage.largest(mOwnAccountPlaces, MAX_ACCOUNTS);
+        boolean changed =
+                !mOwnSum.equals(mPublishedOwnSum) || !accountPlaces.equals(mPublishedAccountPlaces);
         if (!changed && now - mExchangedMillis < MAX_PUBLISH_INTERVAL.toMillis()) {
             return;
         }
         mExchangedMillis = now;
         mPublishedOwnSum = Map.copyOf(mOwnSum);
+        mPublishedAccountPlaces = Map.copyOf(accountPlaces);
         Map<Integer, LimitObservation> limits = ownLimits(now);
         Map<String, PairedFigures> versions = ownVersions();
         otherDataCentres()
@@ -322,7 +352,8 @@
                                                                     mSuspects.digest(),
                                                                     mPublishedOwnSum,
                                                                     limits,
-                                                                    versions)));
+                                                                    versions,
+                                                                    mPublishedAccountPlaces)));
                         });
     }
 
--- a/rhubarbward-core/src/main/java/io/rhubarbward/relay/LoadExchange.java
+++ b/rhubarbward-core/src/main/java/io/rhubarbward/relay/LoadExchange.java
@@ -1,6 +1,6 @@
 package io.rhubarbward.relay;
 
-import io.rhubarbward.crash.CrashSuspects;
+import io.rhubarbward.admission.AccountUsage;
 import io.rhubarbward.directory.RouterPresence;
 import io.rhubarbward.membership.Peer;
 import io.rhubarbward.membership.PeerTransport;
@@ -15,6 +15,7 @@
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Optional;
+import java.util.function.Predicate;
 import java.util.function.Supplier;
 import java.util.stream.Collectors;
 
@@ -47,6 +48,8 @@
     private final PeerTransport mTransport;
     private final FleetRollouts mRollouts;
     private final ServerTable mTable;
+    private final AccountUsage mUsage;
+    private final Predicate<String> mWantsRoom;
     private final TimerService mTimers;
     private final SuspectExchange mSuspects;
     private final LoadAggregator mAggregator;
@@ -62,9 +65,7 @@
      * @param dataCentre this router's data centre
      * @param routers returns the listed routers by VM name
      * @param aggregator returns the router to report to; empty if it is this one
-     * @param suspects what this router knows of requests that crash servers
-     * @param rollouts counts and judges the answers of versions on trial
-     * @param table counts this router's requests in flight and takes those of the others
+     * @param state has this router's figures and takes those of the others
      */
     public LoadExchange(
             String self,
@@ -72,20 +73,20 @@
             Supplier<Map<String, RouterPresence>> routers,
             Supplier<Optional<Peer>> aggregator,
             PeerTransport transport,
-            CrashSuspects suspects,
-            FleetRollouts rollouts,
-            ServerTable table,
+            ExchangedState state,
             TimerService timers) {
         mSelf = self;
         mRouters = routers;
         mAggregatorPeer = aggregator;
         mTransport = transport;
-        mRollouts = rollouts;
-        mTable = table;
+        mRollouts = state.rollouts();
+        mTable = state.table();
+        mUsage = state.usage();
+        mWantsRoom = state.wantsRoom();
         mTimers = timers;
         mSuspects =
                 new SuspectExchange(
-                        self, dataCentre, routers, aggregator, transport, suspects, timers);
+                        self, dataCentre, routers, aggregator, transport, state.suspects(), timers);
         mAggregator =
                 new LoadAggregator(
                         self,
@@ -149,7 +150,12 @@
         mReportedMillis = mTimers.nowMillis();
         LoadReport report =
                 new LoadReport(
-                        ++mSequence, mSuspects.digest(), inFlight(), limits(), mRollouts.figures());
+                        ++mSequence,
+                        mSuspects.digest(),
+                        inFlight(),
+                        limits(),
+                        mRollouts.figures(),
+                        mUsage.reported(mWantsRoom));
         mSentReports.addLast(report);
         if (mSentReports.size() > MAX_KEPT_REPORTS) {
             mSentReports.removeFirst();
@@ -183,6 +189,7 @@
     private void onTotals(LoadTotals totals) {
         Map<Integer, Integer> others = new HashMap<>(totals.inFlight());
         Map<Integer, LimitObservation> limits = new HashMap<>(totals.limits());
+        Map<Long, Integer> accountPlaces = new HashMap<>(totals.accountPlaces());
         mSentReports.stream()
                 .filter(report -> report.sequence() == totals.echoSequence())
                 .findFirst()
@@ -200,9 +207,17 @@
                                                             (key, all) ->
                                                                     all.withoutSends(
                                                                             observed.sends())));
+                            own.accountPlaces()
+                                    .forEach((key, units) -> subtract(accountPlaces, key, units));
                         });
         mTable.updateInFlightFromOthers(others);
         mTable.updateLimitsFromOthers(limits);
+        mUsage.updateFromOthers(accountPlaces);
         mRollouts.onTotals(totals.versions());
     }
+
+    /** Subtracts own places; the totals lack accounts that were too small to be sent. */
+    private static void subtract(Map<Long, Integer> accountPlaces, long key, int own) {
+        accountPlaces.computeIfPresent(key, (ignored, all) -> all <= own ? null : all - own);
+    }
 }
--- a/rhubarbward-core/src/main/java/io/rhubarbward/relay/LoadReport.java
+++ b/rhubarbward-core/src/main/java/io/rhubarbward/relay/LoadReport.java
@@ -14,17 +14,21 @@
  *     io.rhubarbward.placement.TrackedServer#hash(String)}; servers without any are left out
  * @param limits what is known of servers that state a limit on their requests, keyed likewise
  * @param versions figures of open rollouts, by service, target version and route
+ * @param accountPlaces tenths of a place that open requests take, by {@link
+ *     io.rhubarbward.admission.AccountUsage#key}; empty while no service is short of room
  */
 public record LoadReport(
         long sequence,
         long suspectsDigest,
         Map<Integer, Integer> inFlight,
         Map<Integer, LimitObservation> limits,
-        Map<String, PairedFigures> versions)
+        Map<String, PairedFigures> versions,
+        Map<Long, Integer> accountPlaces)
         implements PeerMessage {
     public LoadReport {
         inFlight = Map.copyOf(inFlight);
         limits = Map.copyOf(limits);
         versions = Map.copyOf(versions);
+        accountPlaces = Map.copyOf(accountPlaces);
     }
 }
--- a/rhubarbward-core/src/main/java/io/rhubarbward/relay/LoadTotals.java
+++ b/rhubarbward-core/src/main/java/io/rhubarbward/relay/LoadTotals.java
@@ -13,17 +13,20 @@
  * @param inFlight requests in flight of all routers, keyed as in {@link LoadReport}
  * @param limits what is known of servers that state a limit on their requests, keyed likewise
  * @param versions figures of open rollouts, by service, target version and route
+ * @param accountPlaces the largest sums of the counts in {@link LoadReport}, keyed likewise
  */
 public record LoadTotals(
         long echoSequence,
         long suspectsDigest,
         Map<Integer, Integer> inFlight,
         Map<Integer, LimitObservation> limits,
-        Map<String, PairedFigures> versions)
+        Map<String, PairedFigures> versions,
+        Map<Long, Integer> accountPlaces)
         implements PeerMessage {
     public LoadTotals {
         inFlight = Map.copyOf(inFlight);
         limits = Map.copyOf(limits);
         versions = Map.copyOf(versions);
+        accountPlaces = Map.copyOf(accountPlaces);
     }
 }
--- a/rhubarbward-core/src/test/java/io/rhubarbward/relay/LoadExchangeTest.java
+++ b/rhubarbward-core/src/test/java/io/rhubarbward/relay/LoadExchangeTest.java
@@ -2,6 +2,7 @@
 
 import static com.google.common.truth.Truth.assertThat;
 
+import io.rhubarbward.admission.AccountUsage;
 import io.rhubarbward.crash.CrashSuspects;
 import io.rhubarbward.directory.FleetLimitSplitter;
 import io.rhubarbward.directory.RouterPresence;
@@ -102,9 +103,12 @@
                             () -> mListedRouters,
                             () -> aggregator(dataCentre),
                             mPeers.endpoint(name),
-                            new CrashSuspects(mTimers, new RecordingEvents()),
-                            rollouts(mTable),
-                            mTable,
+                            new ExchangedState(
+                                    new CrashSuspects(mTimers, new RecordingEvents()),
+                                    rollouts(mTable),
+                                    mTable,
+                                    new AccountUsage(mTimers),
+                                    service -> false),
                             mTimers);
         }
 
--- a/rhubarbward-net/src/main/java/io/rhubarbward/gen/fleet/CrashSuspectStruct.java
+++ b/rhubarbward-net/src/main/java/io/rhubarbward/gen/fleet/CrashSuspectStruct.java
@@ -573,15 +573,15 @@
           case 2: // CRASHES
             if (schemeField.type == org.apache.thrift.protocol.TType.MAP) {
               {
-                org.apache.thrift.protocol.TMap _map132 = iprot.readMapBegin();
-                struct.crashes = new java.util.HashMap<java.lang.Long,java.lang.Long>(2*_map132.size);
-                long _key133;
-                long _val134;
-                for (int _i135 = 0; _i135 < _map132.size; ++_i135)
+                org.apache.thrift.protocol.TMap _map162 = iprot.readMapBegin();
+                struct.crashes = new java.util.HashMap<java.lang.Long,java.lang.Long>(2*_map162.size);
+                long _key163;
+                long _val164;
+                for (int _i165 = 0; _i165 < _map162.size; ++_i165)
                 {
-                  _key133 = iprot.readI64();
-                  _val134 = iprot.readI64();
-                  struct.crashes.put(_key133, _val134);
+                  _key163 = iprot.readI64();
+                  _val164 = iprot.readI64();
+                  struct.crashes.put(_key163, _val164);
                 }
                 iprot.readMapEnd();
               }
@@ -635,10 +635,10 @@
         oprot.writeFieldBegin(CRASHES_FIELD_DESC);
         {
           oprot.writeMapBegin(new org.apache.thrift.protocol.TMap(org.apache.thrift.protocol.TType.I64, org.apache.thrift.protocol.TType.I64, struct.crashes.size()));
-          for (java.util.Map.Entry<java.lang.Long, java.lang.Long> _iter136 : struct.crashes.entrySet())
+          for (java.util.Map.Entry<java.lang.Long, java.lang.Long> _iter166 : struct.crashes.entrySet())
           {
-            oprot.writeI64(_iter136.getKey());
-            oprot.writeI64(_iter136.getValue());
+            oprot.writeI64(_iter166.getKey());
+            oprot.writeI64(_iter166.getValue());
           }
           oprot.writeMapEnd();
         }
@@ -673,10 +673,10 @@
       oprot.writeI64(struct.trait);
       {
         oprot.writeI32(struct.crashes.size());
-        for (java.util.Map.Entry<java.lang.Long, java.lang.Long> _iter137 : struct.crashes.entrySet())
+        for (java.util.Map.Entry<java.lang.Long, java.lang.Long> _iter167 : struct.crashes.entrySet())
         {
-          oprot.writeI64(_iter137.getKey());
-          oprot.writeI64(_iter137.getValue());
+          oprot.writeI64(_iter167.getKey());
+          oprot.writeI64(_iter167.getValue());
         }
       }
       oprot.writeI64(struct.answers);
@@ -696,15 +696,15 @@
       struct.trait = iprot.readI64();
       struct.setTraitIsSet(true);
       {
-        org.apache.thrift.protocol.TMap _map138 = iprot.readMapBegin(org.apache.thrift.protocol.TType.I64, org.apache.thrift.protocol.TType.I64); 
-        struct.crashes = new java.util.HashMap<java.lang.Long,java.lang.Long>(2*_map138.size);
-        long _key139;
-        long _val140;
-        for (int _i141 = 0; _i141 < _map138.size; ++_i141)
+        org.apache.thrift.protocol.TMap _map168 = iprot.readMapBegin(org.apache.thrift.protocol.TType.I64, org.apache.thrift.protocol.TType.I64); 
+        struct.crashes = new java.util.HashMap<java.lang.Long,java.lang.Long>(2*_map168.size);
+        long _key169;
+        long _val170;
+        for (int _i171 = 0; _i171 < _map168.size; ++_i171)
         {
-          _key139 = iprot.readI64();
-          _val140 = iprot.readI64();
-          struct.crashes.put(_key139, _val140);
+          _key169 = iprot.readI64();
+          _val170 = iprot.readI64();
+          struct.crashes.put(_key169, _val170);
         }
       }
       struct.setCrashesIsSet(true);
--- a/rhubarbward-net/src/main/java/io/rhubarbward/gen/fleet/DataCentreLoadStruct.java
+++ b/rhubarbward-net/src/main/java/io/rhubarbward/gen/fleet/DataCentreLoadStruct.java
@@ -17,6 +17,7 @@
   private static final org.apache.thrift.protocol.TField SUSPECTS_DIGEST_FIELD_DESC = new org.apache.thrift.protocol.TField("suspectsDigest", org.apache.thrift.protocol.TType.I64, (short)5);
   private static final org.apache.thrift.protocol.TField LIMITS_FIELD_DESC = new org.apache.thrift.protocol.TField("limits", org.apache.thrift.protocol.TType.MAP, (short)6);
   private static final org.apache.thrift.protocol.TField VERSIONS_FIELD_DESC = new org.apache.thrift.protocol.TField("versions", org.apache.thrift.protocol.TType.MAP, (short)7);
+  private static final org.apache.thrift.protocol.TField ACCOUNT_PLACES_FIELD_DESC = new org.apache.thrift.protocol.TField("accountPlaces", org.apache.thrift.protocol.TType.MAP, (short)8);
 
   private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY = new DataCentreLoadStructStandardSchemeFactory();
   private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY = new DataCentreLoadStructTupleSchemeFactory();
@@ -28,6 +29,7 @@
   private long suspectsDigest; // required
   private @org.apache.thrift.annotation.Nullable java.util.Map<java.lang.Integer,LimitObservationStruct> limits; // required
   private @org.apache.thrift.annotation.Nullable java.util.Map<java.lang.String,PairedFiguresStruct> versions; // required
+  private @org.apache.thrift.annotation.Nullable java.util.Map<java.lang.Long,java.lang.Integer> accountPlaces; // optional
 
   /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
   public enum _Fields implements org.apache.thrift.TFieldIdEnum {
@@ -37,7 +39,8 @@
     IN_FLIGHT((short)4, "inFlight"),
     SUSPECTS_DIGEST((short)5, "suspectsDigest"),
     LIMITS((short)6, "limits"),
-    VERSIONS((short)7, "versions");
+    VERSIONS((short)7, "versions"),
+    ACCOUNT_PLACES((short)8, "accountPlaces");
 
     private static final java.util.Map<java.lang.String, _Fields> byName = new java.util.HashMap<java.lang.String, _Fields>();
 
@@ -67,6 +70,8 @@
           return LIMITS;
         case 7: // VERSIONS
           return VERSIONS;
+        case 8: // ACCOUNT_PLACES
+          return ACCOUNT_PLACES;
         default:
           return null;
       }
@@ -114,6 +119,7 @@
   private static final int __FORWARDED_ISSET_ID = 1;
   private static final int __SUSPECTSDIGEST_ISSET_ID = 2;
   private byte __isset_bitfield = 0;
+  private static final _Fields optionals[] = {_Fields.ACCOUNT_PLACES};
   public static final java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> metaDataMap;
   static {
     java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> tmpMap = new java.util.EnumMap<_Fields, org.apache.thrift.meta_data.FieldMetaData>(_Fields.class);
@@ -137,6 +143,10 @@
         new org.apache.thrift.meta_data.MapMetaData(org.apache.thrift.protocol.TType.MAP, 
             new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.STRING), 
             new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, PairedFiguresStruct.class))));
+    tmpMap.put(_Fields.ACCOUNT_PLACES, new org.apache.thrift.meta_data.FieldMetaData("accountPlaces", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
+        new org.apache.thrift.meta_data.MapMetaData(org.apache.thrift.protocol.TType.MAP, 
+            new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64), 
+            new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I32))));
     metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
     org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(DataCentreLoadStruct.class, metaDataMap);
   }
@@ -211,6 +221,10 @@
       }
       this.versions = __this__versions;
     }
+    if (other.isSetAccountPlaces()) {
+      java.util.Map<java.lang.Long,java.lang.Integer> __this__accountPlaces = new java.util.HashMap<java.lang.Long,java.lang.Integer>(other.accountPlaces);
+      this.accountPlaces = __this__accountPlaces;
+    }
   }
 
   @Override
@@ -230,6 +244,7 @@
     this.suspectsDigest = 0;
     this.limits = null;
     this.versions = null;
+    this.accountPlaces = null;
   }
 
   @org.apache.thrift.annotation.Nullable
@@ -434,6 +449,42 @@
     }
   }
 
+  public int getAccountPlacesSize() {
+    return (this.accountPlaces == null) ? 0 : this.accountPlaces.size();
+  }
+
+  public void putToAccountPlaces(long key, int val) {
+    if (this.accountPlaces == null) {
+      this.accountPlaces = new java.util.HashMap<java.lang.Long,java.lang.Integer>();
+    }
+    this.accountPlaces.put(key, val);
+  }
+
+  @org.apache.thrift.annotation.Nullable
+  public java.util.Map<java.lang.Long,java.lang.Integer> getAccountPlaces() {
+    return this.accountPlaces;
+  }
+
+  public DataCentreLoadStruct setAccountPlaces(@org.apache.thrift.annotation.Nullable java.util.Map<java.lang.Long,java.lang.Integer> accountPlaces) {
+    this.accountPlaces = accountPlaces;
+    return this;
+  }
+
+  public void unsetAccountPlaces() {
+    this.accountPlaces = null;
+  }
+
+  /** Returns true if field accountPlaces is set (has been assigned a value) and false otherwise */
+  public boolean isSetAccountPlaces() {
+    return this.accountPlaces != null;
+  }
+
+  public void setAccountPlacesIsSet(boolean value) {
+    if (!value) {
+      this.accountPlaces = null;
+    }
+  }
+
   @Override
   public void setFieldValue(_Fields field, @org.apache.thrift.annotation.Nullable java.lang.Object value) {
     switch (field) {
@@ -493,6 +544,14 @@
       }
       break;
 
+    case ACCOUNT_PLACES:
+      if (value == null) {
+        unsetAccountPlaces();
+      } else {
+        setAccountPlaces((java.util.Map<java.lang.Long,java.lang.Integer>)value);
+      }
+      break;
+
     }
   }
 
@@ -521,6 +580,9 @@
     case VERSIONS:
       return getVersions();
 
+    case ACCOUNT_PLACES:
+      return getAccountPlaces();
+
     }
     throw new java.lang.IllegalStateException();
   }
@@ -547,6 +609,8 @@
       return isSetLimits();
     case VERSIONS:
       return isSetVersions();
+    case ACCOUNT_PLACES:
+      return isSetAccountPlaces();
     }
     throw new java.lang.IllegalStateException();
   }
@@ -627,6 +691,15 @@
         return false;
     }
 
+    boolean this_present_accountPlaces = true && this.isSetAccountPlaces();
+    boolean that_present_accountPlaces = true && that.isSetAccountPlaces();
+    if (this_present_accountPlaces || that_present_accountPlaces) {
+      if (!(this_present_accountPlaces && that_present_accountPlaces))
+        return false;
+      if (!this.accountPlaces.equals(that.accountPlaces))
+        return false;
+    }
+
     return true;
   }
 
@@ -656,6 +729,10 @@
     if (isSetVersions())
       hashCode = hashCode * 8191 + versions.hashCode();
 
+    hashCode = hashCode * 8191 + ((isSetAccountPlaces()) ? 131071 : 524287);
+    if (isSetAccountPlaces())
+      hashCode = hashCode * 8191 + accountPlaces.hashCode();
+
     return hashCode;
   }
 
@@ -737,6 +814,16 @@
         return lastComparison;
       }
     }
+    lastComparison = java.lang.Boolean.compare(isSetAccountPlaces(), other.isSetAccountPlaces());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetAccountPlaces()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.accountPlaces, other.accountPlaces);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
     return 0;
   }
 
@@ -804,6 +891,16 @@
       sb.append(this.versions);
     }
     first = false;
+    if (isSetAccountPlaces()) {
+      if (!first) sb.append(", ");
+      sb.append("accountPlaces:");
+      if (this.accountPlaces == null) {
+        sb.append("null");
+      } else {
+        sb.append(this.accountPlaces);
+      }
+      first = false;
+    }
     sb.append(")");
     return sb.toString();
   }
@@ -893,15 +990,15 @@
           case 4: // IN_FLIGHT
             if (schemeField.type == org.apache.thrift.protocol.TType.MAP) {
               {
-                org.apache.thrift.protocol.TMap _map102 = iprot.readMapBegin();
-                struct.inFlight = new java.util.HashMap<java.lang.Integer,java.lang.Integer>(2*_map102.size);
-                int _key103;
-                int _val104;
-                for (int _i105 = 0; _i105 < _map102.size; ++_i105)
+                org.apache.thrift.protocol.TMap _map122 = iprot.readMapBegin();
+                struct.inFlight = new java.util.HashMap<java.lang.Integer,java.lang.Integer>(2*_map122.size);
+                int _key123;
+                int _val124;
+                for (int _i125 = 0; _i125 < _map122.size; ++_i125)
                 {
-                  _key103 = iprot.readI32();
-                  _val104 = iprot.readI32();
-                  struct.inFlight.put(_key103, _val104);
+                  _key123 = iprot.readI32();
+                  _val124 = iprot.readI32();
+                  struct.inFlight.put(_key123, _val124);
                 }
                 iprot.readMapEnd();
               }
@@ -921,16 +1018,16 @@
           case 6: // LIMITS
             if (schemeField.type == org.apache.thrift.protocol.TType.MAP) {
               {
-                org.apache.thrift.protocol.TMap _map106 = iprot.readMapBegin();
-                struct.limits = new java.util.HashMap<java.lang.Integer,LimitObservationStruct>(2*_map106.size);
-                int _key107;
-                @org.apache.thrift.annotation.Nullable LimitObservationStruct _val108;
-                for (int _i109 = 0; _i109 < _map106.size; ++_i109)
+                org.apache.thrift.protocol.TMap _map126 = iprot.readMapBegin();
+                struct.limits = new java.util.HashMap<java.lang.Integer,LimitObservationStruct>(2*_map126.size);
+                int _key127;
+                @org.apache.thrift.annotation.Nullable LimitObservationStruct _val128;
+                for (int _i129 = 0; _i129 < _map126.size; ++_i129)
                 {
-                  _key107 = iprot.readI32();
-                  _val108 = new LimitObservationStruct();
-                  _val108.read(iprot);
-                  struct.limits.put(_key107, _val108);
+                  _key127 = iprot.readI32();
+                  _val128 = new LimitObservationStruct();
+                  _val128.read(iprot);
+                  struct.limits.put(_key127, _val128);
                 }
                 iprot.readMapEnd();
               }
@@ -942,16 +1039,16 @@
           case 7: // VERSIONS
             if (schemeField.type == org.apache.thrift.protocol.TType.MAP) {
               {
-                org.apache.thrift.protocol.TMap _map110 = iprot.readMapBegin();
-                struct.versions = new java.util.HashMap<java.lang.String,PairedFiguresStruct>(2*_map110.size);
-                @org.apache.thrift.annotation.Nullable java.lang.String _key111;
-                @org.apache.thrift.annotation.Nullable PairedFiguresStruct _val112;
-                for (int _i113 = 0; _i113 < _map110.size; ++_i113)
+                org.apache.thrift.protocol.TMap _map130 = iprot.readMapBegin();
+                struct.versions = new java.util.HashMap<java.lang.String,PairedFiguresStruct>(2*_map130.size);
+                @org.apache.thrift.annotation.Nullable java.lang.String _key131;
+                @org.apache.thrift.annotation.Nullable PairedFiguresStruct _val132;
+                for (int _i133 = 0; _i133 < _map130.size; ++_i133)
                 {
-                  _key111 = iprot.readString();
-                  _val112 = new PairedFiguresStruct();
-                  _val112.read(iprot);
-                  struct.versions.put(_key111, _val112);
+                  _key131 = iprot.readString();
+                  _val132 = new PairedFiguresStruct();
+                  _val132.read(iprot);
+                  struct.versions.put(_key131, _val132);
                 }
                 iprot.readMapEnd();
               }
@@ -960,6 +1057,26 @@
               org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
             break;
+          case 8: // ACCOUNT_PLACES
+            if (schemeField.type == org.apache.thrift.protocol.TType.MAP) {
+              {
+                org.apache.thrift.protocol.TMap _map134 = iprot.readMapBegin();
+                struct.accountPlaces = new java.util.HashMap<java.lang.Long,java.lang.Integer>(2*_map134.size);
+                long _key135;
+                int _val136;
+                for (int _i137 = 0; _i137 < _map134.size; ++_i137)
+                {
+                  _key135 = iprot.readI64();
+                  _val136 = iprot.readI32();
+                  struct.accountPlaces.put(_key135, _val136);
+                }
+                iprot.readMapEnd();
+              }
+              struct.setAccountPlacesIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
+            }
+            break;
           default:
             org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
         }
@@ -1000,10 +1117,10 @@
         oprot.writeFieldBegin(IN_FLIGHT_FIELD_DESC);
         {
           oprot.writeMapBegin(new org.apache.thrift.protocol.TMap(org.apache.thrift.protocol.TType.I32, org.apache.thrift.protocol.TType.I32, struct.inFlight.size()));
-          for (java.util.Map.Entry<java.lang.Integer, java.lang.Integer> _iter114 : struct.inFlight.entrySet())
+          for (java.util.Map.Entry<java.lang.Integer, java.lang.Integer> _iter138 : struct.inFlight.entrySet())
           {
-            oprot.writeI32(_iter114.getKey());
-            oprot.writeI32(_iter114.getValue());
+            oprot.writeI32(_iter138.getKey());
+            oprot.writeI32(_iter138.getValue());
           }
           oprot.writeMapEnd();
         }
@@ -1016,10 +1133,10 @@
         oprot.writeFieldBegin(LIMITS_FIELD_DESC);
         {
           oprot.writeMapBegin(new org.apache.thrift.protocol.TMap(org.apache.thrift.protocol.TType.I32, org.apache.thrift.protocol.TType.STRUCT, struct.limits.size()));
-          for (java.util.Map.Entry<java.lang.Integer, LimitObservationStruct> _iter115 : struct.limits.entrySet())
+          for (java.util.Map.Entry<java.lang.Integer, LimitObservationStruct> _iter139 : struct.limits.entrySet())
           {
-            oprot.writeI32(_iter115.getKey());
-            _iter115.getValue().write(oprot);
+            oprot.writeI32(_iter139.getKey());
+            _iter139.getValue().write(oprot);
           }
           oprot.writeMapEnd();
         }
@@ -1029,15 +1146,30 @@
         oprot.writeFieldBegin(VERSIONS_FIELD_DESC);
         {
           oprot.writeMapBegin(new org.apache.thrift.protocol.TMap(org.apache.thrift.protocol.TType.STRING, org.apache.thrift.protocol.TType.STRUCT, struct.versions.size()));
-          for (java.util.Map.Entry<java.lang.String, PairedFiguresStruct> _iter116 : struct.versions.entrySet())
+          for (java.util.Map.Entry<java.lang.String, PairedFiguresStruct> _iter140 : struct.versions.entrySet())
           {
-            oprot.writeString(_iter116.getKey());
-            _iter116.getValue().write(oprot);
+            oprot.writeString(_iter140.getKey());
+            _iter140.getValue().write(oprot);
           }
           oprot.writeMapEnd();
         }
         oprot.writeFieldEnd();
       }
+      if (struct.accountPlaces != null) {
+        if (struct.isSetAccountPlaces()) {
+          oprot.writeFieldBegin(ACCOUNT_PLACES_FIELD_DESC);
+          {
+            oprot.writeMapBegin(new org.apache.thrift.protocol.TMap(org.apache.thrift.protocol.TType.I64, org.apache.thrift.protocol.TType.I32, struct.accountPlaces.size()));
+            for (java.util.Map.Entry<java.lang.Long, java.lang.Integer> _iter141 : struct.accountPlaces.entrySet())
+            {
+              oprot.writeI64(_iter141.getKey());
+              oprot.writeI32(_iter141.getValue());
+            }
+            oprot.writeMapEnd();
+          }
+          oprot.writeFieldEnd();
+        }
+      }
       oprot.writeFieldStop();
       oprot.writeStructEnd();
     }
@@ -1061,27 +1193,42 @@
       oprot.writeBool(struct.forwarded);
       {
         oprot.writeI32(struct.inFlight.size());
-        for (java.util.Map.Entry<java.lang.Integer, java.lang.Integer> _iter117 : struct.inFlight.entrySet())
+        for (java.util.Map.Entry<java.lang.Integer, java.lang.Integer> _iter142 : struct.inFlight.entrySet())
         {
-          oprot.writeI32(_iter117.getKey());
-          oprot.writeI32(_iter117.getValue());
+          oprot.writeI32(_iter142.getKey());
+          oprot.writeI32(_iter142.getValue());
         }
       }
       oprot.writeI64(struct.suspectsDigest);
       {
         oprot.writeI32(struct.limits.size());
-        for (java.util.Map.Entry<java.lang.Integer, LimitObservationStruct> _iter118 : struct.limits.entrySet())
+        for (java.util.Map.Entry<java.lang.Integer, LimitObservationStruct> _iter143 : struct.limits.entrySet())
         {
-          oprot.writeI32(_iter118.getKey());
-          _iter118.getValue().write(oprot);
+          oprot.writeI32(_iter143.getKey());
+          _iter143.getValue().write(oprot);
         }
       }
       {
         oprot.writeI32(struct.versions.size());
-        for (java.util.Map.Entry<java.lang.String, PairedFiguresStruct> _iter119 : struct.versions.entrySet())
+        for (java.util.Map.Entry<java.lang.String, PairedFiguresStruct> _iter144 : struct.versions.entrySet())
         {
-          oprot.writeString(_iter119.getKey());
-          _iter119.getValue().write(oprot);
+          oprot.writeString(_iter144.getKey());
+          _iter144.getValue().write(oprot);
+        }
+      }
+      java.util.BitSet optionals = new java.util.BitSet();
+      if (struct.isSetAccountPlaces()) {
+        optionals.set(0);
+      }
+      oprot.writeBitSet(optionals, 1);
+      if (struct.isSetAccountPlaces()) {
+        {
+          oprot.writeI32(struct.accountPlaces.size());
+          for (java.util.Map.Entry<java.lang.Long, java.lang.Integer> _iter145 : struct.accountPlaces.entrySet())
+          {
+            oprot.writeI64(_iter145.getKey());
+            oprot.writeI32(_iter145.getValue());
+          }
         }
       }
     }
@@ -1096,48 +1243,64 @@
       struct.forwarded = iprot.readBool();
       struct.setForwardedIsSet(true);
       {
-        org.apache.thrift.protocol.TMap _map120 = iprot.readMapBegin(org.apache.thrift.protocol.TType.I32, org.apache.thrift.protocol.TType.I32); 
-        struct.inFlight = new java.util.HashMap<java.lang.Integer,java.lang.Integer>(2*_map120.size);
-        int _key121;
-        int _val122;
-        for (int _i123 = 0; _i123 < _map120.size; ++_i123)
+        org.apache.thrift.protocol.TMap _map146 = iprot.readMapBegin(org.apache.thrift.protocol.TType.I32, org.apache.thrift.protocol.TType.I32); 
+        struct.inFlight = new java.util.HashMap<java.lang.Integer,java.lang.Integer>(2*_map146.size);
+        int _key147;
+        int _val148;
+        for (int _i149 = 0; _i149 < _map146.size; ++_i149)
         {
-          _key121 = iprot.readI32();
-          _val122 = iprot.readI32();
-          struct.inFlight.put(_key121, _val122);
+          _key147 = iprot.readI32();
+          _val148 = iprot.readI32();
+          struct.inFlight.put(_key147, _val148);
         }
       }
       struct.setInFlightIsSet(true);
       struct.suspectsDigest = iprot.readI64();
       struct.setSuspectsDigestIsSet(true);
       {
-        org.apache.thrift.protocol.TMap _map124 = iprot.readMapBegin(org.apache.thrift.protocol.TType.I32, org.apache.thrift.protocol.TType.STRUCT); 
-        struct.limits = new java.util.HashMap<java.lang.Integer,LimitObservationStruct>(2*_map124.size);
-        int _key125;
-        @org.apache.thrift.annotation.Nullable LimitObservationStruct _val126;
-        for (int _i127 = 0; _i127 < _map124.size; ++_i127)
+        org.apache.thrift.protocol.TMap _map150 = iprot.readMapBegin(org.apache.thrift.protocol.TType.I32, org.apache.thrift.protocol.TType.STRUCT); 
+        struct.limits = new java.util.HashMap<java.lang.Integer,LimitObservationStruct>(2*_map150.size);
+        int _key151;
+        @org.apache.thrift.annotation.Nullable LimitObservationStruct _val152;
+        for (int _i153 = 0; _i153 < _map150.size; ++_i153)
         {
-          _key125 = iprot.readI32();
-          _val126 = new LimitObservationStruct();
-          _val126.read(iprot);
-          struct.limits.put(_key125, _val126);
+          _key151 = iprot.readI32();
+          _val152 = new LimitObservationStruct();
+          _val152.read(iprot);
+          struct.limits.put(_key151, _val152);
         }
       }
       struct.setLimitsIsSet(true);
       {
-        org.apache.thrift.protocol.TMap _map128 = iprot.readMapBegin(org.apache.thrift.protocol.TType.STRING, org.apache.thrift.protocol.TType.STRUCT); 
-        struct.versions = new java.util.HashMap<java.lang.String,PairedFiguresStruct>(2*_map128.size);
-        @org.apache.thrift.annotation.Nullable java.lang.String _key129;
-        @org.apache.thrift.annotation.Nullable PairedFiguresStruct _val130;
-        for (int _i131 = 0; _i131 < _map128.size; ++_i131)
+        org.apache.thrift.protocol.TMap _map154 = iprot.readMapBegin(org.apache.thrift.protocol.TType.STRING, org.apache.thrift.protocol.TType.STRUCT); 
+        struct.versions = new java.util.HashMap<java.lang.String,PairedFiguresStruct>(2*_map154.size);
+        @org.apache.thrift.annotation.Nullable java.lang.String _key155;
+        @org.apache.thrift.annotation.Nullable PairedFiguresStruct _val156;
+        for (int _i157 = 0; _i157 < _map154.size; ++_i157)
         {
-          _key129 = iprot.readString();
-          _val130 = new PairedFiguresStruct();
-          _val130.read(iprot);
-          struct.versions.put(_key129, _val130);
+          _key155 = iprot.readString();
+          _val156 = new PairedFiguresStruct();
+          _val156.read(iprot);
+          struct.versions.put(_key155, _val156);
         }
       }
       struct.setVersionsIsSet(true);
+      java.util.BitSet incoming = iprot.readBitSet(1);
+      if (incoming.get(0)) {
+        {
+          org.apache.thrift.protocol.TMap _map158 = iprot.readMapBegin(org.apache.thrift.protocol.TType.I64, org.apache.thrift.protocol.TType.I32); 
+          struct.accountPlaces = new java.util.HashMap<java.lang.Long,java.lang.Integer>(2*_map158.size);
+          long _key159;
+          int _val160;
+          for (int _i161 = 0; _i161 < _map158.size; ++_i161)
+          {
+            _key159 = iprot.readI64();
+            _val160 = iprot.readI32();
+            struct.accountPlaces.put(_key159, _val160);
+          }
+        }
+        struct.setAccountPlacesIsSet(true);
+      }
     }
   }
 
--- a/rhubarbward-net/src/main/java/io/rhubarbward/gen/fleet/LoadReportStruct.java
+++ b/rhubarbward-net/src/main/java/io/rhubarbward/gen/fleet/LoadReportStruct.java
@@ -15,6 +15,7 @@
   private static final org.apache.thrift.protocol.TField SUSPECTS_DIGEST_FIELD_DESC = new org.apache.thrift.protocol.TField("suspectsDigest", org.apache.thrift.protocol.TType.I64, (short)3);
   private static final org.apache.thrift.protocol.TField LIMITS_FIELD_DESC = new org.apache.thrift.protocol.TField("limits", org.apache.thrift.protocol.TType.MAP, (short)4);
   private static final org.apache.thrift.protocol.TField VERSIONS_FIELD_DESC = new org.apache.thrift.protocol.TField("versions", org.apache.thrift.protocol.TType.MAP, (short)5);
+  private static final org.apache.thrift.protocol.TField ACCOUNT_PLACES_FIELD_DESC = new org.apache.thrift.protocol.TField("accountPlaces", org.apache.thrift.protocol.TType.MAP, (short)6);
 
   private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY = new LoadReportStructStandardSchemeFactory();
   private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY = new LoadReportStructTupleSchemeFactory();
@@ -24,6 +25,7 @@
   private long suspectsDigest; // required
   private @org.apache.thrift.annotation.Nullable java.util.Map<java.lang.Integer,LimitObservationStruct> limits; // required
   private @org.apache.thrift.annotation.Nullable java.util.Map<java.lang.String,PairedFiguresStruct> versions; // required
+  private @org.apache.thrift.annotation.Nullable java.util.Map<java.lang.Long,java.lang.Integer> accountPlaces; // optional
 
   /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
   public enum _Fields implements org.apache.thrift.TFieldIdEnum {
@@ -31,7 +33,8 @@
     IN_FLIGHT((short)2, "inFlight"),
     SUSPECTS_DIGEST((short)3, "suspectsDigest"),
     LIMITS((short)4, "limits"),
-    VERSIONS((short)5, "versions");
+    VERSIONS((short)5, "versions"),
+    ACCOUNT_PLACES((short)6, "accountPlaces");
 
     private static final java.util.Map<java.lang.String, _Fields> byName = new java.util.HashMap<java.lang.String, _Fields>();
 
@@ -57,6 +60,8 @@
           return LIMITS;
         case 5: // VERSIONS
           return VERSIONS;
+        case 6: // ACCOUNT_PLACES
+          return ACCOUNT_PLACES;
         default:
           return null;
       }
@@ -103,6 +108,7 @@
   private static final int __SEQUENCE_ISSET_ID = 0;
   private static final int __SUSPECTSDIGEST_ISSET_ID = 1;
   private byte __isset_bitfield = 0;
+  private static final _Fields optionals[] = {_Fields.ACCOUNT_PLACES};
   public static final java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> metaDataMap;
   static {
     java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> tmpMap = new java.util.EnumMap<_Fields, org.apache.thrift.meta_data.FieldMetaData>(_Fields.class);
@@ -122,6 +128,10 @@
         new org.apache.thrift.meta_data.MapMetaData(org.apache.thrift.protocol.TType.MAP, 
             new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.STRING), 
             new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, PairedFiguresStruct.class))));
+    tmpMap.put(_Fields.ACCOUNT_PLACES, new org.apache.thrift.meta_data.FieldMetaData("accountPlaces", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
+        new org.apache.thrift.meta_data.MapMetaData(org.apache.thrift.protocol.TType.MAP, 
+            new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64), 
+            new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I32))));
     metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
     org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(LoadReportStruct.class, metaDataMap);
   }
@@ -187,6 +197,10 @@
       }
       this.versions = __this__versions;
     }
+    if (other.isSetAccountPlaces()) {
+      java.util.Map<java.lang.Long,java.lang.Integer> __this__accountPlaces = new java.util.HashMap<java.lang.Long,java.lang.Integer>(other.accountPlaces);
+      this.accountPlaces = __this__accountPlaces;
+    }
   }
 
   @Override
@@ -203,6 +217,7 @@
     this.suspectsDigest = 0;
     this.limits = null;
     this.versions = null;
+    this.accountPlaces = null;
   }
 
   public long getSequence() {
@@ -359,6 +374,42 @@
     }
   }
 
+  public int getAccountPlacesSize() {
+    return (this.accountPlaces == null) ? 0 : this.accountPlaces.size();
+  }
+
+  public void putToAccountPlaces(long key, int val) {
+    if (this.accountPlaces == null) {
+      this.accountPlaces = new java.util.HashMap<java.lang.Long,java.lang.Integer>();
+    }
+    this.accountPlaces.put(key, val);
+  }
+
+  @org.apache.thrift.annotation.Nullable
+  public java.util.Map<java.lang.Long,java.lang.Integer> getAccountPlaces() {
+    return this.accountPlaces;
+  }
+
+  public LoadReportStruct setAccountPlaces(@org.apache.thrift.annotation.Nullable java.util.Map<java.lang.Long,java.lang.Integer> accountPlaces) {
+    this.accountPlaces = accountPlaces;
+    return this;
+  }
+
+  public void unsetAccountPlaces() {
+    this.accountPlaces = null;
+  }
+
+  /** Returns true if field accountPlaces is set (has been assigned a value) and false otherwise */
+  public boolean isSetAccountPlaces() {
+    return this.accountPlaces != null;
+  }
+
+  public void setAccountPlacesIsSet(boolean value) {
+    if (!value) {
+      this.accountPlaces = null;
+    }
+  }
+
   @Override
   public void setFieldValue(_Fields field, @org.apache.thrift.annotation.Nullable java.lang.Object value) {
     switch (field) {
@@ -402,6 +453,14 @@
       }
       break;
 
+    case ACCOUNT_PLACES:
+      if (value == null) {
+        unsetAccountPlaces();
+      } else {
+        setAccountPlaces((java.util.Map<java.lang.Long,java.lang.Integer>)value);
+      }
+      break;
+
     }
   }
 
@@ -424,6 +483,9 @@
     case VERSIONS:
       return getVersions();
 
+    case ACCOUNT_PLACES:
+      return getAccountPlaces();
+
     }
     throw new java.lang.IllegalStateException();
   }
@@ -446,6 +508,8 @@
       return isSetLimits();
     case VERSIONS:
       return isSetVersions();
+    case ACCOUNT_PLACES:
+      return isSetAccountPlaces();
     }
     throw new java.lang.IllegalStateException();
   }
@@ -508,6 +572,15 @@
         return false;
     }
 
+    boolean this_present_accountPlaces = true && this.isSetAccountPlaces();
+    boolean that_present_accountPlaces = true && that.isSetAccountPlaces();
+    if (this_present_accountPlaces || that_present_accountPlaces) {
+      if (!(this_present_accountPlaces && that_present_accountPlaces))
+        return false;
+      if (!this.accountPlaces.equals(that.accountPlaces))
+        return false;
+    }
+
     return true;
   }
 
@@ -531,6 +604,10 @@
     if (isSetVersions())
       hashCode = hashCode * 8191 + versions.hashCode();
 
+    hashCode = hashCode * 8191 + ((isSetAccountPlaces()) ? 131071 : 524287);
+    if (isSetAccountPlaces())
+      hashCode = hashCode * 8191 + accountPlaces.hashCode();
+
     return hashCode;
   }
 
@@ -592,6 +669,16 @@
         return lastComparison;
       }
     }
+    lastComparison = java.lang.Boolean.compare(isSetAccountPlaces(), other.isSetAccountPlaces());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetAccountPlaces()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.accountPlaces, other.accountPlaces);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
     return 0;
   }
 
@@ -647,6 +734,16 @@
       sb.append(this.versions);
     }
     first = false;
+    if (isSetAccountPlaces()) {
+      if (!first) sb.append(", ");
+      sb.append("accountPlaces:");
+      if (this.accountPlaces == null) {
+        sb.append("null");
+      } else {
+        sb.append(this.accountPlaces);
+      }
+      first = false;
+    }
     sb.append(")");
     return sb.toString();
   }
@@ -783,6 +880,26 @@
               org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
             break;
+          case 6: // ACCOUNT_PLACES
+            if (schemeField.type == org.apache.thrift.protocol.TType.MAP) {
+              {
+                org.apache.thrift.protocol.TMap _map54 = iprot.readMapBegin();
+                struct.accountPlaces = new java.util.HashMap<java.lang.Long,java.lang.Integer>(2*_map54.size);
+                long _key55;
+                int _val56;
+                for (int _i57 = 0; _i57 < _map54.size; ++_i57)
+                {
+                  _key55 = iprot.readI64();
+                  _val56 = iprot.readI32();
+                  struct.accountPlaces.put(_key55, _val56);
+                }
+                iprot.readMapEnd();
+              }
+              struct.setAccountPlacesIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
+            }
+            break;
           default:
             org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
         }
@@ -812,10 +929,10 @@
         oprot.writeFieldBegin(IN_FLIGHT_FIELD_DESC);
         {
           oprot.writeMapBegin(new org.apache.thrift.protocol.TMap(org.apache.thrift.protocol.TType.I32, org.apache.thrift.protocol.TType.I32, struct.inFlight.size()));
-          for (java.util.Map.Entry<java.lang.Integer, java.lang.Integer> _iter54 : struct.inFlight.entrySet())
+          for (java.util.Map.Entry<java.lang.Integer, java.lang.Integer> _iter58 : struct.inFlight.entrySet())
           {
-            oprot.writeI32(_iter54.getKey());
-            oprot.writeI32(_iter54.getValue());
+            oprot.writeI32(_iter58.getKey());
+            oprot.writeI32(_iter58.getValue());
           }
           oprot.writeMapEnd();
         }
@@ -828,10 +945,10 @@
         oprot.writeFieldBegin(LIMITS_FIELD_DESC);
         {
           oprot.writeMapBegin(new org.apache.thrift.protocol.TMap(org.apache.thrift.protocol.TType.I32, org.apache.thrift.protocol.TType.STRUCT, struct.limits.size()));
-          for (java.util.Map.Entry<java.lang.Integer, LimitObservationStruct> _iter55 : struct.limits.entrySet())
+          for (java.util.Map.Entry<java.lang.Integer, LimitObservationStruct> _iter59 : struct.limits.entrySet())
           {
-            oprot.writeI32(_iter55.getKey());
-            _iter55.getValue().write(oprot);
+            oprot.writeI32(_iter59.getKey());
+            _iter59.getValue().write(oprot);
           }
           oprot.writeMapEnd();
         }
@@ -841,15 +958,30 @@
         oprot.writeFieldBegin(VERSIONS_FIELD_DESC);
         {
           oprot.writeMapBegin(new org.apache.thrift.protocol.TMap(org.apache.thrift.protocol.TType.STRING, org.apache.thrift.protocol.TType.STRUCT, struct.versions.size()));
-          for (java.util.Map.Entry<java.lang.String, PairedFiguresStruct> _iter56 : struct.versions.entrySet())
+          for (java.util.Map.Entry<java.lang.String, PairedFiguresStruct> _iter60 : struct.versions.entrySet())
           {
-            oprot.writeString(_iter56.getKey());
-            _iter56.getValue().write(oprot);
+            oprot.writeString(_iter60.getKey());
+            _iter60.getValue().write(oprot);
           }
           oprot.writeMapEnd();
         }
         oprot.writeFieldEnd();
       }
+      if (struct.accountPlaces != null) {
+        if (struct.isSetAccountPlaces()) {
+          oprot.writeFieldBegin(ACCOUNT_PLACES_FIELD_DESC);
+          {
+            oprot.writeMapBegin(new org.apache.thrift.protocol.TMap(org.apache.thrift.protocol.TType.I64, org.apache.thrift.protocol.TType.I32, struct.accountPlaces.size()));
+            for (java.util.Map.Entry<java.lang.Long, java.lang.Integer> _iter61 : struct.accountPlaces.entrySet())
+            {
+              oprot.writeI64(_iter61.getKey());
+              oprot.writeI32(_iter61.getValue());
+            }
+            oprot.writeMapEnd();
+          }
+          oprot.writeFieldEnd();
+        }
+      }
       oprot.writeFieldStop();
       oprot.writeStructEnd();
     }
@@ -871,27 +1003,42 @@
       oprot.writeI64(struct.sequence);
       {
         oprot.writeI32(struct.inFlight.size());
-        for (java.util.Map.Entry<java.lang.Integer, java.lang.Integer> _iter57 : struct.inFlight.entrySet())
+        for (java.util.Map.Entry<java.lang.Integer, java.lang.Integer> _iter62 : struct.inFlight.entrySet())
         {
-          oprot.writeI32(_iter57.getKey());
-          oprot.writeI32(_iter57.getValue());
+          oprot.writeI32(_iter62.getKey());
+          oprot.writeI32(_iter62.getValue());
         }
       }
       oprot.writeI64(struct.suspectsDigest);
       {
         oprot.writeI32(struct.limits.size());
-        for (java.util.Map.Entry<java.lang.Integer, LimitObservationStruct> _iter58 : struct.limits.entrySet())
+        for (java.util.Map.Entry<java.lang.Integer, LimitObservationStruct> _iter63 : struct.limits.entrySet())
         {
-          oprot.writeI32(_iter58.getKey());
-          _iter58.getValue().write(oprot);
+          oprot.writeI32(_iter63.getKey());
+          _iter63.getValue().write(oprot);
         }
       }
       {
         oprot.writeI32(struct.versions.size());
-        for (java.util.Map.Entry<java.lang.String, PairedFiguresStruct> _iter59 : struct.versions.entrySet())
+        for (java.util.Map.Entry<java.lang.String, PairedFiguresStruct> _iter64 : struct.versions.entrySet())
         {
-          oprot.writeString(_iter59.getKey());
-          _iter59.getValue().write(oprot);
+          oprot.writeString(_iter64.getKey());
+          _iter64.getValue().write(oprot);
+        }
+      }
+      java.util.BitSet optionals = new java.util.BitSet();
+      if (struct.isSetAccountPlaces()) {
+        optionals.set(0);
+      }
+      oprot.writeBitSet(optionals, 1);
+      if (struct.isSetAccountPlaces()) {
+        {
+          oprot.writeI32(struct.accountPlaces.size());
+          for (java.util.Map.Entry<java.lang.Long, java.lang.Integer> _iter65 : struct.accountPlaces.entrySet())
+          {
+            oprot.writeI64(_iter65.getKey());
+            oprot.writeI32(_iter65.getValue());
+          }
         }
       }
     }
@@ -902,48 +1049,64 @@
       struct.sequence = iprot.readI64();
       struct.setSequenceIsSet(true);
       {
-        org.apache.thrift.protocol.TMap _map60 = iprot.readMapBegin(org.apache.thrift.protocol.TType.I32, org.apache.thrift.protocol.TType.I32); 
-        struct.inFlight = new java.util.HashMap<java.lang.Integer,java.lang.Integer>(2*_map60.size);
-        int _key61;
-        int _val62;
-        for (int _i63 = 0; _i63 < _map60.size; ++_i63)
+        org.apache.thrift.protocol.TMap _map66 = iprot.readMapBegin(org.apache.thrift.protocol.TType.I32, org.apache.thrift.protocol.TType.I32); 
+        struct.inFlight = new java.util.HashMap<java.lang.Integer,java.lang.Integer>(2*_map66.size);
+        int _key67;
+        int _val68;
+        for (int _i69 = 0; _i69 < _map66.size; ++_i69)
         {
-          _key61 = iprot.readI32();
-          _val62 = iprot.readI32();
-          struct.inFlight.put(_key61, _val62);
+          _key67 = iprot.readI32();
+          _val68 = iprot.readI32();
+          struct.inFlight.put(_key67, _val68);
         }
       }
       struct.setInFlightIsSet(true);
       struct.suspectsDigest = iprot.readI64();
       struct.setSuspectsDigestIsSet(true);
       {
-        org.apache.thrift.protocol.TMap _map64 = iprot.readMapBegin(org.apache.thrift.protocol.TType.I32, org.apache.thrift.protocol.TType.STRUCT); 
-        struct.limits = new java.util.HashMap<java.lang.Integer,LimitObservationStruct>(2*_map64.size);
-        int _key65;
-        @org.apache.thrift.annotation.Nullable LimitObservationStruct _val66;
-        for (int _i67 = 0; _i67 < _map64.size; ++_i67)
+        org.apache.thrift.protocol.TMap _map70 = iprot.readMapBegin(org.apache.thrift.protocol.TType.I32, org.apache.thrift.protocol.TType.STRUCT); 
+        struct.limits = new java.util.HashMap<java.lang.Integer,LimitObservationStruct>(2*_map70.size);
+        int _key71;
+        @org.apache.thrift.annotation.Nullable LimitObservationStruct _val72;
+        for (int _i73 = 0; _i73 < _map70.size; ++_i73)
         {
-          _key65 = iprot.readI32();
-          _val66 = new LimitObservationStruct();
-          _val66.read(iprot);
-          struct.limits.put(_key65, _val66);
+          _key71 = iprot.readI32();
+          _val72 = new LimitObservationStruct();
+          _val72.read(iprot);
+          struct.limits.put(_key71, _val72);
         }
       }
       struct.setLimitsIsSet(true);
       {
-        org.apache.thrift.protocol.TMap _map68 = iprot.readMapBegin(org.apache.thrift.protocol.TType.STRING, org.apache.thrift.protocol.TType.STRUCT); 
-        struct.versions = new java.util.HashMap<java.lang.String,PairedFiguresStruct>(2*_map68.size);
-        @org.apache.thrift.annotation.Nullable java.lang.String _key69;
-        @org.apache.thrift.annotation.Nullable PairedFiguresStruct _val70;
-        for (int _i71 = 0; _i71 < _map68.size; ++_i71)
+        org.apache.thrift.protocol.TMap _map74 = iprot.readMapBegin(org.apache.thrift.protocol.TType.STRING, org.apache.thrift.protocol.TType.STRUCT); 
+        struct.versions = new java.util.HashMap<java.lang.String,PairedFiguresStruct>(2*_map74.size);
+        @org.apache.thrift.annotation.Nullable java.lang.String _key75;
+        @org.apache.thrift.annotation.Nullable PairedFiguresStruct _val76;
+        for (int _i77 = 0; _i77 < _map74.size; ++_i77)
         {
-          _key69 = iprot.readString();
-          _val70 = new PairedFiguresStruct();
-          _val70.read(iprot);
-          struct.versions.put(_key69, _val70);
+          _key75 = iprot.readString();
+          _val76 = new PairedFiguresStruct();
+          _val76.read(iprot);
+          struct.versions.put(_key75, _val76);
         }
       }
       struct.setVersionsIsSet(true);
+      java.util.BitSet incoming = iprot.readBitSet(1);
+      if (incoming.get(0)) {
+        {
+          org.apache.thrift.protocol.TMap _map78 = iprot.readMapBegin(org.apache.thrift.protocol.TType.I64, org.apache.thrift.protocol.TType.I32); 
+          struct.accountPlaces = new java.util.HashMap<java.lang.Long,java.lang.Integer>(2*_map78.size);
+          long _key79;
+          int _val80;
+          for (int _i81 = 0; _i81 < _map78.size; ++_i81)
+          {
+            _key79 = iprot.readI64();
+            _val80 = iprot.readI32();
+            struct.accountPlaces.put(_key79, _val80);
+          }
+        }
+        struct.setAccountPlacesIsSet(true);
+      }
     }
   }
 
--- a/rhubarbward-net/src/main/java/io/rhubarbward/gen/fleet/LoadTotalsStruct.java
+++ b/rhubarbward-net/src/main/java/io/rhubarbward/gen/fleet/LoadTotalsStruct.java
@@ -15,6 +15,7 @@
   private static final org.apache.thrift.protocol.TField SUSPECTS_DIGEST_FIELD_DESC = new org.apache.thrift.protocol.TField("suspectsDigest", org.apache.thrift.protocol.TType.I64, (short)3);
   private static final org.apache.thrift.protocol.TField LIMITS_FIELD_DESC = new org.apache.thrift.protocol.TField("limits", org.apache.thrift.protocol.TType.MAP, (short)4);
   private static final org.apache.thrift.protocol.TField VERSIONS_FIELD_DESC = new org.apache.thrift.protocol.TField("versions", org.apache.thrift.protocol.TType.MAP, (short)5);
+  private static final org.apache.thrift.protocol.TField ACCOUNT_PLACES_FIELD_DESC = new org.apache.thrift.protocol.TField("accountPlaces", org.apache.thrift.protocol.TType.MAP, (short)6);
 
   private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY = new LoadTotalsStructStandardSchemeFactory();
   private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY = new LoadTotalsStructTupleSchemeFactory();
@@ -24,6 +25,7 @@
   private long suspectsDigest; // required
   private @org.apache.thrift.annotation.Nullable java.util.Map<java.lang.Integer,LimitObservationStruct> limits; // required
   private @org.apache.thrift.annotation.Nullable java.util.Map<java.lang.String,PairedFiguresStruct> versions; // required
+  private @org.apache.thrift.annotation.Nullable java.util.Map<java.lang.Long,java.lang.Integer> accountPlaces; // optional
 
   /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
   public enum _Fields implements org.apache.thrift.TFieldIdEnum {
@@ -31,7 +33,8 @@
     IN_FLIGHT((short)2, "inFlight"),
     SUSPECTS_DIGEST((short)3, "suspectsDigest"),
     LIMITS((short)4, "limits"),
-    VERSIONS((short)5, "versions");
+    VERSIONS((short)5, "versions"),
+    ACCOUNT_PLACES((short)6, "accountPlaces");
 
     private static final java.util.Map<java.lang.String, _Fields> byName = new java.util.HashMap<java.lang.String, _Fields>();
 
@@ -57,6 +60,8 @@
           return LIMITS;
         case 5: // VERSIONS
           return VERSIONS;
+        case 6: // ACCOUNT_PLACES
+          return ACCOUNT_PLACES;
         default:
           return null;
       }
@@ -103,6 +108,7 @@
   private static final int __ECHOSEQUENCE_ISSET_ID = 0;
   private static final int __SUSPECTSDIGEST_ISSET_ID = 1;
   private byte __isset_bitfield = 0;
+  private static final _Fields optionals[] = {_Fields.ACCOUNT_PLACES};
   public static final java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> metaDataMap;
   static {
     java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> tmpMap = new java.util.EnumMap<_Fields, org.apache.thrift.meta_data.FieldMetaData>(_Fields.class);
@@ -122,6 +128,10 @@
         new org.apache.thrift.meta_data.MapMetaData(org.apache.thrift.protocol.TType.MAP, 
             new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.STRING), 
             new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, PairedFiguresStruct.class))));
+    tmpMap.put(_Fields.ACCOUNT_PLACES, new org.apache.thrift.meta_data.FieldMetaData("accountPlaces", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
+        new org.apache.thrift.meta_data.MapMetaData(org.apache.thrift.protocol.TType.MAP, 
+            new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64), 
+            new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I32))));
     metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
     org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(LoadTotalsStruct.class, metaDataMap);
   }
@@ -187,6 +197,10 @@
       }
       this.versions = __this__versions;
     }
+    if (other.isSetAccountPlaces()) {
+      java.util.Map<java.lang.Long,java.lang.Integer> __this__accountPlaces = new java.util.HashMap<java.lang.Long,java.lang.Integer>(other.accountPlaces);
+      this.accountPlaces = __this__accountPlaces;
+    }
   }
 
   @Override
@@ -203,6 +217,7 @@
     this.suspectsDigest = 0;
     this.limits = null;
     this.versions = null;
+    this.accountPlaces = null;
   }
 
   public long getEchoSequence() {
@@ -359,6 +374,42 @@
     }
   }
 
+  public int getAccountPlacesSize() {
+    return (this.accountPlaces == null) ? 0 : this.accountPlaces.size();
+  }
+
+  public void putToAccountPlaces(long key, int val) {
+    if (this.accountPlaces == null) {
+      this.accountPlaces = new java.util.HashMap<java.lang.Long,java.lang.Integer>();
+    }
+    this.accountPlaces.put(key, val);
+  }
+
+  @org.apache.thrift.annotation.Nullable
+  public java.util.Map<java.lang.Long,java.lang.Integer> getAccountPlaces() {
+    return this.accountPlaces;
+  }
+
+  public LoadTotalsStruct setAccountPlaces(@org.apache.thrift.annotation.Nullable java.util.Map<java.lang.Long,java.lang.Integer> accountPlaces) {
+    this.accountPlaces = accountPlaces;
+    return this;
+  }
+
+  public void unsetAccountPlaces() {
+    this.accountPlaces = null;
+  }
+
+  /** Returns true if field accountPlaces is set (has been assigned a value) and false otherwise */
+  public boolean isSetAccountPlaces() {
+    return this.accountPlaces != null;
+  }
+
+  public void setAccountPlacesIsSet(boolean value) {
+    if (!value) {
+      this.accountPlaces = null;
+    }
+  }
+
   @Override
   public void setFieldValue(_Fields field, @org.apache.thrift.annotation.Nullable java.lang.Object value) {
     switch (field) {
@@ -402,6 +453,14 @@
       }
       break;
 
+    case ACCOUNT_PLACES:
+      if (value == null) {
+        unsetAccountPlaces();
+      } else {
+        setAccountPlaces((java.util.Map<java.lang.Long,java.lang.Integer>)value);
+      }
+      break;
+
     }
   }
 
@@ -424,6 +483,9 @@
     case VERSIONS:
       return getVersions();
 
+    case ACCOUNT_PLACES:
+      return getAccountPlaces();
+
     }
     throw new java.lang.IllegalStateException();
   }
@@ -446,6 +508,8 @@
       return isSetLimits();
     case VERSIONS:
       return isSetVersions();
+    case ACCOUNT_PLACES:
+      return isSetAccountPlaces();
     }
     throw new java.lang.IllegalStateException();
   }
@@ -508,6 +572,15 @@
         return false;
     }
 
+    boolean this_present_accountPlaces = true && this.isSetAccountPlaces();
+    boolean that_present_accountPlaces = true && that.isSetAccountPlaces();
+    if (this_present_accountPlaces || that_present_accountPlaces) {
+      if (!(this_present_accountPlaces && that_present_accountPlaces))
+        return false;
+      if (!this.accountPlaces.equals(that.accountPlaces))
+        return false;
+    }
+
     return true;
   }
 
@@ -531,6 +604,10 @@
     if (isSetVersions())
       hashCode = hashCode * 8191 + versions.hashCode();
 
+    hashCode = hashCode * 8191 + ((isSetAccountPlaces()) ? 131071 : 524287);
+    if (isSetAccountPlaces())
+      hashCode = hashCode * 8191 + accountPlaces.hashCode();
+
     return hashCode;
   }
 
@@ -592,6 +669,16 @@
         return lastComparison;
       }
     }
+    lastComparison = java.lang.Boolean.compare(isSetAccountPlaces(), other.isSetAccountPlaces());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetAccountPlaces()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.accountPlaces, other.accountPlaces);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
     return 0;
   }
 
@@ -647,6 +734,16 @@
       sb.append(this.versions);
     }
     first = false;
+    if (isSetAccountPlaces()) {
+      if (!first) sb.append(", ");
+      sb.append("accountPlaces:");
+      if (this.accountPlaces == null) {
+        sb.append("null");
+      } else {
+        sb.append(this.accountPlaces);
+      }
+      first = false;
+    }
     sb.append(")");
     return sb.toString();
   }
@@ -716,15 +813,15 @@
           case 2: // IN_FLIGHT
             if (schemeField.type == org.apache.thrift.protocol.TType.MAP) {
               {
-                org.apache.thrift.protocol.TMap _map72 = iprot.readMapBegin();
-                struct.inFlight = new java.util.HashMap<java.lang.Integer,java.lang.Integer>(2*_map72.size);
-                int _key73;
-                int _val74;
-                for (int _i75 = 0; _i75 < _map72.size; ++_i75)
+                org.apache.thrift.protocol.TMap _map82 = iprot.readMapBegin();
+                struct.inFlight = new java.util.HashMap<java.lang.Integer,java.lang.Integer>(2*_map82.size);
+                int _key83;
+                int _val84;
+                for (int _i85 = 0; _i85 < _map82.size; ++_i85)
                 {
-                  _key73 = iprot.readI32();
-                  _val74 = iprot.readI32();
-                  struct.inFlight.put(_key73, _val74);
+                  _key83 = iprot.readI32();
+                  _val84 = iprot.readI32();
+                  struct.inFlight.put(_key83, _val84);
                 }
                 iprot.readMapEnd();
               }
@@ -744,16 +841,16 @@
           case 4: // LIMITS
             if (schemeField.type == org.apache.thrift.protocol.TType.MAP) {
               {
-                org.apache.thrift.protocol.TMap _map76 = iprot.readMapBegin();
-                struct.limits = new java.util.HashMap<java.lang.Integer,LimitObservationStruct>(2*_map76.size);
-                int _key77;
-                @org.apache.thrift.annotation.Nullable LimitObservationStruct _val78;
-                for (int _i79 = 0; _i79 < _map76.size; ++_i79)
+                org.apache.thrift.protocol.TMap _map86 = iprot.readMapBegin();
+                struct.limits = new java.util.HashMap<java.lang.Integer,LimitObservationStruct>(2*_map86.size);
+                int _key87;
+                @org.apache.thrift.annotation.Nullable LimitObservationStruct _val88;
+                for (int _i89 = 0; _i89 < _map86.size; ++_i89)
                 {
-                  _key77 = iprot.readI32();
-                  _val78 = new LimitObservationStruct();
-                  _val78.read(iprot);
-                  struct.limits.put(_key77, _val78);
+                  _key87 = iprot.readI32();
+                  _val88 = new LimitObservationStruct();
+                  _val88.read(iprot);
+                  struct.limits.put(_key87, _val88);
                 }
                 iprot.readMapEnd();
               }
@@ -765,16 +862,16 @@
           case 5: // VERSIONS
             if (schemeField.type == org.apache.thrift.protocol.TType.MAP) {
               {
-                org.apache.thrift.protocol.TMap _map80 = iprot.readMapBegin();
-                struct.versions = new java.util.HashMap<java.lang.String,PairedFiguresStruct>(2*_map80.size);
-                @org.apache.thrift.annotation.Nullable java.lang.String _key81;
-                @org.apache.thrift.annotation.Nullable PairedFiguresStruct _val82;
-                for (int _i83 = 0; _i83 < _map80.size; ++_i83)
+                org.apache.thrift.protocol.TMap _map90 = iprot.readMapBegin();
+                struct.versions = new java.util.HashMap<java.lang.String,PairedFiguresStruct>(2*_map90.size);
+                @org.apache.thrift.annotation.Nullable java.lang.String _key91;
+                @org.apache.thrift.annotation.Nullable PairedFiguresStruct _val92;
+                for (int _i93 = 0; _i93 < _map90.size; ++_i93)
                 {
-                  _key81 = iprot.readString();
-                  _val82 = new PairedFiguresStruct();
-                  _val82.read(iprot);
-                  struct.versions.put(_key81, _val82);
+                  _key91 = iprot.readString();
+                  _val92 = new PairedFiguresStruct();
+                  _val92.read(iprot);
+                  struct.versions.put(_key91, _val92);
                 }
                 iprot.readMapEnd();
               }
@@ -783,6 +880,26 @@
               org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
             break;
+          case 6: // ACCOUNT_PLACES
+            if (schemeField.type == org.apache.thrift.protocol.TType.MAP) {
+              {
+                org.apache.thrift.protocol.TMap _map94 = iprot.readMapBegin();
+                struct.accountPlaces = new java.util.HashMap<java.lang.Long,java.lang.Integer>(2*_map94.size);
+                long _key95;
+                int _val96;
+                for (int _i97 = 0; _i97 < _map94.size; ++_i97)
+                {
+                  _key95 = iprot.readI64();
+                  _val96 = iprot.readI32();
+                  struct.accountPlaces.put(_key95, _val96);
+                }
+                iprot.readMapEnd();
+              }
+              struct.setAccountPlacesIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
+            }
+            break;
           default:
             org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
         }
@@ -812,10 +929,10 @@
         oprot.writeFieldBegin(IN_FLIGHT_FIELD_DESC);
         {
           oprot.writeMapBegin(new org.apache.thrift.protocol.TMap(org.apache.thrift.protocol.TType.I32, org.apache.thrift.protocol.TType.I32, struct.inFlight.size()));
-          for (java.util.Map.Entry<java.lang.Integer, java.lang.Integer> _iter84 : struct.inFlight.entrySet())
+          for (java.util.Map.Entry<java.lang.Integer, java.lang.Integer> _iter98 : struct.inFlight.entrySet())
           {
-            oprot.writeI32(_iter84.getKey());
-            oprot.writeI32(_iter84.getValue());
+            oprot.writeI32(_iter98.getKey());
+            oprot.writeI32(_iter98.getValue());
           }
           oprot.writeMapEnd();
         }
@@ -828,10 +945,10 @@
         oprot.writeFieldBegin(LIMITS_FIELD_DESC);
         {
           oprot.writeMapBegin(new org.apache.thrift.protocol.TMap(org.apache.thrift.protocol.TType.I32, org.apache.thrift.protocol.TType.STRUCT, struct.limits.size()));
-          for (java.util.Map.Entry<java.lang.Integer, LimitObservationStruct> _iter85 : struct.limits.entrySet())
+          for (java.util.Map.Entry<java.lang.Integer, LimitObservationStruct> _iter99 : struct.limits.entrySet())
           {
-            oprot.writeI32(_iter85.getKey());
-            _iter85.getValue().write(oprot);
+            oprot.writeI32(_iter99.getKey());
+            _iter99.getValue().write(oprot);
           }
           oprot.writeMapEnd();
         }
@@ -841,15 +958,30 @@
         oprot.writeFieldBegin(VERSIONS_FIELD_DESC);
         {
           oprot.writeMapBegin(new org.apache.thrift.protocol.TMap(org.apache.thrift.protocol.TType.STRING, org.apache.thrift.protocol.TType.STRUCT, struct.versions.size()));
-          for (java.util.Map.Entry<java.lang.String, PairedFiguresStruct> _iter86 : struct.versions.entrySet())
+          for (java.util.Map.Entry<java.lang.String, PairedFiguresStruct> _iter100 : struct.versions.entrySet())
           {
-            oprot.writeString(_iter86.getKey());
-            _iter86.getValue().write(oprot);
+            oprot.writeString(_iter100.getKey());
+            _iter100.getValue().write(oprot);
           }
           oprot.writeMapEnd();
         }
         oprot.writeFieldEnd();
       }
+      if (struct.accountPlaces != null) {
+        if (struct.isSetAccountPlaces()) {
+          oprot.writeFieldBegin(ACCOUNT_PLACES_FIELD_DESC);
+          {
+            oprot.writeMapBegin(new org.apache.thrift.protocol.TMap(org.apache.thrift.protocol.TType.I64, org.apache.thrift.protocol.TType.I32, struct.accountPlaces.size()));
+            for (java.util.Map.Entry<java.lang.Long, java.lang.Integer> _iter101 : struct.accountPlaces.entrySet())
+            {
+              oprot.writeI64(_iter101.getKey());
+              oprot.writeI32(_iter101.getValue());
+            }
+            oprot.writeMapEnd();
+          }
+          oprot.writeFieldEnd();
+        }
+      }
       oprot.writeFieldStop();
       oprot.writeStructEnd();
     }
@@ -871,27 +1003,42 @@
       oprot.writeI64(struct.echoSequence);
       {
         oprot.writeI32(struct.inFlight.size());
-        for (java.util.Map.Entry<java.lang.Integer, java.lang.Integer> _iter87 : struct.inFlight.entrySet())
+        for (java.util.Map.Entry<java.lang.Integer, java.lang.Integer> _iter102 : struct.inFlight.entrySet())
         {
-          oprot.writeI32(_iter87.getKey());
-          oprot.writeI32(_iter87.getValue());
+          oprot.writeI32(_iter102.getKey());
+          oprot.writeI32(_iter102.getValue());
         }
       }
       oprot.writeI64(struct.suspectsDigest);
       {
         oprot.writeI32(struct.limits.size());
-        for (java.util.Map.Entry<java.lang.Integer, LimitObservationStruct> _iter88 : struct.limits.entrySet())
+        for (java.util.Map.Entry<java.lang.Integer, LimitObservationStruct> _iter103 : struct.limits.entrySet())
         {
-          oprot.writeI32(_iter88.getKey());
-          _iter88.getValue().write(oprot);
+          oprot.writeI32(_iter103.getKey());
+          _iter103.getValue().write(oprot);
         }
       }
       {
         oprot.writeI32(struct.versions.size());
-        for (java.util.Map.Entry<java.lang.String, PairedFiguresStruct> _iter89 : struct.versions.entrySet())
+        for (java.util.Map.Entry<java.lang.String, PairedFiguresStruct> _iter104 : struct.versions.entrySet())
         {
-          oprot.writeString(_iter89.getKey());
-          _iter89.getValue().write(oprot);
+          oprot.writeString(_iter104.getKey());
+          _iter104.getValue().write(oprot);
+        }
+      }
+      java.util.BitSet optionals = new java.util.BitSet();
+      if (struct.isSetAccountPlaces()) {
+        optionals.set(0);
+      }
+      oprot.writeBitSet(optionals, 1);
+      if (struct.isSetAccountPlaces()) {
+        {
+          oprot.writeI32(struct.accountPlaces.size());
+          for (java.util.Map.Entry<java.lang.Long, java.lang.Integer> _iter105 : struct.accountPlaces.entrySet())
+          {
+            oprot.writeI64(_iter105.getKey());
+            oprot.writeI32(_iter105.getValue());
+          }
         }
       }
     }
@@ -902,48 +1049,64 @@
       struct.echoSequence = iprot.readI64();
       struct.setEchoSequenceIsSet(true);
       {
-        org.apache.thrift.protocol.TMap _map90 = iprot.readMapBegin(org.apache.thrift.protocol.TType.I32, org.apache.thrift.protocol.TType.I32); 
-        struct.inFlight = new java.util.HashMap<java.lang.Integer,java.lang.Integer>(2*_map90.size);
-        int _key91;
-        int _val92;
-        for (int _i93 = 0; _i93 < _map90.size; ++_i93)
+        org.apache.thrift.protocol.TMap _map106 = iprot.readMapBegin(org.apache.thrift.protocol.TType.I32, org.apache.thrift.protocol.TType.I32); 
+        struct.inFlight = new java.util.HashMap<java.lang.Integer,java.lang.Integer>(2*_map106.size);
+        int _key107;
+        int _val108;
+        for (int _i109 = 0; _i109 < _map106.size; ++_i109)
         {
-          _key91 = iprot.readI32();
-          _val92 = iprot.readI32();
-          struct.inFlight.put(_key91, _val92);
+          _key107 = iprot.readI32();
+          _val108 = iprot.readI32();
+          struct.inFlight.put(_key107, _val108);
         }
       }
       struct.setInFlightIsSet(true);
       struct.suspectsDigest = iprot.readI64();
       struct.setSuspectsDigestIsSet(true);
       {
-        org.apache.thrift.protocol.TMap _map94 = iprot.readMapBegin(org.apache.thrift.protocol.TType.I32, org.apache.thrift.protocol.TType.STRUCT); 
-        struct.limits = new java.util.HashMap<java.lang.Integer,LimitObservationStruct>(2*_map94.size);
-        int _key95;
-        @org.apache.thrift.annotation.Nullable LimitObservationStruct _val96;
-        for (int _i97 = 0; _i97 < _map94.size; ++_i97)
+        org.apache.thrift.protocol.TMap _map110 = iprot.readMapBegin(org.apache.thrift.protocol.TType.I32, org.apache.thrift.protocol.TType.STRUCT); 
+        struct.limits = new java.util.HashMap<java.lang.Integer,LimitObservationStruct>(2*_map110.size);
+        int _key111;
+        @org.apache.thrift.annotation.Nullable LimitObservationStruct _val112;
+        for (int _i113 = 0; _i113 < _map110.size; ++_i113)
         {
-          _key95 = iprot.readI32();
-          _val96 = new LimitObservationStruct();
-          _val96.read(iprot);
-          struct.limits.put(_key95, _val96);
+          _key111 = iprot.readI32();
+          _val112 = new LimitObservationStruct();
+          _val112.read(iprot);
+          struct.limits.put(_key111, _val112);
         }
       }
       struct.setLimitsIsSet(true);
       {
-        org.apache.thrift.protocol.TMap _map98 = iprot.readMapBegin(org.apache.thrift.protocol.TType.STRING, org.apache.thrift.protocol.TType.STRUCT); 
-        struct.versions = new java.util.HashMap<java.lang.String,PairedFiguresStruct>(2*_map98.size);
-        @org.apache.thrift.annotation.Nullable java.lang.String _key99;
-        @org.apache.thrift.annotation.Nullable PairedFiguresStruct _val100;
-        for (int _i101 = 0; _i101 < _map98.size; ++_i101)
+        org.apache.thrift.protocol.TMap _map114 = iprot.readMapBegin(org.apache.thrift.protocol.TType.STRING, org.apache.thrift.protocol.TType.STRUCT); 
+        struct.versions = new java.util.HashMap<java.lang.String,PairedFiguresStruct>(2*_map114.size);
+        @org.apache.thrift.annotation.Nullable java.lang.String _key115;
+        @org.apache.thrift.annotation.Nullable PairedFiguresStruct _val116;
+        for (int _i117 = 0; _i117 < _map114.size; ++_i117)
         {
-          _key99 = iprot.readString();
-          _val100 = new PairedFiguresStruct();
-          _val100.read(iprot);
-          struct.versions.put(_key99, _val100);
+          _key115 = iprot.readString();
+          _val116 = new PairedFiguresStruct();
+          _val116.read(iprot);
+          struct.versions.put(_key115, _val116);
         }
       }
       struct.setVersionsIsSet(true);
+      java.util.BitSet incoming = iprot.readBitSet(1);
+      if (incoming.get(0)) {
+        {
+          org.apache.thrift.protocol.TMap _map118 = iprot.readMapBegin(org.apache.thrift.protocol.TType.I64, org.apache.thrift.protocol.TType.I32); 
+          struct.accountPlaces = new java.util.HashMap<java.lang.Long,java.lang.Integer>(2*_map118.size);
+          long _key119;
+          int _val120;
+          for (int _i121 = 0; _i121 < _map118.size; ++_i121)
+          {
+            _key119 = iprot.readI64();
+            _val120 = iprot.readI32();
+            struct.accountPlaces.put(_key119, _val120);
+          }
+        }
+        struct.setAccountPlacesIsSet(true);
+      }
     }
   }
 
--- a/rhubarbward-net/src/main/java/io/rhubarbward/gen/fleet/SuspectNewsStruct.java
+++ b/rhubarbward-net/src/main/java/io/rhubarbward/gen/fleet/SuspectNewsStruct.java
@@ -339,14 +339,14 @@
           case 1: // SUSPECTS
             if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
               {
-                org.apache.thrift.protocol.TList _list142 = iprot.readListBegin();
-                struct.suspects = new java.util.ArrayList<CrashSuspectStruct>(_list142.size);
-                @org.apache.thrift.annotation.Nullable CrashSuspectStruct _elem143;
-                for (int _i144 = 0; _i144 < _list142.size; ++_i144)
+                org.apache.thrift.protocol.TList _list172 = iprot.readListBegin();
+                struct.suspects = new java.util.ArrayList<CrashSuspectStruct>(_list172.size);
+                @org.apache.thrift.annotation.Nullable CrashSuspectStruct _elem173;
+                for (int _i174 = 0; _i174 < _list172.size; ++_i174)
                 {
-                  _elem143 = new CrashSuspectStruct();
-                  _elem143.read(iprot);
-                  struct.suspects.add(_elem143);
+                  _elem173 = new CrashSuspectStruct();
+                  _elem173.read(iprot);
+                  struct.suspects.add(_elem173);
                 }
                 iprot.readListEnd();
               }
@@ -375,9 +375,9 @@
         oprot.writeFieldBegin(SUSPECTS_FIELD_DESC);
         {
           oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.suspects.size()));
-          for (CrashSuspectStruct _iter145 : struct.suspects)
+          for (CrashSuspectStruct _iter175 : struct.suspects)
           {
-            _iter145.write(oprot);
+            _iter175.write(oprot);
           }
           oprot.writeListEnd();
         }
@@ -403,9 +403,9 @@
       org.apache.thrift.protocol.TTupleProtocol oprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
       {
         oprot.writeI32(struct.suspects.size());
-        for (CrashSuspectStruct _iter146 : struct.suspects)
+        for (CrashSuspectStruct _iter176 : struct.suspects)
         {
-          _iter146.write(oprot);
+          _iter176.write(oprot);
         }
       }
     }
@@ -414,14 +414,14 @@
     public void read(org.apache.thrift.protocol.TProtocol prot, SuspectNewsStruct struct) throws org.apache.thrift.TException {
       org.apache.thrift.protocol.TTupleProtocol iprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
       {
-        org.apache.thrift.protocol.TList _list147 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
-        struct.suspects = new java.util.ArrayList<CrashSuspectStruct>(_list147.size);
-        @org.apache.thrift.annotation.Nullable CrashSuspectStruct _elem148;
-        for (int _i149 = 0; _i149 < _list147.size; ++_i149)
+        org.apache.thrift.protocol.TList _list177 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+        struct.suspects = new java.util.ArrayList<CrashSuspectStruct>(_list177.size);
+        @org.apache.thrift.annotation.Nullable CrashSuspectStruct _elem178;
+        for (int _i179 = 0; _i179 < _list177.size; ++_i179)
         {
-          _elem148 = new CrashSuspectStruct();
-          _elem148.read(iprot);
-          struct.suspects.add(_elem148);
+          _elem178 = new CrashSuspectStruct();
+          _elem178.read(iprot);
+          struct.suspects.add(_elem178);
         }
       }
       struct.setSuspectsIsSet(true);
--- a/rhubarbward-net/src/main/java/io/rhubarbward/net/peer/RelayCodecs.java
+++ b/rhubarbward-net/src/main/java/io/rhubarbward/net/peer/RelayCodecs.java
@@ -28,7 +28,9 @@
 import java.util.List;
 import java.util.Map;
 import java.util.OptionalDouble;
+import java.util.function.BiConsumer;
 import java.util.stream.Collectors;
+import org.jspecify.annotations.Nullable;
 
 /** The codecs of the messages between relays and their followers: kinds 71 to 79. */
 final class RelayCodecs {
@@ -84,19 +86,23 @@
                     LoadReport.class,
                     LoadReportStruct::new,
                     report ->
-                            new LoadReportStruct(
-                                    report.sequence(),
-                                    report.inFlight(),
-                                    report.suspectsDigest(),
-                                    toStructs(report.limits()),
-                                    versionStructs(report.versions())),
+                            withAccountPlaces(
+                                    new LoadReportStruct(
+                                            report.sequence(),
+                                            report.inFlight(),
+                                            report.suspectsDigest(),
+                                            toStructs(report.limits()),
+                                            versionStructs(report.versions())),
+                                    report.accountPlaces(),
+                                    LoadReportStruct::setAccountPlaces),
                     struct ->
                             new LoadReport(
                                     struct.getSequence(),
                                     struct.getSuspectsDigest(),
                                     struct.getInFlight(),
                                     fromStructs(struct.getLimits()),
-                                    fromVersionStructs(struct.getVersions())));
+                                    fromVersionStructs(struct.getVersions()),
+                                    accountPlaces(struct.getAccountPlaces())));
 
     private static final PeerCodec<LoadTotals, LoadTotalsStruct> LOAD_TOTALS =
             new PeerCodec<>(
@@ -104,19 +110,23 @@
                     LoadTotals.class,
                     LoadTotalsStruct::new,
                     totals ->
-                            new LoadTotalsStruct(
-                                    totals.echoSequence(),
-                                    totals.inFlight(),
-                                    totals.suspectsDigest(),
-                                    toStructs(totals.limits()),
-                                    versionStructs(totals.versions())),
+                            withAccountPlaces(
+                                    new LoadTotalsStruct(
+                                            totals.echoSequence(),
+                                            totals.inFlight(),
+                                            totals.suspectsDigest(),
+                                            toStructs(totals.limits()),
+                                            versionStructs(totals.versions())),
+                                    totals.accountPlaces(),
+                                    LoadTotalsStruct::setAccountPlaces),
                     struct ->
                             new LoadTotals(
                                     struct.getEchoSequence(),
                                     struct.getSuspectsDigest(),
                                     struct.getInFlight(),
                                     fromStructs(struct.getLimits()),
-                                    fromVersionStructs(struct.getVersions())));
+                                    fromVersionStructs(struct.getVersions()),
+                                    accountPlaces(struct.getAccountPlaces())));
 
     private static final PeerCodec<DataCentreLoad, DataCentreLoadStruct> DATA_CENTRE_LOAD =
             new PeerCodec<>(
@@ -124,14 +134,17 @@
                     DataCentreLoad.class,
                     DataCentreLoadStruct::new,
                     load ->
-                            new DataCentreLoadStruct(
-                                    load.aggregator(),
-                                    load.unheardMillis(),
-                                    load.forwarded(),
-                                    load.inFlight(),
-                                    load.suspectsDigest(),
-                                    toStructs(load.limits()),
-                                    versionStructs(load.versions())),
+                            withAccountPlaces(
+                                    new DataCentreLoadStruct(
+                                            load.aggregator(),
+                                            load.unheardMillis(),
+                                            load.forwarded(),
+                                            load.inFlight(),
+                                            load.suspectsDigest(),
+                                            toStructs(load.limits()),
+                                            versionStructs(load.versions())),
+                                    load.accountPlaces(),
+                                    DataCentreLoadStruct::setAccountPlaces),
                     struct ->
                             new DataCentreLoad(
                                     struct.getAggregator(),
@@ -140,7 +153,8 @@
                                     struct.getSuspectsDigest(),
                                     struct.getInFlight(),
                                     fromStructs(struct.getLimits()),
-                                    fromVersionStructs(struct.getVersions())));
+                                    fromVersionStructs(struct.getVersions()),
+                                    accountPlaces(struct.getAccountPlaces())));
 
     private static final PeerCodec<SuspectNews, SuspectNewsStruct> SUSPECT_NEWS =
             new PeerCodec<>(
@@ -246,6 +260,19 @@
                                                         entry.getValue().getNewVersion()))));
     }
 
+    /** Leaves out an empty map: an earlier build writes no such field. */
+    private static <S> S withAccountPlaces(
+            S struct, Map<Long, Integer> accountPlaces, BiConsumer<S, Map<Long, Integer>> setter) {
+        if (!accountPlaces.isEmpty()) {
+            setter.accept(struct, accountPlaces);
+        }
+        return struct;
+    }
+
+    private static Map<Long, Integer> accountPlaces(@Nullable Map<Long, Integer> received) {
+        return received == null ? Map.of() : received;
+    }
+
     private static CrashSuspectStruct toStruct(CrashSuspect suspect) {
         CrashSuspectStruct struct =
                 new CrashSuspectStruct(suspect.trait(), suspect.crashes(), suspect.answers());
--- a/rhubarbward-net/src/main/thrift/fleet.thrift
+++ b/rhubarbward-net/src/main/thrift/fleet.thrift
@@ -62,6 +62,8 @@
   3: required i64 suspectsDigest;
   4: required map<i32, LimitObservationStruct> limits;
   5: required map<string, PairedFiguresStruct> versions;
+  // Tenths of a place by a hash of service and account; left out if empty.
+  6: optional map<i64, i32> accountPlaces;
 }
 
 struct LoadTotalsStruct {
@@ -70,6 +72,8 @@
   3: required i64 suspectsDigest;
   4: required map<i32, LimitObservationStruct> limits;
   5: required map<string, PairedFiguresStruct> versions;
+  // Tenths of a place by a hash of service and account; left out if empty.
+  6: optional map<i64, i32> accountPlaces;
 }
 
 struct DataCentreLoadStruct {
@@ -80,6 +84,8 @@
   5: required i64 suspectsDigest;
   6: required map<i32, LimitObservationStruct> limits;
   7: required map<string, PairedFiguresStruct> versions;
+  // Tenths of a place by a hash of service and account; left out if empty.
+  8: optional map<i64, i32> accountPlaces;
 }
 
 struct CrashSuspectStruct {
--- a/rhubarbward-net/src/test/java/io/rhubarbward/net/peer/EarlierBuildTest.java
+++ b/rhubarbward-net/src/test/java/io/rhubarbward/net/peer/EarlierBuildTest.java
@@ -40,6 +40,8 @@
                     new PairedFigures(
                             new VersionFigures(9, 1, 8, 0, 2), new VersionFigures(4, 3, 2, 1, 0)));
 
+    private static final Map<Long, Integer> ACCOUNTS = Map.of(-7L, 15);
+
     private final PeerFrameCodec mCodec = new PeerFrameCodec();
 
     static Stream<Arguments> recorded() {
@@ -61,17 +63,18 @@
                         "1807656e7472792d311590011824160e1116904e191c1807736572766572"
                                 + "731c16061618001c1606161800190c16d804000000"),
                 Arguments.of(
-                        new LoadReport(3, -9, Map.of(-5, 2), LIMITS, VERSIONS),
+                        new LoadReport(3, -9, Map.of(-5, 2), LIMITS, VERSIONS, Map.of()),
                         "1807656e7472792d31159201183a16061b0155090416111b015c09170000"
                                 + "000000000c4016501504001b018c0b6368617420763220722d3119551202"
                                 + "10000419550806040200000000"),
                 Arguments.of(
-                        new LoadTotals(3, -9, Map.of(-5, 2), LIMITS, VERSIONS),
+                        new LoadTotals(3, -9, Map.of(-5, 2), LIMITS, VERSIONS, Map.of()),
                         "1807656e7472792d31159401183a16061b0155090416111b015c09170000"
                                 + "000000000c4016501504001b018c0b6368617420763220722d3119551202"
                                 + "10000419550806040200000000"),
                 Arguments.of(
-                        new DataCentreLoad("entry-2", 80, true, -9, Map.of(9, 1), LIMITS, VERSIONS),
+                        new DataCentreLoad(
+                                "entry-2", 80, true, -9, Map.of(9, 1), LIMITS, VERSIONS, Map.of()),
                         "1807656e7472792d3115960118451807656e7472792d3216a001111b0155"
                                 + "120216111b015c09170000000000000c4016501504001b018c0b63686174"
                                 + "20763220722d311955120210000419550806040200000000"),
@@ -80,8 +83,29 @@
                         "1807656e7472792d31159801180d191c16071b01660f0a1606000000"));
     }
 
+    /** Frames with counts by account. Build b9bc633 reads all other fields of these frames. */
+    static Stream<Arguments> recordedWithAccounts() {
+        return Stream.of(
+                Arguments.of(
+                        new LoadReport(3, -9, Map.of(-5, 2), LIMITS, VERSIONS, ACCOUNTS),
+                        "1807656e7472792d31159201183f16061b0155090416111b015c09170000"
+                                + "000000000c4016501504001b018c0b6368617420763220722d3119551202"
+                                + "10000419550806040200001b01650d1e0000"),
+                Arguments.of(
+                        new LoadTotals(3, -9, Map.of(-5, 2), LIMITS, VERSIONS, ACCOUNTS),
+                        "1807656e7472792d31159401183f16061b0155090416111b015c09170000"
+                                + "000000000c4016501504001b018c0b6368617420763220722d3119551202"
+                                + "10000419550806040200001b01650d1e0000"),
+                Arguments.of(
+                        new DataCentreLoad(
+                                "entry-2", 80, true, -9, Map.of(9, 1), LIMITS, VERSIONS, ACCOUNTS),
+                        "1807656e7472792d31159601184a1807656e7472792d3216a001111b0155"
+                                + "120216111b015c09170000000000000c4016501504001b018c0b63686174"
+                                + "20763220722d311955120210000419550806040200001b01650d1e0000"));
+    }
+
     @ParameterizedTest
-    @MethodSource("recorded")
+    @MethodSource({"recorded", "recordedWithAccounts"})
     void framesAreReadAndWrittenAsByTheEarlierBuild(PeerMessage message, String frame) {
         byte[] bytes = HexFormat.of().parseHex(frame);
         assertThat(mCodec.decode(bytes).get().get())
--- a/rhubarbward-net/src/test/java/io/rhubarbward/net/peer/PeerFrameCodecTest.java
+++ b/rhubarbward-net/src/test/java/io/rhubarbward/net/peer/PeerFrameCodecTest.java
@@ -2,6 +2,7 @@
 
 import static com.google.common.truth.Truth.assertThat;
 
+import io.rhubarbward.admission.AccountUsage;
 import io.rhubarbward.crash.CrashSuspect;
 import io.rhubarbward.membership.AliveAnswer;
 import io.rhubarbward.membership.AliveQuery;
@@ -28,6 +29,8 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalDouble;
+import java.util.stream.Collectors;
+import java.util.stream.IntStream;
 import java.util.stream.Stream;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -45,6 +48,8 @@
                     new PairedFigures(
                             new VersionFigures(9, 1, 8, 0, 2), new VersionFigures(4, 3, 2, 1, 0)));
 
+    private static final Map<Long, Integer> ACCOUNTS = Map.of(Long.MIN_VALUE, 15, 7L, 24_000);
+
     private final PeerFrameCodec mCodec = new PeerFrameCodec();
 
     static Stream<PeerMessage> messages() {
@@ -60,9 +65,14 @@
                 new HoldingsQuery(9, List.of("backend/e", "backend/f")),
                 new FollowRequest(7, 900, Map.of("config", revision(12))),
                 new FollowAnswer(7, false, 0, List.of()),
-                new LoadReport(3, -9, Map.of(-5, 2), LIMITS, VERSIONS),
-                new LoadTotals(3, -9, Map.of(-5, 2, 9, 1), LIMITS, VERSIONS),
-                new DataCentreLoad("entry-2", 80, true, -9, Map.of(9, 1), LIMITS, VERSIONS),
+                new LoadReport(3, -9, Map.of(-5, 2), LIMITS, VERSIONS, Map.of()),
+                new LoadReport(3, -9, Map.of(-5, 2), LIMITS, VERSIONS, ACCOUNTS),
+                new LoadTotals(3, -9, Map.of(-5, 2, 9, 1), LIMITS, VERSIONS, Map.of()),
+                new LoadTotals(3, -9, Map.of(-5, 2, 9, 1), LIMITS, VERSIONS, ACCOUNTS),
+                new DataCentreLoad(
+                        "entry-2", 80, true, -9, Map.of(9, 1), LIMITS, VERSIONS, Map.of()),
+                new DataCentreLoad(
+                        "entry-2", 80, true, -9, Map.of(9, 1), LIMITS, VERSIONS, ACCOUNTS),
                 new SuspectNews(
                         List.of(
                                 new CrashSuspect(-4, Map.of(-8L, 5L), 3),
@@ -78,6 +88,25 @@
         }
     }
 
+    /** The largest messages, ten of which a router gets each second while servers are full. */
+    @Test
+    void countsByAccountTakeAtMostTwelveBytesEach() {
+        Map<Long, Integer> accounts =
+                IntStream.range(0, 256)
+                        .boxed()
+                        .collect(
+                                Collectors.toMap(
+                                        n -> AccountUsage.key("chat", "account-" + n),
+                                        n -> 40 + n));
+        int without = totalsFrame(Map.of()).length;
+        assertThat(totalsFrame(accounts).length).isAtMost(without + 8 + 256 * 12);
+    }
+
+    private byte[] totalsFrame(Map<Long, Integer> accounts) {
+        return mCodec.encode(
+                Optional.empty(), new LoadTotals(3, -9, Map.of(), LIMITS, VERSIONS, accounts));
+    }
+
     private static StoreRevision revision(long number) {
         return new StoreRevision(3, number);
     }
