Let the admission queue order requests of both paths

The fleet's requests need the queue of the product's path with other orders and limits: ranks of routes, the part of the time left, a wait of their own and a bound over all services. The queue takes any QueuedRequest; an entry may pass a turn on or hold it. The catalogue tells the rank of a priority at a service. The product's path orders, bounds and evicts as before: SurgeTest, ExchangeTest, RefusalRunStateTest and CatalogTest pass.

--- a/rhubarbward-core/src/main/java/io/rhubarbward/admission/AdmissionQueue.java
+++ b/rhubarbward-core/src/main/java/io/rhubarbward/admission/AdmissionQueue.java
@@ -8,17 +8,21 @@
 import java.time.Duration;
 import java.util.Comparator;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.TreeMap;
+import java.util.function.Predicate;
+import java.util.stream.Stream;
 
 /**
  * A short queue for each service, in which requests wait while all of its backend servers are full.
  *
- * <p>Turns go to the highest priority first, and within a priority to the account whose last turn
- * was longest ago, so that an account with many waiting requests gets no more turns than one with
- * few. The queue and the waiting time are short: a request that cannot be served in time is refused
- * early, with a time to retry, instead of delaying those behind it.
+ * <p>Turns go to the lowest rank first, within a rank to the account whose last turn was longest
+ * ago, so that an account with many waiting requests gets no more turns than one with few, and
+ * within an account to the request with the smallest part of its time left. The queue and the
+ * waiting time are short: a request that cannot be served in time is refused early, with a time to
+ * retry, instead of delaying those behind it.
  */
 public final class AdmissionQueue implements StateSource {
     /**
@@ -28,11 +32,26 @@
     private static final Duration PROBE_PERIOD = Duration.ofMillis(100);
 
     private final TimerService mTimers;
+    private final int mMaxWaitingInTotal;
     private final Map<String, ServiceQueue> mQueuesByService = new TreeMap<>();
     private AdmissionSettings mLimits = AdmissionSettings.NO_WAITING;
+    private int mWaitingInTotal;
 
+    /** Creates a queue that is bounded for each service, as the settings say. */
     AdmissionQueue(TimerService timers) {
+        this(timers, Integer.MAX_VALUE);
+    }
+
+    private AdmissionQueue(TimerService timers, int maxWaitingInTotal) {
         mTimers = timers;
+        mMaxWaitingInTotal = maxWaitingInTotal;
+    }
+
+    /** Creates a queue that is bounded over all services; each request brings its longest wait. */
+    static AdmissionQueue boundedInTotal(TimerService timers, int maxWaitingInTotal) {
+        AdmissionQueue queue = new AdmissionQueue(timers, maxWaitingInTotal);
+        queue.mLimits = new AdmissionSettings(0, maxWaitingInTotal, 1);
+        return queue;
     }
 
     void configure(Settings settings) {
@@ -47,7 +66,12 @@
 
     /** Returns an entry for a request, which waits only after {@link Entry#enqueue}. */
     public Entry newEntry(String service, ClientAccount account, EntryListener listener) {
-        return new Entry(queue(service), account, listener);
+        return newEntry(service, new AccountRequest(account), listener);
+    }
+
+    /** Returns an entry for a request, which waits only after {@link Entry#enqueue}. */
+    Entry newEntry(String service, QueuedRequest request, EntryListener listener) {
+        return new Entry(queue(service), request, listener);
     }
 
     /** Gives a turn to the next request, since a request to the service has ended. */
@@ -55,10 +79,24 @@
         Optional.ofNullable(mQueuesByService.get(service)).ifPresent(ServiceQueue::giveTurn);
     }
 
+    /** Returns the requests that wait for the service, in no particular order. */
+    Stream<QueuedRequest> waiting(String service) {
+        return Optional.ofNullable(mQueuesByService.get(service)).stream()
+                .flatMap(queue -> queue.mWaiting.values().stream())
+                .map(entry -> entry.mRequest);
+    }
+
     private ServiceQueue queue(String service) {
         return mQueuesByService.computeIfAbsent(service, name -> new ServiceQueue());
     }
 
+    private void refuseLastOfLongestQueue() {
+        mQueuesByService.values().stream()
+                .max(Comparator.comparingInt(queue -> queue.mWaiting.size()))
+                .flatMap(queue -> queue.mWaiting.values().stream().max(queue.nextTurnFirst()))
+                .ifPresent(Entry::refuse);
+    }
+
     @Override
     public String name() {
         return "admission";
@@ -73,6 +111,11 @@
 
     /** Continues or refuses a waiting request. */
     public interface EntryListener {
+        /** Returns whether the request can use a turn now. */
+        default Readiness readiness() {
+            return Readiness.READY;
+        }
+
         /** Looks for a backend server with free capacity again. */
         void onTurn();
 
@@ -80,19 +123,29 @@
         void onRefused();
     }
 
+    /** Whether a waiting request can use a turn. */
+    public enum Readiness {
+        /** The request gets the turn. */
+        READY,
+        /** The request keeps its place, and the turn goes to the next one. */
+        PASSED_OVER,
+        /** There is no room for the request, and none may overtake it. */
+        NO_ROOM
+    }
+
     /** One request's entry in the queue of its service. */
     public final class Entry {
         private final ServiceQueue mQueue;
-        private final ClientAccount mAccount;
+        private final QueuedRequest mRequest;
         private final EntryListener mListener;
         private final long mSequenceNumber;
         private TimerService.Subscription mWaitTimeout = () -> {};
         private boolean mLeft;
         private boolean mHasWaited;
 
-        Entry(ServiceQueue queue, ClientAccount account, EntryListener listener) {
+        Entry(ServiceQueue queue, QueuedRequest request, EntryListener listener) {
             mQueue = queue;
-            mAccount = account;
+            mRequest = request;
             mListener = listener;
             mSequenceNumber = queue.mNextSequenceNumber++;
         }
@@ -102,10 +155,37 @@
             return !mQueue.mWaiting.isEmpty();
         }
 
+        /** Returns the waiting requests that have their turn before this one. */
+        List<QueuedRequest> requestsAhead() {
+            if (mQueue.mWaiting.isEmpty()) {
+                return List.of();
+            }
+            Comparator<Entry> order = mQueue.nextTurnFirst();
+            return mQueue.mWaiting.values().stream()
+                    .filter(other -> other != this && order.compare(other, this) < 0)
+                    .map(other -> other.mRequest)
+                    .toList();
+        }
+
+        /** Returns whether a waiting request that the predicate accepts goes before this one. */
+        boolean isBehind(Predicate<QueuedRequest> counts) {
+            return requestsAhead().stream().anyMatch(counts);
+        }
+
+        /** Returns whether the request waits for a turn. */
+        boolean waiting() {
+            return mQueue.mWaiting.containsKey(mSequenceNumber);
+        }
+
         /** Waits for a turn; when called again, the time limit of the first call still applies. */
         public void enqueue() {
+            enqueue(mLimits.maxWaitMillis());
+        }
+
+        /** Waits for a turn; when called again, the time limit of the first call still applies. */
+        void enqueue(long maxWaitMillis) {
             if (!mLeft) {
-                startWaitTimeout();
+                startWaitTimeout(maxWaitMillis);
                 mQueue.add(this);
             }
         }
@@ -123,14 +203,13 @@
         public void leave() {
             mLeft = true;
             mWaitTimeout.cancel();
-            mQueue.mWaiting.remove(mSequenceNumber);
+            mQueue.remove(this);
         }
 
-        private void startWaitTimeout() {
+        private void startWaitTimeout(long maxWaitMillis) {
             if (!mHasWaited) {
                 mHasWaited = true;
-                mWaitTimeout =
-                        mTimers.after(Duration.ofMillis(mLimits.maxWaitMillis()), this::refuse);
+                mWaitTimeout = mTimers.after(Duration.ofMillis(maxWaitMillis), this::refuse);
             }
         }
 
@@ -140,9 +219,18 @@
                 mListener.onRefused();
             }
         }
+    }
 
-        private int priorityRank() {
-            return mAccount.priority().ordinal();
+    /** A request of the product's own path: its priority is its rank. */
+    private record AccountRequest(ClientAccount client) implements QueuedRequest {
+        @Override
+        public int rank() {
+            return client.priority().ordinal();
+        }
+
+        @Override
+        public String account() {
+            return client.name();
         }
     }
 
@@ -154,29 +242,52 @@
         private long mTurns;
 
         void add(Entry entry) {
-            mWaiting.put(entry.mSequenceNumber, entry);
+            if (mWaiting.put(entry.mSequenceNumber, entry) == null) {
+                mWaitingInTotal++;
+            }
             if (mWaiting.size() > mLimits.maxWaiting()) {
                 mWaiting.values().stream().max(keptFirst()).ifPresent(Entry::refuse);
+            } else if (mWaitingInTotal > mMaxWaitingInTotal) {
+                refuseLastOfLongestQueue();
+            }
+        }
+
+        void remove(Entry entry) {
+            if (mWaiting.remove(entry.mSequenceNumber) != null) {
+                mWaitingInTotal--;
             }
         }
 
         void giveTurn() {
-            mWaiting.values().stream().min(nextTurnFirst()).ifPresent(this::giveTurn);
+            nextReady().ifPresent(this::giveTurn);
             if (mWaiting.isEmpty()) {
                 mLastTurnByAccount.clear();
             }
         }
 
+        /** Returns the first request in order that can use a turn, unless one before it blocks. */
+        private Optional<Entry> nextReady() {
+            for (Entry entry : mWaiting.values().stream().sorted(nextTurnFirst()).toList()) {
+                Readiness readiness = entry.mListener.readiness();
+                if (readiness != Readiness.PASSED_OVER) {
+                    return readiness == Readiness.READY ? Optional.of(entry) : Optional.empty();
+                }
+            }
+            return Optional.empty();
+        }
+
         private void giveTurn(Entry entry) {
-            mWaiting.remove(entry.mSequenceNumber);
-            mLastTurnByAccount.put(entry.mAccount.name(), ++mTurns);
+            remove(entry);
+            mLastTurnByAccount.put(entry.mRequest.account(), ++mTurns);
             entry.mListener.onTurn();
         }
 
         private Comparator<Entry> nextTurnFirst() {
-            return Comparator.comparingInt(Entry::priorityRank)
+            long now = mTimers.nowMillis();
+            return Comparator.comparingInt((Entry entry) -> entry.mRequest.rank())
                     .thenComparing(
-                            entry -> mLastTurnByAccount.getOrDefault(entry.mAccount.name(), 0L))
+                            entry -> mLastTurnByAccount.getOrDefault(entry.mRequest.account(), 0L))
+                    .thenComparingDouble(entry -> entry.mRequest.timeLeft(now))
                     .thenComparing(entry -> entry.mSequenceNumber);
         }
 
@@ -187,10 +298,13 @@
         private Comparator<Entry> keptFirst() {
             Map<String, Long> waitingByAccount = new HashMap<>();
             mWaiting.values()
-                    .forEach(entry -> waitingByAccount.merge(entry.mAccount.name(), 1L, Long::sum));
-            return Comparator.comparingInt(Entry::priorityRank)
+                    .forEach(
+                            entry ->
+                                    waitingByAccount.merge(
+                                            entry.mRequest.account(), 1L, Long::sum));
+            return Comparator.comparingInt((Entry entry) -> entry.mRequest.rank())
                     .thenComparing(
-                            entry -> waitingByAccount.getOrDefault(entry.mAccount.name(), 0L))
+                            entry -> waitingByAccount.getOrDefault(entry.mRequest.account(), 0L))
                     .thenComparing(entry -> entry.mSequenceNumber);
         }
     }
--- a/rhubarbward-core/src/main/java/io/rhubarbward/catalog/Catalog.java
+++ b/rhubarbward-core/src/main/java/io/rhubarbward/catalog/Catalog.java
@@ -4,6 +4,8 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.SortedSet;
+import java.util.TreeSet;
 import java.util.function.Function;
 import java.util.stream.Collectors;
 
@@ -20,6 +22,7 @@
     private final List<Route> mRoutes;
     private final Map<String, List<Route>> mRoutesByHost;
     private final Map<String, ServiceProfile> mServices;
+    private final Map<String, SortedSet<Integer>> mPrioritiesByService;
     private final boolean mRequiresKeys;
     private final Map<String, KeyedAccount> mAccountsByKey;
 
@@ -51,6 +54,22 @@
                                         ServiceProfile::name,
                                         Function.identity(),
                                         (first, second) -> first));
+        mPrioritiesByService =
+                routes.stream()
+                        .flatMap(
+                                route ->
+                                        route.targets().stream()
+                                                .map(
+                                                        target ->
+                                                                Map.entry(
+                                                                        target.service(),
+                                                                        route.priority())))
+                        .collect(
+                                Collectors.groupingBy(
+                                        Map.Entry::getKey,
+                                        Collectors.mapping(
+                                                Map.Entry::getValue,
+                                                Collectors.toCollection(TreeSet::new))));
         mRequiresKeys = accounts.isPresent();
         mAccountsByKey =
                 accounts.stream()
@@ -92,6 +111,15 @@
         return Optional.ofNullable(mServices.get(name));
     }
 
+    /**
+     * Returns the rank of a request with the priority: how many of the distinct priorities of the
+     * service's routes are more urgent.
+     */
+    public int rank(String service, int priority) {
+        SortedSet<Integer> priorities = mPrioritiesByService.get(service);
+        return priorities == null ? 0 : priorities.headSet(priority).size();
+    }
+
     /** Returns the account that the API key belongs to. */
     public Optional<KeyedAccount> account(String key) {
         return Optional.ofNullable(mAccountsByKey.get(key));
