--- a/rhubarbward-core/src/main/java/io/rhubarbward/admission/AccountUsage.java
+++ b/rhubarbward-core/src/main/java/io/rhubarbward/admission/AccountUsage.java
@@ -33,6 +33,12 @@
     /** Below it, a count is only what rounding leaves of places that were added and removed. */
     private static final double MIN_PLACES = 1e-6;
 
+    /**
+     * The bits of a key that name the account. The other 16 name the service: two of 20 services
+     * share them with a probability of 0.3 in 100.
+     */
+    private static final long ACCOUNT_MASK = (1L << 48) - 1;
+
     private final TimerService mTimers;
     private final Map<String, Map<String, Double>> mOwnPlaces = new HashMap<>();
     private Map<Long, Integer> mOthers = Map.of();
@@ -43,9 +49,17 @@
         mTimers = timers;
     }
 
-    /** Returns the key of a service and an account in messages between routers. */
+    /**
+     * Returns the key of a service and an account in messages between routers. All keys of a
+     * service begin with the same bits, by which its accounts at other routers are found.
+     */
     public static long key(String service, String account) {
-        return RendezvousHash.hash(service + '/' + account);
+        return servicePart(RendezvousHash.hash(service))
+                | (RendezvousHash.hash(service + '/' + account) & ACCOUNT_MASK);
+    }
+
+    private static long servicePart(long key) {
+        return key & ~ACCOUNT_MASK;
     }
 
     /** Counts an open request of the account; the account is empty for requests without one. */
@@ -74,9 +88,33 @@
         return own + othersPlaces(key(service, account));
     }
 
+    /**
+     * Returns the places at all routers of every account that is known to use the service, by
+     * {@link #key}: those of this router and the ones that other routers announced.
+     */
+    public Map<Long, Double> placesByKey(String service) {
+        Map<Long, Double> places = new HashMap<>();
+        mOwnPlaces
+                .getOrDefault(service, Map.of())
+                .forEach((account, own) -> places.merge(key(service, account), own, Double::sum));
+        if (othersAreRecent()) {
+            long part = servicePart(RendezvousHash.hash(service));
+            mOthers.forEach(
+                    (key, count) -> {
+                        if (servicePart(key) == part && count > 0) {
+                            places.merge(key, count / UNITS_PER_PLACE, Double::sum);
+                        }
+                    });
+        }
+        return places;
+    }
+
     private double othersPlaces(long key) {
-        boolean recent = mTimers.nowMillis() - mOthersUpdatedMillis <= OTHERS_MAX_AGE_MILLIS;
-        return recent ? mOthers.getOrDefault(key, 0) / UNITS_PER_PLACE : 0;
+        return othersAreRecent() ? mOthers.getOrDefault(key, 0) / UNITS_PER_PLACE : 0;
+    }
+
+    private boolean othersAreRecent() {
+        return mTimers.nowMillis() - mOthersUpdatedMillis <= OTHERS_MAX_AGE_MILLIS;
     }
 
     /**
--- a/rhubarbward-core/src/main/java/io/rhubarbward/admission/AdmissionQueue.java
+++ b/rhubarbward-core/src/main/java/io/rhubarbward/admission/AdmissionQueue.java
@@ -155,7 +155,7 @@
             return !mQueue.mWaiting.isEmpty();
         }
 
-        /** Returns the waiting requests that have their turn before this one. */
+        /** Returns the waiting requests that have their turn before this one, in queue order. */
         List<QueuedRequest> requestsAhead() {
             if (mQueue.mWaiting.isEmpty()) {
                 return List.of();
@@ -163,6 +163,7 @@
             Comparator<Entry> order = mQueue.nextTurnFirst();
             return mQueue.mWaiting.values().stream()
                     .filter(other -> other != this && order.compare(other, this) < 0)
+                    .sorted(order)
                     .map(other -> other.mRequest)
                     .toList();
         }
--- a/rhubarbward-core/src/main/java/io/rhubarbward/event/LogEvent.java
+++ b/rhubarbward-core/src/main/java/io/rhubarbward/event/LogEvent.java
@@ -76,7 +76,11 @@
 
     // 1600: routing (no events yet).
 
-    // 1700: admission (no events yet).
+    // 1700: admission.
+    REQUEST_WAITS(1701, INFO),
+    REQUEST_PUT_OFF(1702, INFO),
+    ROOM_WANTED(1703, WARNING),
+    ROOM_REGAINED(1704, INFO),
 
     // 1800: requests.
     REQUEST_REFUSED(1801, INFO),
