Let forwarded requests pass admission before placement

Requests of services with a stated capacity are decided on before placement, and wait if every server is full. A request that waits has been sent nowhere: it ends as not run at its longest wait, its deadline, the stop of the router, without trust in keys or with a revoked key, and moves to another router when this one is cut off.

--- a/rhubarbward-core/src/main/java/io/rhubarbward/forward/ForwardContext.java
+++ b/rhubarbward-core/src/main/java/io/rhubarbward/forward/ForwardContext.java
@@ -1,5 +1,6 @@
 package io.rhubarbward.forward;
 
+import io.rhubarbward.admission.FleetAdmission;
 import io.rhubarbward.catalog.CurrentCatalog;
 import io.rhubarbward.crash.CrashSuspects;
 import io.rhubarbward.event.EventLog;
@@ -17,6 +18,7 @@
  * @param dialect encodes and decodes header fields
  * @param catalog the current routes, services and keys
  * @param freshness whether the catalogue is recent enough to trust it
+ * @param admission decides which requests are placed while there is want of room
  * @param policy chooses a backend server for each request
  * @param table the backend servers with their tracked load and health
  * @param retryBudget limits retries
@@ -35,6 +37,7 @@
         RequestDialect dialect,
         CurrentCatalog catalog,
         CatalogFreshness freshness,
+        FleetAdmission admission,
         PlacementPolicy policy,
         ServerTable table,
         LocalRetryBudget retryBudget,
--- a/rhubarbward-core/src/main/java/io/rhubarbward/forward/ForwardedExchange.java
+++ b/rhubarbward-core/src/main/java/io/rhubarbward/forward/ForwardedExchange.java
@@ -2,11 +2,7 @@
 
 import io.rhubarbward.catalog.Route;
 import io.rhubarbward.crash.CrashSuspects;
-import io.rhubarbward.event.EventField;
-import io.rhubarbward.event.LogEvent;
-import io.rhubarbward.hash.RendezvousHash;
 import io.rhubarbward.placement.Placement;
-import io.rhubarbward.placement.PlacementQuery;
 import io.rhubarbward.placement.SendResult;
 import io.rhubarbward.placement.TrackedServer;
 import io.rhubarbward.reach.ForwardingPeer;
@@ -29,10 +25,15 @@
  * A caller's accepted request while it is forwarded, until the end of its answer.
  *
  * <p>A request is retried only if no server may have run it, or if its route allows it to run more
- * than once. Once an answer has begun to reach the caller, it is either completed or the caller's
- * connection is aborted, so that the caller notices the incomplete answer.
+ * than once. A request that waits for room has been sent nowhere. Once an answer has begun to reach
+ * the caller, it is either completed or the caller's connection is aborted, so that the caller
+ * notices the incomplete answer.
  */
-final class ForwardedExchange implements CallerListener, ServerCall.Listener, PeerCall.Listener {
+final class ForwardedExchange
+        implements CallerListener,
+                ServerCall.Listener,
+                PeerCall.Listener,
+                ExchangeAdmission.Listener {
     static final int MISDIRECTED_STATUS = 421;
     private static final int MIN_SERVER_ERROR_STATUS = 500;
 
@@ -60,6 +61,8 @@
     private final Consumer<ForwardedExchange> mOnEnd;
     private final Set<String> mTriedServers = new HashSet<>();
     private final PeerForwarder mPeerForwarder;
+    private final ExchangeAdmission mAdmission;
+    private final ExchangeEvents mEvents;
     private final long mLagMillis;
     private final long mArrivedMillis;
     private final long mDeadlineMillis;
@@ -83,10 +86,12 @@
         mResponse = response;
         mContext = context;
         mOnEnd = onEnd;
+        mEvents = new ExchangeEvents(request, context);
         mPeerForwarder = new PeerForwarder(request, context, this);
         mLagMillis = context.loopLagMillis().getAsLong();
         mArrivedMillis = context.timers().nowMillis() - mLagMillis;
         mDeadlineMillis = mArrivedMillis + request.timeout().toMillis();
+        mAdmission = new ExchangeAdmission(request, context, this, mArrivedMillis, mDeadlineMillis);
     }
 
     void start() {
@@ -102,20 +107,20 @@
         mDeadlineTimer =
                 mContext.timers()
                         .afterReading(
-                                Duration.ofMillis(
-                                        Math.max(
-                                                0,
-                                                mDeadlineMillis - mContext.timers().nowMillis())),
-                                this::onTimeout);
+                                Duration.ofMillis(Math.max(0, remainingMillis())), this::onTimeout);
         placeAndSend();
     }
 
+    private long remainingMillis() {
+        return mDeadlineMillis - mContext.timers().nowMillis();
+    }
+
     private void placeAndSend() {
         if (!mResponse.callerPresent()) {
             onGone();
             return;
         }
-        long remainingMillis = mDeadlineMillis - mContext.timers().nowMillis();
+        long remainingMillis = remainingMillis();
         if (remainingMillis < MIN_REMAINING_MILLIS) {
             refuse(RefusalCode.DEADLINE_EXCEEDED, "no time is left");
             return;
@@ -138,22 +143,40 @@
         if (mSends > 0 && forwardIfInDoubt(remainingMillis)) {
             return;
         }
+        // The retry budget bounds what is sent again.
+        if (sentBefore() || mAdmission.admit()) {
+            place(remainingMillis);
+        }
+    }
+
+    private boolean sentBefore() {
+        return mSends > 0 || mPossibleRuns > 0;
+    }
+
+    @Override
+    public void onAdmitted() {
+        placeAndSend();
+    }
+
+    @Override
+    public void onPutOff(Refusal refusal) {
+        end(refusal.withRunState(mPossibleRuns > 0));
+    }
+
+    private void place(long remainingMillis) {
         Placement placement =
-                mContext.policy()
-                        .place(
-                                new PlacementQuery(
-                                        mRequest.service().name(),
-                                        mRequest.affinityKey(),
-                                        mRequest.sharedTokens(),
-                                        RendezvousHash.unitHash(mRequest.metadata().attemptId()),
-                                        mTriedServers),
-                                mRequest.service());
+                mContext.policy().place(mRequest.placementQuery(mTriedServers), mRequest.service());
         if (placement instanceof Placement.Chosen chosen) {
             send(chosen, remainingMillis);
-        } else if (placement instanceof Placement.None none) {
-            if (!forwardIfInDoubt(remainingMillis)) {
-                refuseUnplaced(none);
-            }
+        } else if (placement instanceof Placement.None none && !forwardIfInDoubt(remainingMillis)) {
+            waitOrRefuse(none);
+        }
+    }
+
+    private void waitOrRefuse(Placement.None none) {
+        boolean mayWait = none.cause() == Placement.Cause.FULL && !sentBefore();
+        if (!mayWait || !mAdmission.putOff()) {
+            end(TruthfulRefusals.ofUnplaced(none, mRequest.service().name(), mPossibleRuns > 0));
         }
     }
 
@@ -169,14 +192,8 @@
             refuse(RefusalCode.NOT_READY, "the configuration is no longer confirmed");
             return;
         }
-        mContext.events()
-                .log(
-                        LogEvent.REQUEST_FORWARDED,
-                        EventField.of("id", mRequest.metadata().attemptId()),
-                        EventField.of("route", route().name()),
-                        EventField.of("router", call.peer().name()),
-                        EventField.of("reach", mContext.reach().state()),
-                        EventField.of("remainingMs", remainingMillis));
+        mEvents.onForwarded(call.peer(), remainingMillis);
+        mAdmission.moveToOtherRouter();
         mCall = call;
         call.send(Duration.ofMillis(remainingMillis), maxAttempts() - mPossibleRuns);
     }
@@ -218,6 +235,11 @@
      * turned out to be cut off from the servers.
      */
     void onCutOff() {
+        if (mAdmission.waiting() && mPeerForwarder.onlyWay()) {
+            mAdmission.moveToOtherRouter();
+            placeAndSend();
+            return;
+        }
         OpenCall call = mCall;
         if (!(call instanceof ServerCall) || mAnswerBegun) {
             return;
@@ -234,6 +256,13 @@
         placeAndSend();
     }
 
+    /** Refuses the request if it waits for room, since the router stops. */
+    void onStopBegins(Refusal refusal) {
+        if (mAdmission.waiting()) {
+            onPutOff(refusal);
+        }
+    }
+
     /** Returns whether the request may be sent once more if the open call may have run it. */
     private boolean mayRetryAfterRun() {
         return route().mayRunAgain()
@@ -259,13 +288,6 @@
         return true;
     }
 
-    private void refuseUnplaced(Placement.None none) {
-        refuse(
-                TruthfulRefusals.codeOf(none.cause()),
-                none.cause() + " among " + none.candidates() + " of " + mRequest.service().name(),
-                TruthfulRefusals.retryAfterMillis(none));
-    }
-
     private void send(Placement.Chosen chosen, long remainingMillis) {
         if (mRequest.account() != null && !mContext.freshness().mayTrustKeys()) {
             refuse(RefusalCode.NOT_READY, "the configuration is no longer confirmed");
@@ -274,18 +296,8 @@
         TrackedServer server = chosen.server();
         mTriedServers.add(server.server().name());
         mSends++;
-        mContext.events()
-                .log(
-                        LogEvent.REQUEST_SENT,
-                        EventField.of("id", mRequest.metadata().attemptId()),
-                        EventField.of("route", mRequest.route().name()),
-                        EventField.of("server", server.server().name()),
-                        EventField.of("address", server.server().address()),
-                        EventField.of("reason", chosen.reason()),
-                        EventField.of("send", mSends),
-                        EventField.of("forwardedBy", mRequest.origin().router()),
-                        EventField.of("inFlight", server.inFlight()),
-                        EventField.of("remainingMs", remainingMillis));
+        mEvents.onSent(chosen, mSends, remainingMillis);
+        mAdmission.onSent();
         ServerCall call = new ServerCall(mRequest, mContext, server, this);
         mCall = call;
         call.send(Duration.ofMillis(remainingMillis));
@@ -351,9 +363,8 @@
     public void onPart(ByteBuffer part) {
         if (!mFirstByteSeen) {
             mFirstByteSeen = true;
-            mContext.metrics()
-                    .observeFirstByte(
-                            route().kind().name(), mContext.timers().nowMillis() - mArrivedMillis);
+            mAdmission.onResponseBegun(mStatus);
+            mEvents.onFirstByte(mContext.timers().nowMillis() - mArrivedMillis);
         }
         mResponse.write(part);
     }
@@ -361,6 +372,7 @@
     @Override
     public void onComplete() {
         mCall = null;
+        mAdmission.onResponseWhole(mStatus);
         end("answered-" + mStatus, mResponse::finish);
     }
 
@@ -434,10 +446,12 @@
     }
 
     private void refuse(RefusalCode code, String detail, long notRunRetryAfterMillis) {
-        Refusal refusal =
-                TruthfulRefusals.of(code, detail, notRunRetryAfterMillis, mPossibleRuns > 0);
+        end(TruthfulRefusals.of(code, detail, notRunRetryAfterMillis, mPossibleRuns > 0));
+    }
+
+    private void end(Refusal refusal) {
         end(
-                "refused-" + refusal.code().label() + ": " + detail,
+                "refused-" + refusal.code().label() + ": " + refusal.detail(),
                 () -> mResponse.refuse(refusal, mContext.dialect()::retryAfter));
     }
 
@@ -447,22 +461,16 @@
         }
         mEnded = true;
         mDeadlineTimer.cancel();
-        long tookMillis = mContext.timers().nowMillis() - mArrivedMillis;
-        String kind = route().kind().name();
-        mContext.metrics().countRequest(kind, outcome.split(":", 2)[0]);
-        mContext.metrics().observeTotal(kind, tookMillis);
-        mContext.events()
-                .log(
-                        LogEvent.REQUEST_ENDED,
-                        EventField.of("id", mRequest.metadata().attemptId()),
-                        EventField.of("route", route().name()),
-                        EventField.of("outcome", outcome),
-                        EventField.of("answeredBy", mAnsweredBy),
-                        EventField.of("status", mStatus),
-                        EventField.of("keptConnection", mKeptConnection),
-                        EventField.of("sends", mSends),
-                        EventField.of("mayHaveRun", mPossibleRuns > 0 || mAnswerBegun),
-                        EventField.of("tookMs", tookMillis));
+        mAdmission.end();
+        mEvents.onEnded(
+                new ExchangeEvents.End(
+                        outcome,
+                        mAnsweredBy,
+                        mStatus,
+                        mKeptConnection,
+                        mSends,
+                        mPossibleRuns > 0 || mAnswerBegun,
+                        mContext.timers().nowMillis() - mArrivedMillis));
         sendAnswer.run();
         mOnEnd.accept(this);
     }
--- a/rhubarbward-core/src/main/java/io/rhubarbward/forward/ForwardingService.java
+++ b/rhubarbward-core/src/main/java/io/rhubarbward/forward/ForwardingService.java
@@ -141,12 +141,15 @@
     }
 
     /**
-     * Prepares for the end of the process.
+     * Prepares for the end of the process. Requests that wait for room are refused, since others
+     * may serve them; none waits from now on.
      *
      * @param endMillis when open requests must have ended
      */
     public void beginStop(long endMillis) {
         mStopEndsMillis = endMillis;
+        mContext.admission().beginStop();
+        List.copyOf(mOpenExchanges).forEach(exchange -> exchange.onStopBegins(stopping()));
     }
 
     /** Ends all open requests, since the process ends; those without an answer get one. */
--- a/rhubarbward-core/src/main/java/io/rhubarbward/forward/ResolvedRequest.java
+++ b/rhubarbward-core/src/main/java/io/rhubarbward/forward/ResolvedRequest.java
@@ -4,11 +4,14 @@
 import io.rhubarbward.catalog.Route;
 import io.rhubarbward.catalog.ServiceProfile;
 import io.rhubarbward.crash.RequestTraits;
+import io.rhubarbward.hash.RendezvousHash;
+import io.rhubarbward.placement.PlacementQuery;
 import io.rhubarbward.request.CallerRequest;
 import java.time.Duration;
 import java.util.List;
 import java.util.Optional;
 import java.util.OptionalInt;
+import java.util.Set;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -54,6 +57,13 @@
                 : OptionalInt.of(route.priority());
     }
 
+    /** Returns the length of the prompt and the most tokens that may be generated. */
+    long tokens() {
+        return metadata.prompt()
+                .map(prompt -> (long) prompt.promptTokens() + prompt.maxOutputTokens())
+                .orElse(0L);
+    }
+
     int sharedTokens() {
         return metadata.prompt().map(PromptMetadata::sharedTokens).orElse(0);
     }
@@ -72,6 +82,15 @@
                 sharedPartIds(), caller.target(), accountName().orElse(""), caller.body());
     }
 
+    PlacementQuery placementQuery(Set<String> triedServers) {
+        return new PlacementQuery(
+                service.name(),
+                affinityKey(),
+                sharedTokens(),
+                RendezvousHash.unitHash(metadata.attemptId()),
+                triedServers);
+    }
+
     Optional<String> affinityKey() {
         return metadata.prompt().flatMap(PromptMetadata::lastSharedPart);
     }
--- a/rhubarbward-core/src/main/java/io/rhubarbward/forward/TruthfulRefusals.java
+++ b/rhubarbward-core/src/main/java/io/rhubarbward/forward/TruthfulRefusals.java
@@ -31,6 +31,15 @@
         };
     }
 
+    /** Returns the refusal of a request for which there is no server. */
+    static Refusal ofUnplaced(Placement.None none, String service, boolean mayHaveRun) {
+        return of(
+                codeOf(none.cause()),
+                none.cause() + " among " + none.candidates() + " of " + service,
+                retryAfterMillis(none),
+                mayHaveRun);
+    }
+
     /**
      * Returns a refusal of a request.
      *
--- a/rhubarbward-core/src/main/java/io/rhubarbward/node/FleetRouter.java
+++ b/rhubarbward-core/src/main/java/io/rhubarbward/node/FleetRouter.java
@@ -1,5 +1,10 @@
 package io.rhubarbward.node;
 
+import io.rhubarbward.admission.AccountUsage;
+import io.rhubarbward.admission.AdmissionMetrics;
+import io.rhubarbward.admission.FleetAdmission;
+import io.rhubarbward.admission.RoomEstimate;
+import io.rhubarbward.admission.ServiceRoom;
 import io.rhubarbward.catalog.CallerLimits;
 import io.rhubarbward.catalog.Catalog;
 import io.rhubarbward.catalog.CurrentCatalog;
@@ -107,6 +112,9 @@
     /** Time over which routers spread the writes of the entries that a restored store lacks. */
     private static final int ANNOUNCE_SPREAD_MILLIS = 600;
 
+    /** Stands in until the room is estimated from the servers' loads: no service wants any. */
+    private static final RoomEstimate UNKNOWN_ROOM = service -> new ServiceRoom(0, 0, 0);
+
     private final FleetNodeSettings mSettings;
     private final FleetPorts mPorts;
     private final StoreAvailability mStoreAvailability;
@@ -124,6 +132,7 @@
     private final KindWatcher<RolloutOrder> mRolloutWatcher;
     private final ServerReachability mReach;
     private final ForwardingPeers mForwardingPeers;
+    private final FleetAdmission mAdmission;
     private final ForwardingService mForwarding;
     private final PeerGateway mPeerGateway;
     private final ClockJumpDetector mClockJumpDetector;
@@ -176,6 +185,7 @@
         mReach =
                 new ServerReachability(table, ports.connectProbe(), ports.timers(), ports.events());
         mForwardingPeers = forwardingPeers();
+        mAdmission = admission(UNKNOWN_ROOM, new AccountUsage(ports.timers()), ports);
         ForwardContext context = forwardContext(table);
         mForwarding = new ForwardingService(context);
         mPeerGateway =
@@ -188,6 +198,12 @@
         subscribeToReachability(table, context.metrics());
     }
 
+    private static FleetAdmission admission(
+            RoomEstimate room, AccountUsage usage, FleetPorts ports) {
+        return new FleetAdmission(
+                room, usage, ports.timers(), ports.events(), new AdmissionMetrics(ports.metrics()));
+    }
+
     private LoadExchange loadExchange(ServerTable table) {
         return new LoadExchange(
                 mSettings.vm(),
@@ -273,6 +289,7 @@
                         mSettings.bounds().revocation(),
                         mCatalogWatcher::stalenessMillis,
                         this::relistAfterClockJump),
+                mAdmission,
                 policy,
                 table,
                 new LocalRetryBudget(mSettings.bounds().retries(), mPorts.timers(), limitSplitter),
@@ -305,6 +322,7 @@
         mLoadExchange.start();
         mRollouts.start();
         mCrashSuspects.start();
+        mAdmission.start();
         mLoopLag.tick();
         mPorts.timers()
                 .every(
--- a/rhubarbward-core/src/test/java/io/rhubarbward/forward/ForwardFixture.java
+++ b/rhubarbward-core/src/test/java/io/rhubarbward/forward/ForwardFixture.java
@@ -1,6 +1,10 @@
 package io.rhubarbward.forward;
 
 import io.prometheus.metrics.model.registry.PrometheusRegistry;
+import io.rhubarbward.admission.AccountUsage;
+import io.rhubarbward.admission.AdmissionMetrics;
+import io.rhubarbward.admission.FleetAdmission;
+import io.rhubarbward.admission.ServiceRoom;
 import io.rhubarbward.catalog.Catalog;
 import io.rhubarbward.catalog.CurrentCatalog;
 import io.rhubarbward.catalog.Route;
@@ -57,6 +61,15 @@
                     () -> 7,
                     mTimers,
                     mEvents);
+    ServiceRoom mRoom = new ServiceRoom(0, 0, 0);
+    final AccountUsage mUsage = new AccountUsage(mTimers);
+    final FleetAdmission mAdmission =
+            new FleetAdmission(
+                    service -> mRoom,
+                    mUsage,
+                    mTimers,
+                    mEvents,
+                    new AdmissionMetrics(new PrometheusRegistry()));
     final ForwardContext mContext;
     final ForwardingService mService;
 
@@ -77,6 +90,7 @@
                                 Duration.ofSeconds(5),
                                 () -> mCatalogAgeMillis,
                                 () -> mClockJumped),
+                        mAdmission,
                         new PlacementPolicy(
                                 "a",
                                 mTimers,
