Explain why a request was put off

The events of a request that waited or was refused for want of room hold the figures of the decision but do not say what they mean. rhubarbward explain prints a sentence for each after the events. MainTest covers it.

--- a/rhubarbward-daemon/src/main/java/io/rhubarbward/cli/ExplainCommand.java
+++ b/rhubarbward-daemon/src/main/java/io/rhubarbward/cli/ExplainCommand.java
@@ -23,7 +23,8 @@
  *
  * <p>These are the request's own events and its context, marked with {@code ~}: events without a
  * request id from the routers that handled it, from shortly before its first event to its last.
- * Context events that name a server are printed only if the request was sent to that server.
+ * Context events that name a server are printed only if the request was sent to that server. The
+ * last lines say why the request was put off for want of room, if it was.
  */
 final class ExplainCommand implements Command {
     /**
@@ -77,6 +78,9 @@
                             .orElseThrow();
             relatedEvents(events, requestEvents, id, startMillis)
                     .forEach(event -> console.print(format(event, id, startMillis)));
+            requestEvents.stream()
+                    .flatMap(event -> PutOffExplanation.of(event).stream())
+                    .forEach(console::print);
             return ExitCode.OK;
         } catch (IOException e) {
             return console.fail(ExitCode.USAGE, file + ": expected a readable log: " + e);
--- a/rhubarbward-daemon/src/test/java/io/rhubarbward/cli/MainTest.java
+++ b/rhubarbward-daemon/src/test/java/io/rhubarbward/cli/MainTest.java
@@ -80,6 +80,24 @@
         assertThat(lines.stream().filter(line -> line.contains("i-b138d538ae")).toList()).isEmpty();
     }
 
+    @Test
+    void explainSaysWhyARequestWasPutOff() {
+        assertThat(run("explain", "r-1", "--log", "src/test/resources/explain-put-off.log"))
+                .isEqualTo(ExitCode.OK);
+        List<String> lines = mOut.toString(StandardCharsets.UTF_8).lines().toList();
+        assertThat(lines).hasSize(6);
+        assertThat(lines.get(0)).contains("~ front-1 room-wanted service=grade");
+        assertThat(lines.get(4))
+                .isEqualTo(
+                        "waited for at most 300 ms: 281.0 of 288.0 places were occupied 120 ms"
+                                + " before; account hot used 70.0 places, its share was 68.0, and"
+                                + " the request takes 1.0");
+        assertThat(lines.get(5))
+                .isEqualTo(
+                        "refused, to return after 900 ms: 285.0 of 288.0 places were occupied 90"
+                                + " ms before; no turn came in that time");
+    }
+
     @Test
     void explainReportsAnUnknownIdAndAMissingLog() {
         assertThat(run("explain", "nobody", "--log", "src/test/resources/explain.log"))
