Record what a hot account still takes from others

Plays of more seeds than the test's own showed single refusals of requests within an even share. They are traced (running requests are not taken back), kept as a known-red test with their seeds, and the figures of the divided part say so: 11 in 26 plays with 0.95, 8, 21 and 36 in 30 with 0.9, 0.85 and 0.8.

--- a/rhubarbward-core/src/main/java/io/rhubarbward/admission/AccountShares.java
+++ b/rhubarbward-core/src/main/java/io/rhubarbward/admission/AccountShares.java
@@ -14,8 +14,9 @@
 record AccountShares(Map<Long, Double> usedByKey, double level) {
     /**
      * Part of the capacity that is divided. With all of it, an account over its even share fills
-     * what the others leave to the last place: of 2,100 requests of 23 other accounts, 4 to 16 that
-     * kept within an even share were then refused, and none with this part.
+     * what the others leave to the last place: in six plays of FleetAdmissionLoadTest, 4 to 16 of
+     * 2,100 requests that kept within an even share were then refused. With this part, 11 were in
+     * 26 plays; 0.9, 0.85 and 0.8 gave 8, 21 and 36 in 30 and served the account less.
      */
     private static final double DIVIDED_PART = 0.95;
 
--- a/rhubarbward-core/src/test/java/io/rhubarbward/admission/FleetAdmissionLoadTest.java
+++ b/rhubarbward-core/src/test/java/io/rhubarbward/admission/FleetAdmissionLoadTest.java
@@ -5,6 +5,7 @@
 
 import io.rhubarbward.event.LogEvent;
 import java.util.function.IntSupplier;
+import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
@@ -43,6 +44,19 @@
     @ParameterizedTest
     @CsvSource({"1, true", "2, true", "3, true", "1, false", "2, false", "3, false"})
     void anAccountAtSixTimesItsLoadTakesNothingFromTheOthers(long seed, boolean reachesAllRouters) {
+        checkHotAccount(seed, reachesAllRouters);
+    }
+
+    // The hot account's places of before the others wanted them run on, up to 1.8 s here.
+    @Tag("known-red")
+    @ParameterizedTest
+    @CsvSource({"7, true", "6, false", "11, false", "13, false", "14, false"})
+    void anAccountAtSixTimesItsLoadTakesNothingFromTheOthersInAnyPlay(
+            long seed, boolean reachesAllRouters) {
+        checkHotAccount(seed, reachesAllRouters);
+    }
+
+    private static void checkHotAccount(long seed, boolean reachesAllRouters) {
         AdmissionFleet fleet = new AdmissionFleet(6, 3, true, seed);
         double perSecond = 0.9 * 192 / 1.2 / 24;
         for (int i = 0; i < 23; i++) {
