--- a/rhubarbward-core/src/main/java/io/rhubarbward/node/FleetRouter.java
+++ b/rhubarbward-core/src/main/java/io/rhubarbward/node/FleetRouter.java
@@ -1,6 +1,8 @@
 package io.rhubarbward.node;
 
 import io.rhubarbward.admission.AccountUsage;
+import io.rhubarbward.admission.AdmissionMetrics;
+import io.rhubarbward.admission.FleetAdmission;
 import io.rhubarbward.admission.RoomEstimate;
 import io.rhubarbward.admission.ServiceRoom;
 import io.rhubarbward.catalog.CallerLimits;
@@ -63,38 +65,6 @@
  * <p>All calls are made on the timer service's thread.
  */
 public final class FleetRouter {
-    /**
-     * How long a watch of the catalogue waits for changes. Each return confirms that this router
-     * knows the valid keys, so several waits fit into the revocation time. Each return also states
-     * how far the store has got, so that silent watches of other kinds are found soon.
-     */
-    private static final Duration CATALOG_WATCH_WAIT = Duration.ofMillis(1500);
-
-    /** How long other watches wait: a return costs a call and confirms nothing that is needed. */
-    private static final Duration WATCH_WAIT = Duration.ofSeconds(12);
-
-    /** Rest of a watch after changes, which then come in fewer calls; well within every bound. */
-    private static final Duration WATCH_REST = Duration.ofMillis(500);
-
-    /** Time between checks of the servers: together with a catalogue's wait within a drain's. */
-    private static final Duration SERVERS_CHECK = Duration.ofMillis(400);
-
-    /** Time between checks of evacuations and rollouts, whose bounds are longer. */
-    private static final Duration MARKERS_CHECK = Duration.ofMillis(1500);
-
-    private static final WatchTiming CATALOG_TIMING =
-            new WatchTiming(CATALOG_WATCH_WAIT, Duration.ZERO, CATALOG_WATCH_WAIT);
-    private static final WatchTiming SERVERS_TIMING =
-            new WatchTiming(WATCH_WAIT, WATCH_REST, SERVERS_CHECK);
-    private static final WatchTiming EVACUATIONS_TIMING =
-            new WatchTiming(WATCH_WAIT, WATCH_REST, MARKERS_CHECK);
-    private static final WatchTiming ROLLOUTS_TIMING =
-            new WatchTiming(WATCH_WAIT, Duration.ZERO, MARKERS_CHECK);
-
-    /** Nothing depends on hearing of another router within the wait. */
-    private static final WatchTiming ROUTERS_TIMING =
-            new WatchTiming(WATCH_WAIT, WATCH_REST, WATCH_WAIT);
-
     /** How often the clocks are compared, in addition to the comparison at each send. */
     private static final Duration CLOCK_CHECK_PERIOD = Duration.ofMillis(200);
 
@@ -133,6 +103,7 @@
     private final Optional<KindWatcher<RolloutOrder>> mRolloutWatcher;
     private final ServerReachability mReach;
     private final ForwardingPeers mForwardingPeers;
+    private final FleetAdmission mAdmission;
     private final ForwardingService mForwarding;
     private final PeerGateway mPeerGateway;
     private final ClockJumpDetector mClockJumpDetector;
@@ -155,24 +126,14 @@
                 removed -> ports.backends().evictIdleConnections(removed.server().address()));
         BackendDirectory directory =
                 new BackendDirectory(ports.timers(), mStoreAvailability, ports.events(), table);
-        mCatalogWatcher = watcher(ports.store().catalogs(), mCatalog, CATALOG_TIMING);
-        mServerWatcher = watcher(ports.store().servers(), directory, SERVERS_TIMING);
-        mEvacuationWatcher = watcher(ports.store().evacuations(), mEvacuations, EVACUATIONS_TIMING);
-        mRouterWatcher = watcher(ports.store().routers(), mRouters, ROUTERS_TIMING);
+        mCatalogWatcher = watcher(ports.store().catalogs(), mCatalog, StoreWatchTimings.CATALOG);
+        mServerWatcher = watcher(ports.store().servers(), directory, StoreWatchTimings.SERVERS);
+        mEvacuationWatcher =
+                watcher(ports.store().evacuations(), mEvacuations, StoreWatchTimings.EVACUATIONS);
+        mRouterWatcher = watcher(ports.store().routers(), mRouters, StoreWatchTimings.ROUTERS);
         mRollouts = rollouts(table);
-        mRolloutWatcher =
-                settings.bounds().allowsRollouts()
-                        ? Optional.of(watcher(ports.store().rollouts(), mRollouts, ROLLOUTS_TIMING))
-                        : Optional.empty();
-        List<KindWatcher<?>> watchers =
-                Stream.<KindWatcher<?>>concat(
-                                Stream.of(
-                                        mCatalogWatcher,
-                                        mServerWatcher,
-                                        mEvacuationWatcher,
-                                        mRouterWatcher),
-                                mRolloutWatcher.stream())
-                        .toList();
+        mRolloutWatcher = rolloutWatcher();
+        List<KindWatcher<?>> watchers = watchers();
         mStoreFollower =
                 new StoreFollower(
                         settings.vm(),
@@ -193,6 +154,7 @@
         mReach =
                 new ServerReachability(table, ports.connectProbe(), ports.timers(), ports.events());
         mForwardingPeers = forwardingPeers();
+        mAdmission = admission();
         ForwardContext context = forwardContext(table);
         mForwarding = new ForwardingService(context);
         mPeerGateway =
@@ -205,11 +167,38 @@
         subscribeToReachability(table, context.metrics());
     }
 
+    private Optional<KindWatcher<RolloutOrder>> rolloutWatcher() {
+        return mSettings.bounds().allowsRollouts()
+                ? Optional.of(
+                        watcher(mPorts.store().rollouts(), mRollouts, StoreWatchTimings.ROLLOUTS))
+                : Optional.empty();
+    }
+
+    private List<KindWatcher<?>> watchers() {
+        return Stream.<KindWatcher<?>>concat(
+                        Stream.of(
+                                mCatalogWatcher,
+                                mServerWatcher,
+                                mEvacuationWatcher,
+                                mRouterWatcher),
+                        mRolloutWatcher.stream())
+                .toList();
+    }
+
     private RoomEstimate roomEstimate(ServerTable table) {
         return new TableRoomEstimate(
                 mPorts.timers(), table, mLimitSplitter, mEvacuations::contains, mAccountUsage);
     }
 
+    private FleetAdmission admission() {
+        return new FleetAdmission(
+                mRoomEstimate,
+                mAccountUsage,
+                mPorts.timers(),
+                mPorts.events(),
+                new AdmissionMetrics(mPorts.metrics()));
+    }
+
     private LoadExchange loadExchange(ServerTable table) {
         return new LoadExchange(
                 mSettings.vm(),
@@ -301,6 +290,7 @@
                         mSettings.bounds().revocation(),
                         mCatalogWatcher::stalenessMillis,
                         this::relistAfterClockJump),
+                mAdmission,
                 policy,
                 table,
                 new LocalRetryBudget(mSettings.bounds().retries(), mPorts.timers(), mLimitSplitter),
@@ -333,6 +323,7 @@
         mLoadExchange.start();
         mRollouts.start();
         mCrashSuspects.start();
+        mAdmission.start();
         mLoopLag.tick();
         mPorts.timers()
                 .every(
