Place requests in loops over the servers without sorting them

The design bounds a placement at 98 servers by 5 microseconds; nothing measured it.

The hash of a name is kept, the first server below the bound is found in one pass, and the checks are loops.

--- a/rhubarbward-core/src/main/java/io/rhubarbward/hash/RendezvousHash.java
+++ b/rhubarbward-core/src/main/java/io/rhubarbward/hash/RendezvousHash.java
@@ -59,7 +59,12 @@
     }
 
     private static long weight(long keyHash, String node) {
-        return mix(keyHash ^ hash(node));
+        return weight(keyHash, hash(node));
+    }
+
+    /** Returns the weight of a node for a key, by the {@link #hash(String)} of each. */
+    public static long weight(long keyHash, long nodeHash) {
+        return mix(keyHash ^ nodeHash);
     }
 
     /** The finalizer of SplitMix64. */
--- a/rhubarbward-core/src/main/java/io/rhubarbward/placement/PlacementPolicy.java
+++ b/rhubarbward-core/src/main/java/io/rhubarbward/placement/PlacementPolicy.java
@@ -4,12 +4,15 @@
 import io.rhubarbward.directory.FleetLimitSplitter;
 import io.rhubarbward.hash.RendezvousHash;
 import io.rhubarbward.timer.TimerService;
+import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.List;
 import java.util.Optional;
 import java.util.OptionalDouble;
 import java.util.OptionalLong;
 import java.util.function.Predicate;
+import java.util.function.ToDoubleFunction;
+import org.jspecify.annotations.Nullable;
 
 /**
  * Chooses a backend server for a request.
@@ -78,6 +81,9 @@
     /** Requests added to the weighted load of a server in another data centre. */
     private static final double REMOTE_LOAD_EXTRA_REQUESTS = 2;
 
+    /** Requests added to the load of a plain server in another data centre. */
+    private static final double REMOTE_PLAIN_EXTRA_REQUESTS = 0.5;
+
     private final String mHomeDataCentre;
     private final TimerService mTimers;
     private final ServerTable mTable;
@@ -114,31 +120,35 @@
             return new Placement.None(Placement.Cause.NONE_LISTED, 0);
         }
         List<TrackedServer> usable =
-                listed.stream()
-                        .filter(server -> server.usable(now))
-                        .filter(server -> !mIsEvacuated.test(server.server().dataCentre()))
-                        .filter(server -> !query.triedServers().contains(server.server().name()))
-                        .toList();
+                filter(
+                        listed,
+                        server ->
+                                server.usable(now)
+                                        && !mIsEvacuated.test(server.server().dataCentre())
+                                        && !query.triedServers().contains(server.server().name()));
         List<TrackedServer> allowed = mVersions.filter(query.service(), query.unitHash(), usable);
         if (allowed.isEmpty()) {
             return noneUsable(listed, now);
         }
         List<TrackedServer> withinColdLimit =
-                allowed.stream().filter(server -> withinColdLimit(server, profile, now)).toList();
+                filter(allowed, server -> withinColdLimit(server, profile, now));
         if (withinColdLimit.isEmpty()) {
             return new Placement.None(Placement.Cause.COLD, listed.size());
         }
         List<TrackedServer> withinLimit =
-                withinColdLimit.stream()
-                        .filter(server -> withinStatedLimit(server, query, now))
-                        .toList();
+                filter(withinColdLimit, server -> withinStatedLimit(server, query, now));
         if (withinLimit.isEmpty()) {
             return new Placement.None(Placement.Cause.LIMITED, listed.size());
         }
+        OptionalDouble declines = mTable.brittlePerSecond(query.service());
         List<TrackedServer> withRoom =
-                withinLimit.stream()
-                        .filter(server -> hasRoomIfBrittle(server, query, now))
-                        .toList();
+                declines.isEmpty()
+                        ? withinLimit
+                        : filter(
+                                withinLimit,
+                                server ->
+                                        hasRoomThoughBrittle(
+                                                server, declines.getAsDouble(), query, now));
         if (withRoom.isEmpty()) {
             return new Placement.None(Placement.Cause.FULL, listed.size());
         }
@@ -148,6 +158,17 @@
                 : placeAtPlainServer(eligible, now);
     }
 
+    /** Returns the elements that the predicate holds for; a loop, since each placement has many. */
+    private static <T> List<T> filter(List<T> elements, Predicate<T> predicate) {
+        List<T> kept = new ArrayList<>(elements.size());
+        for (T element : elements) {
+            if (predicate.test(element)) {
+                kept.add(element);
+            }
+        }
+        return kept;
+    }
+
     private Placement.None noneUsable(List<TrackedServer> listed, long now) {
         OptionalLong restMillis =
                 listed.stream()
@@ -197,21 +218,18 @@
     }
 
     /**
-     * Returns whether the server may get the request without declining too many.
+     * Returns whether a brittle server may get the request without declining too many.
      *
      * <p>Servers that are brittle get no more than they can run at once, by what all routers have
      * in flight; the fuller one is, the fewer requests go there, since routers learn of each
      * other's requests a little later. After a server has declined a request all the same, this
      * router pauses, so that with all routers it declines less than it can bear.
      */
-    private boolean hasRoomIfBrittle(TrackedServer server, PlacementQuery query, long now) {
-        OptionalDouble declines = mTable.brittlePerSecond(query.service());
-        if (declines.isEmpty()) {
-            return true;
-        }
+    private boolean hasRoomThoughBrittle(
+            TrackedServer server, double declinesPerSecond, PlacementQuery query, long now) {
         int routers = mLimitSplitter.routerCount();
         double pauseMillis =
-                MILLIS_PER_SECOND * routers / (declines.getAsDouble() * BRITTLE_USED_DECLINES);
+                MILLIS_PER_SECOND * routers / (declinesPerSecond * BRITTLE_USED_DECLINES);
         if (server.millisSinceShed(now) < Math.min(MAX_BRITTLE_PAUSE_MILLIS, pauseMillis)) {
             return false;
         }
@@ -229,8 +247,7 @@
 
     /** Returns the servers that are not avoided, or all of them if every one is. */
     private static List<TrackedServer> preferNotAvoided(List<TrackedServer> servers, long now) {
-        List<TrackedServer> notAvoided =
-                servers.stream().filter(server -> !server.avoided(now)).toList();
+        List<TrackedServer> notAvoided = filter(servers, server -> !server.avoided(now));
         return notAvoided.isEmpty() ? servers : notAvoided;
     }
 
@@ -246,35 +263,66 @@
             PlacementQuery query,
             long now) {
         int routers = mLimitSplitter.routerCount();
-        List<Candidate> candidates =
-                eligible.stream()
-                        .map(server -> new Candidate(server, server.estimatedLoad(now, routers)))
-                        .filter(Candidate::hasCapacity)
-                        .toList();
+        List<Candidate> candidates = new ArrayList<>(eligible.size());
+        for (TrackedServer server : eligible) {
+            Candidate candidate = new Candidate(server, server.estimatedLoad(now, routers));
+            if (candidate.hasCapacity()) {
+                candidates.add(candidate);
+            }
+        }
         if (candidates.isEmpty()) {
             return new Placement.None(Placement.Cause.FULL, eligible.size());
         }
-        double meanLoad =
-                withoutStatedLimit(listed).stream()
-                        .mapToDouble(server -> server.estimatedLoad(now, routers))
-                        .average()
-                        .orElse(0);
-        double loadBound =
-                query.sharedTokens() >= LONG_PROMPT_MIN_TOKENS
-                        ? meanLoad * LONG_PROMPT_LOAD_FACTOR + LONG_PROMPT_SLACK_REQUESTS
-                        : meanLoad * SHORT_PROMPT_LOAD_FACTOR + SHORT_PROMPT_SLACK_REQUESTS;
+        List<TrackedServer> compared = withoutStatedLimit(listed);
+        LoadBound bound = LoadBound.of(query);
+        double countBound = bound.of(mean(compared, server -> server.estimatedLoad(now, routers)));
+        return placeByCount(candidates, query, countBound);
+    }
+
+    private Placement placeByCount(
+            List<Candidate> candidates, PlacementQuery query, double countBound) {
         return query.affinityKey()
-                .flatMap(key -> firstBelowBound(candidates, key, loadBound))
+                .flatMap(
+                        key ->
+                                firstInOrder(
+                                        candidates,
+                                        key,
+                                        candidate -> candidate.load() < countBound))
                 .orElseGet(() -> leastLoaded(candidates));
     }
 
+    private static double mean(
+            List<TrackedServer> servers, ToDoubleFunction<TrackedServer> figure) {
+        double sum = 0;
+        for (TrackedServer server : servers) {
+            sum += figure.applyAsDouble(server);
+        }
+        return sum / servers.size();
+    }
+
+    /** The highest load of a server that gets a request, by the mean load of the service. */
+    private record LoadBound(double factor, double slackRequests) {
+        static final LoadBound LONG_PROMPT =
+                new LoadBound(LONG_PROMPT_LOAD_FACTOR, LONG_PROMPT_SLACK_REQUESTS);
+        static final LoadBound SHORT_PROMPT =
+                new LoadBound(SHORT_PROMPT_LOAD_FACTOR, SHORT_PROMPT_SLACK_REQUESTS);
+
+        static LoadBound of(PlacementQuery query) {
+            return query.sharedTokens() >= LONG_PROMPT_MIN_TOKENS ? LONG_PROMPT : SHORT_PROMPT;
+        }
+
+        double of(double meanLoad) {
+            return meanLoad * factor + slackRequests;
+        }
+    }
+
     /**
      * Returns the servers that state no limit, or all if every one does. The others must carry what
      * those with a limit do not take, which is no reason to leave the parts that they have cached.
      */
     private static List<TrackedServer> withoutStatedLimit(List<TrackedServer> servers) {
         List<TrackedServer> unlimited =
-                servers.stream().filter(server -> server.limitPerSecond().isEmpty()).toList();
+                filter(servers, server -> server.limitPerSecond().isEmpty());
         return unlimited.isEmpty() ? servers : unlimited;
     }
 
@@ -285,21 +333,33 @@
         }
     }
 
-    private static Optional<Placement> firstBelowBound(
-            List<Candidate> candidates, String affinityKey, double loadBound) {
-        List<Candidate> ordered =
-                RendezvousHash.order(
-                        affinityKey, candidates, candidate -> candidate.server().server().name());
-        return ordered.stream()
-                .filter(candidate -> candidate.load() < loadBound)
-                .findFirst()
-                .map(
-                        candidate ->
-                                new Placement.Chosen(
-                                        candidate.server(),
-                                        candidate == ordered.get(0)
-                                                ? Placement.Reason.AFFINITY
-                                                : Placement.Reason.SPILLED));
+    /** Returns the first candidate in the key's rendezvous order that the predicate holds for. */
+    private static Optional<Placement> firstInOrder(
+            List<Candidate> candidates, String affinityKey, Predicate<Candidate> mayTake) {
+        long keyHash = RendezvousHash.hash(affinityKey);
+        @Nullable Candidate home = null;
+        @Nullable Candidate first = null;
+        long homeWeight = 0;
+        long firstWeight = 0;
+        for (Candidate candidate : candidates) {
+            long weight = RendezvousHash.weight(keyHash, candidate.server().nameHash());
+            if (home == null || weight > homeWeight) {
+                home = candidate;
+                homeWeight = weight;
+            }
+            if ((first == null || weight > firstWeight) && mayTake.test(candidate)) {
+                first = candidate;
+                firstWeight = weight;
+            }
+        }
+        return first == null
+                ? Optional.empty()
+                : Optional.of(
+                        new Placement.Chosen(
+                                first.server(),
+                                first == home
+                                        ? Placement.Reason.AFFINITY
+                                        : Placement.Reason.SPILLED));
     }
 
     private boolean inHomeDataCentre(TrackedServer server) {
@@ -307,13 +367,15 @@
     }
 
     private Placement leastLoaded(List<Candidate> candidates) {
-        Candidate best =
-                candidates.stream()
-                        .min(
-                                Comparator.comparingDouble(
-                                        candidate ->
-                                                weightedLoad(candidate.server(), candidate.load())))
-                        .orElseThrow();
+        Candidate best = candidates.get(0);
+        double leastLoad = weightedLoad(best.server(), best.load());
+        for (Candidate candidate : candidates) {
+            double load = weightedLoad(candidate.server(), candidate.load());
+            if (load < leastLoad) {
+                best = candidate;
+                leastLoad = load;
+            }
+        }
         return new Placement.Chosen(best.server(), Placement.Reason.LEAST_LOADED);
     }
 
@@ -334,12 +396,15 @@
                                 Comparator.comparingDouble(
                                                 (TrackedServer server) ->
                                                         server.inFlight()
-                                                                + (server.cold(now) ? 1 : 0)
-                                                                + (inHomeDataCentre(server)
-                                                                        ? 0
-                                                                        : 0.5))
+                                                                + plainExtraRequests(server, now))
                                         .thenComparing(server -> server.server().name()))
                         .orElseThrow();
         return new Placement.Chosen(best, Placement.Reason.LEAST_LOADED);
     }
+
+    /** Returns the requests by which a plain server counts as more loaded than it is. */
+    private double plainExtraRequests(TrackedServer server, long now) {
+        return (server.cold(now) ? 1 : 0)
+                + (inHomeDataCentre(server) ? 0 : REMOTE_PLAIN_EXTRA_REQUESTS);
+    }
 }
--- a/rhubarbward-core/src/main/java/io/rhubarbward/placement/TrackedServer.java
+++ b/rhubarbward-core/src/main/java/io/rhubarbward/placement/TrackedServer.java
@@ -52,6 +52,7 @@
     private final StatedLimit mLimit = new StatedLimit();
     private final ServerStatements mStatements;
     private final int mHash;
+    private final long mNameHash;
     private ListedServer mEntry;
     private boolean mUnlisted;
     private long mColdUntilMillis;
@@ -72,6 +73,7 @@
 
     TrackedServer(ListedServer entry, ServerStatements statements, long nowMillis) {
         mHash = hash(entry.id());
+        mNameHash = RendezvousHash.hash(entry.server().name());
         mStatements = statements;
         mEntry = entry;
         mColdUntilMillis = nowMillis + entry.coldRemaining().toMillis();
@@ -94,6 +96,11 @@
         return mHash;
     }
 
+    /** Returns the 64-bit hash of the server's name, by which rendezvous hashing orders servers. */
+    long nameHash() {
+        return mNameHash;
+    }
+
     /** Returns the {@link #hash()} of the server with the id. */
     public static int hash(String serverId) {
         return (int) RendezvousHash.hash(serverId);
