Count the slowdown that servers state in placement

Servers that share their machines slow down in intervals; placement went by counts of requests alone. Plain servers were chosen by each router's own requests, of which 82 routers have less than one for each server.

Once a server has stated a slowdown other than the usual one, a shared part leaves its home by the load times a lasting average, and all other requests go to the better of two servers drawn by the request's hash: engines by a short average, plain servers by the fleet's counts and their response times. The bound by count goes on holding for the server that is chosen. Event 1513 and a gauge show slow servers.

--- a/rhubarbward-bench/src/main/java/io/rhubarbward/bench/PlacementCost.java
+++ b/rhubarbward-bench/src/main/java/io/rhubarbward/bench/PlacementCost.java
@@ -42,6 +42,8 @@
     private static final int SHARED_TOKENS = 6000;
     private static final int OPEN_REQUESTS = 60;
     private static final int MAX_IN_FLIGHT_ELSEWHERE = 30;
+    private static final double SLOW_SHARE = 0.15;
+    private static final double SLOWDOWN = 2.5;
     private static final int PLACEMENTS = 200_000;
     private static final int PLACEMENTS_PER_UPDATE = 20;
     private static final int ROUNDS = 6;
@@ -54,9 +56,11 @@
     private final VirtualTimerService mTimers = new VirtualTimerService();
     private final ServerTable mTable = new ServerTable(mTimers, EventLog.none());
     private final PlacementPolicy mPolicy;
+    private final boolean mSlowdownsStated;
     private final Deque<TrackedServer> mOpen = new ArrayDeque<>();
 
-    private PlacementCost() {
+    private PlacementCost(boolean slowdownsStated) {
+        mSlowdownsStated = slowdownsStated;
         Set<String> routers =
                 IntStream.range(0, ROUTERS)
                         .mapToObj(index -> "front-" + index)
@@ -87,7 +91,8 @@
 
     /** Runs the measurement; the first rounds warm up. */
     public static void main(String[] arguments) {
-        new PlacementCost().run("no slowdown stated");
+        new PlacementCost(false).run("no slowdown stated");
+        new PlacementCost(true).run("slowdowns stated");
     }
 
     private void run(String name) {
@@ -135,7 +140,11 @@
         if (mOpen.size() > OPEN_REQUESTS) {
             TrackedServer ended = mOpen.removeFirst();
             mTable.recordResult(ended, SendResult.ANSWERED, Duration.ZERO);
-            ended.recordLoad(new ServerLoad(SLOTS / 2, 0, SLOTS), mTimers.nowMillis());
+            boolean slow = mSlowdownsStated && mRandom.nextDouble() < SLOW_SHARE;
+            mTable.recordLoad(
+                    ended,
+                    new ServerLoad(
+                            SLOTS / 2, 0, SLOTS, slow ? SLOWDOWN : ServerLoad.USUAL_SLOWDOWN));
         }
     }
 
--- a/rhubarbward-core/src/main/java/io/rhubarbward/event/LogEvent.java
+++ b/rhubarbward-core/src/main/java/io/rhubarbward/event/LogEvent.java
@@ -73,6 +73,7 @@
     BACKEND_SAYS_LEAVING(1510, INFO),
     BACKEND_RESTS(1511, INFO),
     BACKEND_BRITTLE_CHANGED(1512, INFO),
+    BACKEND_PACE_CHANGED(1513, INFO),
 
     // 1600: routing (no events yet).
 
--- a/rhubarbward-core/src/main/java/io/rhubarbward/forward/ServerCall.java
+++ b/rhubarbward-core/src/main/java/io/rhubarbward/forward/ServerCall.java
@@ -171,6 +171,9 @@
         } else if (!metadata.genuine()) {
             fail(SendResult.BROKEN);
         } else {
+            if (!mRequest.service().engine() && status < MIN_SERVER_ERROR_STATUS) {
+                mContext.table().recordResponseTime(mServer, mAnswerBegunMillis - mSentMillis);
+            }
             mListener.onHead(status, headers);
         }
     }
@@ -200,7 +203,7 @@
 
     /** Records what the server says of itself; a misdirected answer is one of another server. */
     private void recordStatements(ResponseMetadata metadata) {
-        metadata.load().ifPresent(load -> mServer.recordLoad(load, mContext.timers().nowMillis()));
+        metadata.load().ifPresent(load -> mContext.table().recordLoad(mServer, load));
         mContext.table().recordLimit(mServer, metadata.limitPerSecond());
         mContext.table().recordBrittle(mServer, metadata.brittlePerSecond());
         if (metadata.leaving()) {
--- a/rhubarbward-core/src/main/java/io/rhubarbward/hash/RendezvousHash.java
+++ b/rhubarbward-core/src/main/java/io/rhubarbward/hash/RendezvousHash.java
@@ -58,6 +58,14 @@
         return (hash(text) >>> UNUSED_BITS) * UNIT;
     }
 
+    /**
+     * Hashes a number from 0 (inclusive) to 1 (exclusive) to another one, for a decision that must
+     * not depend on the decisions made by the first.
+     */
+    public static double rehash(double unitHash) {
+        return (mix(Double.doubleToLongBits(unitHash)) >>> UNUSED_BITS) * UNIT;
+    }
+
     private static long weight(long keyHash, String node) {
         return weight(keyHash, hash(node));
     }
--- a/rhubarbward-core/src/main/java/io/rhubarbward/node/FleetRouter.java
+++ b/rhubarbward-core/src/main/java/io/rhubarbward/node/FleetRouter.java
@@ -20,6 +20,7 @@
 import io.rhubarbward.forward.PeerGateway;
 import io.rhubarbward.move.FleetRollouts;
 import io.rhubarbward.move.RolloutOrder;
+import io.rhubarbward.placement.PlacementMetrics;
 import io.rhubarbward.placement.PlacementPolicy;
 import io.rhubarbward.placement.ServerTable;
 import io.rhubarbward.reach.ForwardingPeers;
@@ -142,6 +143,7 @@
         mClockJumpDetector = new ClockJumpDetector(ports.timers());
         mLoopLag = new EventLoopLag(ports.timers(), CLOCK_CHECK_PERIOD);
         ServerTable table = new ServerTable(ports.timers(), ports.events());
+        PlacementMetrics.register(ports.metrics(), table);
         table.subscribeToRemovals(
                 removed -> ports.backends().evictIdleConnections(removed.server().address()));
         BackendDirectory directory =
--- a/rhubarbward-core/src/main/java/io/rhubarbward/placement/PlacementPolicy.java
+++ b/rhubarbward-core/src/main/java/io/rhubarbward/placement/PlacementPolicy.java
@@ -23,6 +23,9 @@
  * more than the round trip to another data centre. All other requests go to the least loaded
  * server. A cold server gets at most this router's share of the request rate that it tolerates, and
  * all routers together send a server no more than the limit that it states.
+ *
+ * <p>Once a server has stated a slowdown, the servers' pace counts too, and requests that may go
+ * anywhere go to the better of two servers.
  */
 public final class PlacementPolicy {
     /**
@@ -155,7 +158,7 @@
         List<TrackedServer> eligible = preferNotAvoided(withRoom, now);
         return profile.engine()
                 ? placeAtEngine(listed, eligible, query, now)
-                : placeAtPlainServer(eligible, now);
+                : placeAtPlainServer(listed, eligible, query, now);
     }
 
     /** Returns the elements that the predicate holds for; a loop, since each placement has many. */
@@ -276,7 +279,44 @@
         List<TrackedServer> compared = withoutStatedLimit(listed);
         LoadBound bound = LoadBound.of(query);
         double countBound = bound.of(mean(compared, server -> server.estimatedLoad(now, routers)));
-        return placeByCount(candidates, query, countBound);
+        if (!mTable.slowdownsStated()) {
+            return placeByCount(candidates, query, countBound);
+        }
+        if (query.affinityKey().isPresent()) {
+            double pacedBound =
+                    bound.of(
+                            mean(
+                                    compared,
+                                    server ->
+                                            server.estimatedLoad(now, routers)
+                                                    * server.lastingSlowdown(now)));
+            return firstInOrder(
+                            candidates,
+                            query.affinityKey().get(),
+                            candidate ->
+                                    candidate.load() < countBound
+                                            && candidate.load()
+                                                            * candidate
+                                                                    .server()
+                                                                    .lastingSlowdown(now)
+                                                    < pacedBound)
+                    .orElseGet(() -> placeByCount(candidates, query, countBound));
+        }
+        List<Candidate> belowBound = filter(candidates, candidate -> candidate.load() < countBound);
+        if (belowBound.isEmpty()) {
+            return leastLoaded(candidates);
+        }
+        // The request itself counts, or an idle slow server would look as good as an idle fast one.
+        Candidate chosen =
+                TwoChoices.choose(
+                        belowBound,
+                        query.unitHash(),
+                        candidate ->
+                                weightedLoad(
+                                        candidate.server(),
+                                        (candidate.load() + 1)
+                                                * candidate.server().shortSlowdown(now)));
+        return new Placement.Chosen(chosen.server(), Placement.Reason.LEAST_LOADED);
     }
 
     private Placement placeByCount(
@@ -386,10 +426,33 @@
     }
 
     /**
-     * Chooses the server with the fewest of this router's own requests in flight: plain services do
-     * not report their load.
+     * Chooses a server of a plain service, whose servers do not report their load: the one with the
+     * fewest of this router's own requests in flight or, once slowdowns are stated, the better of
+     * two by what all routers have in flight and by the servers' pace.
      */
-    private Placement placeAtPlainServer(List<TrackedServer> servers, long now) {
+    private Placement placeAtPlainServer(
+            List<TrackedServer> listed,
+            List<TrackedServer> eligible,
+            PlacementQuery query,
+            long now) {
+        if (!mTable.slowdownsStated()) {
+            return leastOwnInFlight(eligible, now);
+        }
+        double bound = LoadBound.LONG_PROMPT.of(mean(listed, server -> server.knownInFlight(now)));
+        List<TrackedServer> belowBound =
+                filter(eligible, server -> server.knownInFlight(now) < bound);
+        OptionalDouble meanMillis = mTable.meanResponseMillis(query.service(), now);
+        TrackedServer chosen =
+                TwoChoices.choose(
+                        belowBound.isEmpty() ? eligible : belowBound,
+                        query.unitHash(),
+                        server ->
+                                (server.knownInFlight(now) + 1) * server.pace(meanMillis, now)
+                                        + plainExtraRequests(server, now));
+        return new Placement.Chosen(chosen, Placement.Reason.LEAST_LOADED);
+    }
+
+    private Placement leastOwnInFlight(List<TrackedServer> servers, long now) {
         TrackedServer best =
                 servers.stream()
                         .min(
--- a/rhubarbward-core/src/main/java/io/rhubarbward/placement/ServerTable.java
+++ b/rhubarbward-core/src/main/java/io/rhubarbward/placement/ServerTable.java
@@ -13,6 +13,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalDouble;
+import java.util.TreeMap;
 import java.util.function.Consumer;
 
 /** The backend servers in the directory, each with its tracked load and health. */
@@ -29,6 +30,7 @@
     private final List<Consumer<TrackedServer>> mRemovalSubscribers = new ArrayList<>();
     private final List<Runnable> mSendSubscribers = new ArrayList<>();
     private boolean mOthersKnowLimits;
+    private boolean mSlowdownsStated;
 
     /** Creates an empty table. */
     public ServerTable(TimerService timers, EventLog events) {
@@ -134,6 +136,76 @@
         return brittle == null ? OptionalDouble.empty() : brittle.declinesPerSecond();
     }
 
+    /** Records the load that an answer of the server reports. */
+    public void recordLoad(TrackedServer server, ServerLoad load) {
+        long now = mTimers.nowMillis();
+        server.recordLoad(load, now);
+        mSlowdownsStated |= load.slowdown() != ServerLoad.USUAL_SLOWDOWN;
+        if (mSlowdownsStated) {
+            server.recordSlowdown(load.slowdown(), now);
+            logPaceChange(server, server.lastingSlowdown(now), "stated");
+        }
+    }
+
+    /**
+     * Records how long a server of a plain service, which reports no load, took to respond. Nothing
+     * is recorded while no server has stated a slowdown.
+     */
+    public void recordResponseTime(TrackedServer server, long millis) {
+        if (mSlowdownsStated) {
+            long now = mTimers.nowMillis();
+            server.recordResponseTime(millis, now);
+            OptionalDouble mean = meanResponseMillis(server.server().service(), now);
+            logPaceChange(server, server.pace(mean, now), "answers");
+        }
+    }
+
+    private void logPaceChange(TrackedServer server, double slowdown, String source) {
+        if (server.paceChanged(slowdown, mTimers.nowMillis())) {
+            mEvents.log(
+                    LogEvent.BACKEND_PACE_CHANGED,
+                    EventField.of("server", server.server().name()),
+                    EventField.of("service", server.server().service()),
+                    EventField.of("slowdown", slowdown),
+                    EventField.of("source", source));
+        }
+    }
+
+    /**
+     * Returns whether a server has stated a slowdown other than the usual one, the sign that
+     * servers share their machines with others.
+     */
+    boolean slowdownsStated() {
+        return mSlowdownsStated;
+    }
+
+    /** Returns the mean response time of the service's servers; empty if none is known. */
+    OptionalDouble meanResponseMillis(String service, long nowMillis) {
+        return servers(service).stream()
+                .flatMapToDouble(server -> server.responseMillis(nowMillis).stream())
+                .average();
+    }
+
+    /** Returns the lasting slowdowns by server name; empty while no server has stated one. */
+    Map<String, Double> slowdowns() {
+        if (!mSlowdownsStated) {
+            return Map.of();
+        }
+        long now = mTimers.nowMillis();
+        Map<String, Double> slowdowns = new TreeMap<>();
+        mServersByService.forEach(
+                (service, servers) -> {
+                    OptionalDouble mean = meanResponseMillis(service, now);
+                    // A server states its slowdown or is timed; the other factor is 1.
+                    servers.forEach(
+                            server ->
+                                    slowdowns.put(
+                                            server.server().name(),
+                                            server.lastingSlowdown(now) * server.pace(mean, now)));
+                });
+        return slowdowns;
+    }
+
     /** Records that a server that declined a request wants no other one for a time. */
     public void recordRest(TrackedServer server, Duration rest) {
         server.askForRest(rest, mTimers.nowMillis());
--- a/rhubarbward-core/src/main/java/io/rhubarbward/placement/TrackedServer.java
+++ b/rhubarbward-core/src/main/java/io/rhubarbward/placement/TrackedServer.java
@@ -38,6 +38,25 @@
      */
     private static final int MAX_UNREPORTED_LOAD_FACTOR = 3;
 
+    /** Time constant of the average for requests that may go anywhere: about a slow interval. */
+    private static final double SHORT_AVERAGE_MILLIS = 500;
+
+    private static final long SHORT_MAX_FIGURE_MILLIS = 500;
+
+    /** Time constant of the average for requests with a home: about as long as a stream runs. */
+    private static final double LASTING_AVERAGE_MILLIS = 3000;
+
+    /**
+     * Half a slow interval: two figures within one interval stand for no more than its length, or
+     * intervals would look as if they lasted.
+     */
+    private static final long LASTING_MAX_FIGURE_MILLIS = 300;
+
+    /** Bounds of the pace: small services have too few servers for a steadier mean. */
+    private static final double MIN_PACE = 0.5;
+
+    private static final double MAX_PACE = 4;
+
     /** Age above which the in-flight counts of other routers are ignored. */
     private static final long OTHERS_MAX_AGE_MILLIS = 1500;
 
@@ -50,6 +69,12 @@
     private final SlidingWindowCounter mLimitWindowSends =
             new SlidingWindowCounter(LIMIT_WINDOW_MILLIS);
     private final StatedLimit mLimit = new StatedLimit();
+    private final SlowdownAverage mShortSlowdown =
+            new SlowdownAverage(SHORT_AVERAGE_MILLIS, SHORT_MAX_FIGURE_MILLIS);
+    private final SlowdownAverage mLastingSlowdown =
+            new SlowdownAverage(LASTING_AVERAGE_MILLIS, LASTING_MAX_FIGURE_MILLIS);
+    private final ResponseTimeAverage mResponseTime = new ResponseTimeAverage();
+    private final PaceChangeDetector mPaceChange = new PaceChangeDetector();
     private final ServerStatements mStatements;
     private final int mHash;
     private final long mNameHash;
@@ -239,6 +264,49 @@
         mInFlightChangeSinceReport = 0;
     }
 
+    /** Records the slowdown that the server states. */
+    void recordSlowdown(double slowdown, long nowMillis) {
+        mShortSlowdown.add(slowdown, nowMillis);
+        mLastingSlowdown.add(slowdown, nowMillis);
+    }
+
+    /** Returns the stated slowdown of about the last slow interval; 1 without recent figures. */
+    double shortSlowdown(long nowMillis) {
+        return mShortSlowdown.value(nowMillis);
+    }
+
+    /** Returns the stated slowdown over several seconds; 1 without recent figures. */
+    double lastingSlowdown(long nowMillis) {
+        return mLastingSlowdown.value(nowMillis);
+    }
+
+    /** Records how long the server took to respond. */
+    void recordResponseTime(long millis, long nowMillis) {
+        mResponseTime.add(millis, nowMillis);
+    }
+
+    /** Returns the average response time; empty with too few recent responses. */
+    OptionalDouble responseMillis(long nowMillis) {
+        return mResponseTime.millis(nowMillis);
+    }
+
+    /**
+     * Returns the server's response time as a multiple of the mean of its service's servers; 1 with
+     * too few recent responses.
+     */
+    double pace(OptionalDouble meanMillis, long nowMillis) {
+        OptionalDouble own = responseMillis(nowMillis);
+        return own.isEmpty() || meanMillis.isEmpty() || meanMillis.getAsDouble() <= 0
+                ? 1
+                : Math.min(
+                        MAX_PACE, Math.max(MIN_PACE, own.getAsDouble() / meanMillis.getAsDouble()));
+    }
+
+    /** Returns whether the server has become slow, or is no longer slow, by this slowdown. */
+    boolean paceChanged(double slowdown, long nowMillis) {
+        return mPaceChange.update(slowdown, nowMillis);
+    }
+
     /** Returns the requests a second that the server takes from all routers; empty if unlimited. */
     OptionalDouble limitPerSecond() {
         return mLimit.perSecond();
@@ -300,6 +368,11 @@
                 mReportedLoad.running() + mReportedLoad.waiting() + mInFlightChangeSinceReport);
     }
 
+    /** Returns what all routers have in flight; without news of the others, what this one has. */
+    double knownInFlight(long nowMillis) {
+        return knowsOthers(nowMillis) ? (double) mInFlight + mInFlightFromOthers : mInFlight;
+    }
+
     private double recentReport(long nowMillis) {
         return nowMillis - mReportedMillis < RECENT_REPORT_MAX_AGE_MILLIS
                 ? mReportedLoad.running() + mReportedLoad.waiting() + mInFlightChangeSinceReport
--- a/rhubarbward-core/src/test/java/io/rhubarbward/testing/FakeRequestDialect.java
+++ b/rhubarbward-core/src/test/java/io/rhubarbward/testing/FakeRequestDialect.java
@@ -74,7 +74,17 @@
                 fromServer.first("rest").map(Long::valueOf).map(Duration::ofMillis),
                 fromServer.first("limit").stream().mapToDouble(Double::parseDouble).findFirst(),
                 fromServer.first("brittle").stream().mapToDouble(Double::parseDouble).findFirst(),
-                fromServer.first("load").map(load -> new ServerLoad(Integer.parseInt(load), 0, 8)));
+                fromServer.first("load").map(FakeRequestDialect::load));
+    }
+
+    /** Returns the load of a text such as "3", or "3,2.5" with a slowdown. */
+    private static ServerLoad load(String text) {
+        String[] figures = text.split(",");
+        return new ServerLoad(
+                Integer.parseInt(figures[0]),
+                0,
+                8,
+                figures.length > 1 ? Double.parseDouble(figures[1]) : ServerLoad.USUAL_SLOWDOWN);
     }
 
     @Override
