--- a/rhubarbward-core/src/main/java/io/rhubarbward/hash/RendezvousHash.java
+++ b/rhubarbward-core/src/main/java/io/rhubarbward/hash/RendezvousHash.java
@@ -58,8 +58,21 @@
         return (hash(text) >>> UNUSED_BITS) * UNIT;
     }
 
+    /**
+     * Hashes a number from 0 (inclusive) to 1 (exclusive) to another one, for a decision that must
+     * not depend on the decisions made by the first.
+     */
+    public static double rehash(double unitHash) {
+        return (mix(Double.doubleToLongBits(unitHash)) >>> UNUSED_BITS) * UNIT;
+    }
+
     private static long weight(long keyHash, String node) {
-        return mix(keyHash ^ hash(node));
+        return weight(keyHash, hash(node));
+    }
+
+    /** Returns the weight of a node for a key, by the {@link #hash(String)} of each. */
+    public static long weight(long keyHash, long nodeHash) {
+        return mix(keyHash ^ nodeHash);
     }
 
     /** The finalizer of SplitMix64. */
