Fail bodies without a length that a reset cuts short

Cause: the kernel reports a reset once, to a read or to a write. A failed write closes the connection, the client library ignores that failure on a kept connection, and the HTTP decoder takes any close for the end of a body without a length. A connection that was answered during its upload was offered for reuse, and the next request waited behind the upload.

Change: connections allow half-closure, so that the decoder can tell the end of the server's output from a close. Such a body is complete only after an orderly end and once the request is written whole, one second later at most. A failed write fails the call. A connection that is answered during its upload is not reused; the upload goes on for up to a second.

--- a/rhubarbward-net/src/main/java/io/rhubarbward/net/backend/AnswerDecoder.java
+++ b/rhubarbward-net/src/main/java/io/rhubarbward/net/backend/AnswerDecoder.java
@@ -3,6 +3,7 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.CombinedChannelDuplexHandler;
+import io.netty.channel.socket.ChannelInputShutdownEvent;
 import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpMethod;
@@ -11,8 +12,22 @@
 import java.util.List;
 import org.asynchttpclient.AsyncHttpClientConfig;
 
-/** Decodes responses, and tells whether the beginning of one is waiting for the rest. */
+/**
+ * Decodes responses, and tells whether the beginning of one is waiting for the rest and how the
+ * input ended.
+ */
 final class AnswerDecoder extends HttpResponseDecoder {
+    /** How the input of the connection ended. */
+    enum InputEnd {
+        /** The input has not ended. */
+        NONE,
+        /** The server ended the connection's input in an orderly way. */
+        ORDERLY,
+        /** The connection was closed here or lost. */
+        CLOSED
+    }
+
+    private InputEnd mInputEnd = InputEnd.NONE;
     private boolean mAnswersHead;
 
     /** Whether a status line was read, and not yet the end of its head. */
@@ -48,6 +63,30 @@
         return mHeadBegun || actualReadableBytes() > 0;
     }
 
+    /**
+     * Returns how the input ended. A message that is decoded after the end is delimited by it: by
+     * its rules, the superclass takes any close for the end of a body without a length.
+     */
+    InputEnd inputEnd() {
+        return mInputEnd;
+    }
+
+    @Override
+    public void userEventTriggered(ChannelHandlerContext context, Object event) throws Exception {
+        if (event instanceof ChannelInputShutdownEvent) {
+            mInputEnd = InputEnd.ORDERLY;
+        }
+        super.userEventTriggered(context, event);
+    }
+
+    @Override
+    public void channelInactive(ChannelHandlerContext context) throws Exception {
+        if (mInputEnd == InputEnd.NONE) {
+            mInputEnd = InputEnd.CLOSED;
+        }
+        super.channelInactive(context);
+    }
+
     @Override
     protected HttpMessage createMessage(String[] statusLine) {
         mHeadBegun = true;
--- a/rhubarbward-net/src/main/java/io/rhubarbward/net/backend/HttpClients.java
+++ b/rhubarbward-net/src/main/java/io/rhubarbward/net/backend/HttpClients.java
@@ -1,6 +1,7 @@
 package io.rhubarbward.net.backend;
 
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoopGroup;
 import io.netty.util.Timer;
 import java.time.Duration;
@@ -10,6 +11,7 @@
 import org.asynchttpclient.DefaultAsyncHttpClientConfig;
 import org.asynchttpclient.Dsl;
 import org.asynchttpclient.netty.channel.ChannelManager;
+import org.jspecify.annotations.Nullable;
 
 /** Creates HTTP clients that never retry a request or follow a redirect. */
 public final class HttpClients {
@@ -52,13 +54,17 @@
                         .setCookieStore(null)
                         .setSslEngineFactory(HttpClients::rejectTls)
                         .setHttpAdditionalChannelInitializer(
-                                channel -> {
-                                    addPausableReads(channel);
-                                    addResponseGuard(channel, idHeader);
-                                }));
+                                channel -> addHandlers(channel, idHeader)));
     }
 
-    private static void addResponseGuard(Channel channel, String idHeader) {
+    private static void addHandlers(Channel channel, @Nullable String idHeader) {
+        // Tells the end of the input from a close of the connection.
+        channel.config().setOption(ChannelOption.ALLOW_HALF_CLOSURE, true);
+        addPausableReads(channel);
+        addResponseGuard(channel, idHeader);
+    }
+
+    private static void addResponseGuard(Channel channel, @Nullable String idHeader) {
         AnswerDecoder decoder = AnswerDecoder.of(CODEC_LIMITS);
         channel.pipeline()
                 .replace(
@@ -93,7 +99,7 @@
                 .setReadTimeout(NO_TIMEOUT)
                 .setPooledConnectionIdleTimeout(POOLED_IDLE_TIMEOUT)
                 .setConnectionTtl(MAX_CONNECTION_AGE)
-                .setHttpAdditionalChannelInitializer(HttpClients::addPausableReads)
+                .setHttpAdditionalChannelInitializer(channel -> addHandlers(channel, null))
                 .setTcpNoDelay(true);
     }
 }
--- a/rhubarbward-net/src/main/java/io/rhubarbward/net/backend/ResponseGuard.java
+++ b/rhubarbward-net/src/main/java/io/rhubarbward/net/backend/ResponseGuard.java
@@ -3,16 +3,20 @@
 import io.netty.channel.ChannelDuplexHandler;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelPromise;
+import io.netty.channel.socket.ChannelInputShutdownEvent;
 import io.netty.handler.codec.CorruptedFrameException;
 import io.netty.handler.codec.http.FullHttpResponse;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaderValues;
+import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
+import io.netty.util.concurrent.Future;
 import io.netty.util.concurrent.ScheduledFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.regex.Matcher;
@@ -36,6 +40,12 @@
  *   <li>A message that cannot be decoded fails the open request, also within a discarded response.
  *   <li>After an error nothing is passed on, so that a response that is delimited by the close of
  *       the connection does not look complete.
+ *   <li>A response that is delimited by the end of the connection is complete only if the server
+ *       ended the connection in an orderly way and the request was written whole. The kernel
+ *       reports a reset once, to a read or to a write: after a failed write, the input of a
+ *       connection that was reset ends like that of one that was closed in an orderly way.
+ *   <li>A connection whose response begins before its request is written serves no other request.
+ *       It is closed once the request is written, and at the latest a while after the response.
  *   <li>An idle connection is closed before the server's own idle timeout, so that no request is
  *       sent on a connection that the server is closing.
  *   <li>The header field that the client library adds by itself is removed.
@@ -56,10 +66,13 @@
     /** What the head of a discarded response counts for. */
     private static final long HEAD_BYTES = 512;
 
+    /** How long a request may still be written after the end of its response. */
+    private static final long WRITE_AFTER_END_MILLIS = 1000;
+
     private static final Pattern KEEP_ALIVE_TIMEOUT = Pattern.compile("timeout=(\\d{1,6})");
     private static final long MILLIS_PER_SECOND = 1000;
 
-    private final String mIdHeader;
+    private final @Nullable String mIdHeader;
     private final AnswerDecoder mDecoder;
     private final StatusLineScanner mScanner = new StatusLineScanner();
     private @Nullable String mExpectedId;
@@ -68,16 +81,27 @@
     private long mDiscardedBytes;
     private boolean mForwarding;
     private boolean mFailed;
+
+    /** Whether a part of the latest request is not written to the socket yet. */
+    private boolean mWriting;
+
+    /** The end of a response that is delimited by the connection, until the request is written. */
+    private @Nullable LastHttpContent mHeldEnd;
+
+    /** The close of the connection, if it waits until the request is written. */
+    private @Nullable ChannelPromise mHeldClose;
+
+    private @Nullable ScheduledFuture<?> mWriteLimit;
     private long mIdleTimeoutMillis = DEFAULT_IDLE_TIMEOUT_MILLIS;
     private @Nullable ScheduledFuture<?> mIdleClose;
 
     /**
      * Pairs responses with requests.
      *
-     * @param idHeader the header field that pairs them
+     * @param idHeader the header field that pairs them; null if responses name no request
      * @param decoder the decoder before this in the pipeline
      */
-    ResponseGuard(String idHeader, AnswerDecoder decoder) {
+    ResponseGuard(@Nullable String idHeader, AnswerDecoder decoder) {
         mIdHeader = idHeader;
         mDecoder = decoder;
     }
@@ -89,16 +113,63 @@
                 mIdleClose.cancel(false);
                 mIdleClose = null;
             }
-            mExpectedId = request.headers().get(mIdHeader);
+            mExpectedId = id(request.headers());
             mRequestOpen = true;
             mForwarding = false;
             mDiscardedBytes = 0;
             mDecoder.expectAnswerTo(request.method());
             LibraryHeaders.removeFrom(request.headers());
+            mWriting = true;
+        }
+        if (message instanceof LastHttpContent) {
+            promise = promise.unvoid();
+            promise.addListener(written -> onWritten(context, written));
         }
         context.write(message, promise);
     }
 
+    private @Nullable String id(HttpHeaders headers) {
+        return mIdHeader == null ? null : headers.get(mIdHeader);
+    }
+
+    private void onWritten(ChannelHandlerContext context, Future<?> written) {
+        mWriting = false;
+        if (mHeldClose != null) {
+            closeNow(context);
+        } else if (!written.isSuccess()) {
+            if (mRequestOpen && !mFailed) {
+                fail(context, "writing the request failed: " + written.cause());
+            }
+        } else if (mHeldEnd != null) {
+            passHeldEnd(context);
+        }
+    }
+
+    /** Closes after the request is written, if its response is complete already. */
+    @Override
+    public void close(ChannelHandlerContext context, ChannelPromise promise) {
+        if (!mWriting || mRequestOpen || mFailed || !context.channel().isActive()) {
+            context.close(promise);
+        } else if (mHeldClose == null) {
+            mHeldClose = promise;
+            mWriteLimit = limitWriting(context, () -> closeNow(context));
+        } else {
+            context.close(promise);
+        }
+    }
+
+    private static ScheduledFuture<?> limitWriting(ChannelHandlerContext context, Runnable onEnd) {
+        return context.executor().schedule(onEnd, WRITE_AFTER_END_MILLIS, TimeUnit.MILLISECONDS);
+    }
+
+    private void closeNow(ChannelHandlerContext context) {
+        ChannelPromise promise = mHeldClose;
+        mHeldClose = null;
+        if (promise != null) {
+            context.close(promise);
+        }
+    }
+
     @Override
     public void channelRead(ChannelHandlerContext context, Object message) {
         if (!(message instanceof HttpObject object) || mFailed) {
@@ -133,8 +204,11 @@
             discard(context, object);
             return;
         }
-        boolean last = object instanceof LastHttpContent && mForwarding;
-        if (last) {
+        if (object instanceof LastHttpContent last && mForwarding) {
+            if (mDecoder.inputEnd() != AnswerDecoder.InputEnd.NONE) {
+                endWithConnection(context, last);
+                return;
+            }
             mRequestOpen = false;
             mForwarding = false;
             scheduleIdleClose(context);
@@ -143,6 +217,49 @@
         context.fireChannelRead(message);
     }
 
+    /** Passes the end of a response on that is delimited by the end of the connection. */
+    private void endWithConnection(ChannelHandlerContext context, LastHttpContent end) {
+        if (mDecoder.inputEnd() == AnswerDecoder.InputEnd.CLOSED) {
+            ReferenceCountUtil.release(end);
+            fail(context, "the connection was lost within a body without a length");
+            return;
+        }
+        mHeldEnd = end;
+        if (mWriting) {
+            mWriteLimit =
+                    limitWriting(
+                            context,
+                            () -> {
+                                if (mHeldEnd != null) {
+                                    fail(context, "the request was not written");
+                                }
+                            });
+        } else {
+            passHeldEnd(context);
+        }
+    }
+
+    /** The close comes before the end, so that the client does not reuse the connection. */
+    private void passHeldEnd(ChannelHandlerContext context) {
+        LastHttpContent end = mHeldEnd;
+        mHeldEnd = null;
+        mRequestOpen = false;
+        mForwarding = false;
+        context.close();
+        if (end != null) {
+            context.fireChannelRead(end);
+        }
+    }
+
+    /** Half-closed connections stay open here only while a request is being written. */
+    @Override
+    public void userEventTriggered(ChannelHandlerContext context, Object event) {
+        if (event instanceof ChannelInputShutdownEvent && mHeldEnd == null && mHeldClose == null) {
+            context.close();
+        }
+        context.fireUserEventTriggered(event);
+    }
+
     /**
      * Closes an idle connection with the beginning of a response. The close comes before the client
      * gets the end of the response before, so that it does not reuse the connection.
@@ -179,7 +296,8 @@
 
     /** The chunk size that ends a body takes a status line that follows it for an extension. */
     private boolean hasIdInTrailers(HttpContent content) {
-        return content instanceof LastHttpContent last
+        return mIdHeader != null
+                && content instanceof LastHttpContent last
                 && last.trailingHeaders().contains(mIdHeader);
     }
 
@@ -191,9 +309,13 @@
 
     private void startResponse(HttpResponse head) {
         boolean interim = head.status().codeClass() == HttpStatusClass.INFORMATIONAL;
-        String id = head.headers().get(mIdHeader);
+        String id = id(head.headers());
         mDiscarding = interim || (mExpectedId != null && id != null && !id.equals(mExpectedId));
         mForwarding = !mDiscarding;
+        if (mForwarding && mWriting) {
+            // The client reuses connections as this field says.
+            head.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
+        }
         if (mDiscarding && head instanceof FullHttpResponse) {
             return;
         }
@@ -223,13 +345,24 @@
         if (mIdleClose != null) {
             mIdleClose.cancel(false);
         }
+        if (mWriteLimit != null) {
+            mWriteLimit.cancel(false);
+        }
+        closeNow(context);
+        releaseHeldEnd();
         context.fireChannelInactive();
     }
 
     @Override
     public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
         mFailed = true;
+        releaseHeldEnd();
         context.fireExceptionCaught(cause);
         context.close();
     }
+
+    private void releaseHeldEnd() {
+        ReferenceCountUtil.release(mHeldEnd);
+        mHeldEnd = null;
+    }
 }
