Take only statuses from 200 to 599 for answers

Cause: nothing checked the range of a status. A server in trouble that answers with status 000 had it passed to the caller.

Change: a status line whose status is not three digits from 100 to 599, or is 101, which no request here asks for, fails the call at the decoder with the new INVALID_STATUS. The request may have run: 502, or another attempt where the route allows one. It does not count as a crash.

Before, EarlyAnswerTest got heads with 0, 99, 20, 600, 999 and 1000, and 200 for "0200" and "+200"; 101 waited without end. Statuses without a number failed the call already, as CONNECTION_LOST. PeerForwardingTest got 0, 99, 100, 101, 199, 600 and 999 through another router, RefusalRunStateTest the same on the product's own path.

--- a/rhubarbward-core/src/main/java/io/rhubarbward/forward/PeerCall.java
+++ b/rhubarbward-core/src/main/java/io/rhubarbward/forward/PeerCall.java
@@ -9,6 +9,7 @@
 import io.rhubarbward.request.BackendListener;
 import io.rhubarbward.request.BackendRequest;
 import io.rhubarbward.request.ConnectionUse;
+import io.rhubarbward.request.FinalStatus;
 import io.rhubarbward.request.HeaderFields;
 import java.nio.ByteBuffer;
 import java.time.Duration;
@@ -118,6 +119,10 @@
         if (mEnded) {
             return;
         }
+        if (!FinalStatus.isValid(status)) {
+            fail();
+            return;
+        }
         ResponseMetadata metadata = mContext.dialect().readAnswer(status, headers);
         Optional<PeerRefusal> refusal = headers.first(PeerHeaders.REFUSAL).map(PeerRefusal::decode);
         if (!answersThisAttempt(metadata, refusal.isPresent())) {
--- a/rhubarbward-core/src/main/java/io/rhubarbward/forward/ServerCall.java
+++ b/rhubarbward-core/src/main/java/io/rhubarbward/forward/ServerCall.java
@@ -10,6 +10,7 @@
 import io.rhubarbward.request.BackendListener;
 import io.rhubarbward.request.BackendRequest;
 import io.rhubarbward.request.ConnectionUse;
+import io.rhubarbward.request.FinalStatus;
 import io.rhubarbward.request.HeaderFields;
 import java.nio.ByteBuffer;
 import java.time.Duration;
@@ -145,6 +146,13 @@
             return;
         }
         mContext.reach().onHeard(this);
+        if (!FinalStatus.isValid(status)) {
+            if (mCall != null) {
+                mCall.cancel();
+            }
+            onFailure(BackendFailure.INVALID_STATUS);
+            return;
+        }
         mStatus = status;
         mAnswerBegunMillis = mContext.timers().nowMillis();
         mFraming = new EventStreamFraming(headers);
@@ -296,7 +304,8 @@
             if (failure.provesNotRun() || failure == BackendFailure.SILENT) {
                 logUnreachable(result);
             } else {
-                recordConnectionLost(result);
+                // A server that answers with an invalid status has not crashed.
+                recordConnectionLost(result, failure != BackendFailure.INVALID_STATUS);
             }
             mListener.onFailed(mServer, result, !failure.provesNotRun());
         }
@@ -312,7 +321,7 @@
                         EventField.of("afterMs", mContext.timers().nowMillis() - mSentMillis));
     }
 
-    private void recordConnectionLost(SendResult result) {
+    private void recordConnectionLost(SendResult result, boolean mayBeCrash) {
         mContext.events()
                 .log(
                         LogEvent.BACKEND_CONNECTION_LOST,
@@ -322,7 +331,7 @@
                         EventField.of("answerMs", answerMillis()),
                         EventField.of("parts", mRequest.sharedPartIds()));
         // A server that is shutting down ends its connections by itself.
-        if (!mServer.leaving()) {
+        if (mayBeCrash && !mServer.leaving()) {
             long answerMillis = answerMillis();
             mContext.reach()
                     .whenConfirmed(
@@ -349,7 +358,7 @@
             case NOT_CONNECTED -> SendResult.UNREACHABLE;
             case SILENT -> SendResult.SILENT;
             case CONNECTION_LOST -> mStatus == 0 ? SendResult.RESET : SendResult.BROKEN;
-            case INCOMPLETE -> SendResult.BROKEN;
+            case INCOMPLETE, INVALID_STATUS -> SendResult.BROKEN;
         };
     }
 
--- a/rhubarbward-core/src/main/java/io/rhubarbward/request/Attempt.java
+++ b/rhubarbward-core/src/main/java/io/rhubarbward/request/Attempt.java
@@ -105,6 +105,15 @@
         if (mEnded) {
             return;
         }
+        if (!FinalStatus.isValid(status)) {
+            if (end(CallOutcome.Result.FAILED)) {
+                if (mCall != null) {
+                    mCall.cancel();
+                }
+                mListener.onFailed(mServer, BackendFailure.INVALID_STATUS);
+            }
+            return;
+        }
         mStatus = status;
         mFirstByteMillis = mContext.timers().nowMillis() - mSentMillis;
         mContext.metrics().observeFirstByte(mRequest.service().name(), mFirstByteMillis);
--- a/rhubarbward-core/src/main/java/io/rhubarbward/request/BackendFailure.java
+++ b/rhubarbward-core/src/main/java/io/rhubarbward/request/BackendFailure.java
@@ -9,7 +9,9 @@
     /** No byte of the answer arrived for longer than allowed. */
     SILENT(false, RefusalCode.BACKEND_SILENT),
     /** The answer ended, but was incomplete. */
-    INCOMPLETE(false, RefusalCode.BACKEND_LOST);
+    INCOMPLETE(false, RefusalCode.BACKEND_LOST),
+    /** The status of the answer is none that a final answer has; the request may have run. */
+    INVALID_STATUS(false, RefusalCode.BACKEND_LOST);
 
     private final boolean mProvesNotRun;
     private final RefusalCode mRefusal;
--- a/rhubarbward-core/src/test/java/io/rhubarbward/forward/CrashRecordingTest.java
+++ b/rhubarbward-core/src/test/java/io/rhubarbward/forward/CrashRecordingTest.java
@@ -46,8 +46,8 @@
     @ParameterizedTest
     @EnumSource(
             value = BackendFailure.class,
-            names = {"NOT_CONNECTED", "SILENT"})
-    void aServerThatIsNotReachedIsNoCrash(BackendFailure failure) {
+            names = {"NOT_CONNECTED", "SILENT", "INVALID_STATUS"})
+    void aServerThatIsNotReachedOrAnswersWithAnInvalidStatusIsNoCrash(BackendFailure failure) {
         send().fail(failure);
         assertThat(suspected()).isFalse();
     }
--- a/rhubarbward-core/src/test/java/io/rhubarbward/forward/PeerForwardingTest.java
+++ b/rhubarbward-core/src/test/java/io/rhubarbward/forward/PeerForwardingTest.java
@@ -175,6 +175,18 @@
         assertThat(pending.response().status()).isEqualTo(502);
     }
 
+    // Guards against a broken status that reaches the caller through another router.
+    @ParameterizedTest
+    @ValueSource(ints = {0, 99, 100, 101, 199, 600, 999})
+    void anInvalidStatusOfAnotherRouterLeavesTheOutcomeOpen(int status) {
+        mFixture.cutOff("front-2", "front-3");
+        ForwardFixture.PendingRequest pending = mFixture.send("/order/1");
+        FakeBackends.Sent sent = last().head(status, HeaderFields.of("id", "r-1"));
+        assertThat(pending.response().status()).isEqualTo(502);
+        assertThat(sent.cancelled()).isTrue();
+        assertThat(last()).isSameInstanceAs(sent);
+    }
+
     @Test
     void aRouterThatDiesInTheMiddleOfAnAnswerCutsIt() {
         mFixture.cutOff("front-2");
--- a/rhubarbward-core/src/test/java/io/rhubarbward/request/RefusalRunStateTest.java
+++ b/rhubarbward-core/src/test/java/io/rhubarbward/request/RefusalRunStateTest.java
@@ -13,6 +13,8 @@
 import java.util.List;
 import java.util.regex.Pattern;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /** Tests that a refusal has the run state "not-run" only if the request certainly did not run. */
 final class RefusalRunStateTest {
@@ -31,6 +33,22 @@
         assertThat(mResponse.body()).contains("\"run\":\"unknown\"");
     }
 
+    /** Guards against a broken status that reaches the caller, or that says "not run". */
+    @ParameterizedTest
+    @ValueSource(ints = {0, 99, 100, 101, 199, 600, 999})
+    void runStateIsUnknownAfterAnswersWithInvalidStatuses(int status) {
+        serve(Site.chat("invalid-status"));
+        int seen = 0;
+        while (seen < mSite.backends().sent().size()) {
+            seen = mSite.backends().sent().size();
+            Sent call = mSite.backends().last().head(status, "text/event-stream");
+            mSite.advance(Duration.ZERO);
+            assertThat(call.cancelled()).isTrue();
+        }
+        assertThat(mResponse.status()).isEqualTo(502);
+        assertThat(mResponse.body()).contains("\"run\":\"unknown\"");
+    }
+
     @Test
     void runStateIsUnknownAfterALostAnswerAndFullServers() {
         mSite.apply(
--- a/rhubarbward-net/src/main/java/io/rhubarbward/net/backend/AnswerDecoder.java
+++ b/rhubarbward-net/src/main/java/io/rhubarbward/net/backend/AnswerDecoder.java
@@ -10,13 +10,22 @@
 import io.netty.handler.codec.http.HttpRequestEncoder;
 import io.netty.handler.codec.http.HttpResponseDecoder;
 import java.util.List;
+import java.util.regex.Pattern;
 import org.asynchttpclient.AsyncHttpClientConfig;
 
 /**
  * Decodes responses, and tells whether the beginning of one is waiting for the rest and how the
  * input ended.
+ *
+ * <p>A status line whose status is not one of 100 to 599, or is 101, is a decoding failure. No
+ * request here asks for another protocol, so that 101 is no answer to it.
  */
 final class AnswerDecoder extends HttpResponseDecoder {
+    /** {@link Integer#parseInt}, which the superclass uses, accepts any number of digits. */
+    private static final Pattern VALID_STATUS = Pattern.compile("[1-5][0-9]{2}");
+
+    private static final String SWITCHING_PROTOCOLS = "101";
+
     /** How the input of the connection ended. */
     enum InputEnd {
         /** The input has not ended. */
@@ -90,6 +99,10 @@
     @Override
     protected HttpMessage createMessage(String[] statusLine) {
         mHeadBegun = true;
+        String status = statusLine[1];
+        if (!VALID_STATUS.matcher(status).matches() || status.equals(SWITCHING_PROTOCOLS)) {
+            throw new InvalidStatusException(status);
+        }
         return super.createMessage(statusLine);
     }
 
--- a/rhubarbward-net/src/main/java/io/rhubarbward/net/backend/BackendExchange.java
+++ b/rhubarbward-net/src/main/java/io/rhubarbward/net/backend/BackendExchange.java
@@ -153,11 +153,17 @@
     @Override
     public void onThrowable(Throwable cause) {
         mConnectLimit.cancel();
-        BackendFailure failure =
-                mRequestSent ? BackendFailure.CONNECTION_LOST : BackendFailure.NOT_CONNECTED;
+        BackendFailure failure = failure(cause);
         mTimers.execute(() -> mListener.onFailure(failure));
     }
 
+    private BackendFailure failure(Throwable cause) {
+        if (cause instanceof InvalidStatusException) {
+            return BackendFailure.INVALID_STATUS;
+        }
+        return mRequestSent ? BackendFailure.CONNECTION_LOST : BackendFailure.NOT_CONNECTED;
+    }
+
     @Override
     public void pause() {
         setReading(false);
--- a/rhubarbward-net/src/test/java/io/rhubarbward/net/backend/EarlyAnswerTest.java
+++ b/rhubarbward-net/src/test/java/io/rhubarbward/net/backend/EarlyAnswerTest.java
@@ -27,7 +27,7 @@
 import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.ValueSource;
 
-/** Answers that begin while their request is being written, and other broken answers. */
+/** Answers that begin while their request is being written, and answers with invalid statuses. */
 @Timeout(60)
 final class EarlyAnswerTest {
     private static final String ID_HEADER = "x-id";
@@ -205,6 +205,22 @@
         early.readBody();
     }
 
+    /** Guards against a broken status that reaches the caller as an answer. */
+    @ParameterizedTest
+    @ValueSource(
+            strings = {
+                "000", "099", "0", "20", "101", "600", "999", "1000", "0200", "+200", "-200", "abc",
+                "2x0", ""
+            })
+    void anAnswerWithAnInvalidStatusFails(String status) throws Exception {
+        for (boolean pairing : List.of(true, false)) {
+            Answer answer = send(client(pairing), "r-1", 0);
+            mServer.takeRequest()
+                    .respond(answer("HTTP/1.1 " + status + " X", "r-1", "Content-Length: 0", ""));
+            assertThat(answer.await()).containsExactly("INVALID_STATUS");
+        }
+    }
+
     /** Guards against an interim answer that is taken for the final one. */
     @ParameterizedTest
     @ValueSource(strings = {"100", "102", "103", "199"})
--- a/rhubarbward-standin/src/main/java/io/rhubarbward/standin/fleet/ReplicaConnection.java
+++ b/rhubarbward-standin/src/main/java/io/rhubarbward/standin/fleet/ReplicaConnection.java
@@ -2,7 +2,9 @@
 
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelOption;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.handler.codec.http.FullHttpRequest;
 import java.nio.charset.StandardCharsets;
@@ -73,6 +75,13 @@
         }
     }
 
+    /** Writes bytes and resets the connection once they are written. */
+    public void writeAndReset(String bytes) {
+        mChannel.config().setOption(ChannelOption.SO_LINGER, 0);
+        mChannel.writeAndFlush(Unpooled.copiedBuffer(bytes, StandardCharsets.ISO_8859_1))
+                .addListener(ChannelFutureListener.CLOSE);
+    }
+
     private void write(String bytes) {
         mChannel.writeAndFlush(Unpooled.copiedBuffer(bytes, StandardCharsets.ISO_8859_1));
     }
--- a/rhubarbward-standin/src/main/java/io/rhubarbward/standin/fleet/ReplicaRequest.java
+++ b/rhubarbward-standin/src/main/java/io/rhubarbward/standin/fleet/ReplicaRequest.java
@@ -40,4 +40,15 @@
         ReplicaRecord.Run run = connection.record().run(attemptId, target, status);
         connection.after(duration, () -> connection.answer(run.answer()));
     }
+
+    /**
+     * Runs the request, answers with the status line and a body without a length, and resets the
+     * connection.
+     */
+    public void runAndReset(String statusLine, String body) {
+        ReplicaRecord.Run run = connection.record().run(attemptId, target, 200);
+        connection.writeAndReset(
+                (statusLine + "\r\nRhubarbward-Attempt-Id: " + attemptId)
+                        + ("\r\nRhubarbward-Server-Seal: " + run.seal() + "\r\n\r\n" + body));
+    }
 }
