Reset uploads through a real router in CorruptedAnswerTest

Cause: the reset during a long upload was tested at the HTTP client only. Change: ScriptedReplica serves a request whose body is over its limit once it has the head, and reads no more; CallerStandin can send a body. The test uploads 4 MB on a kept connection, five times, and the replica resets the connection 50 ms after a part of an answer without a length.

--- a/rhubarbward-daemon/src/test/java/io/rhubarbward/daemon/CorruptedAnswerTest.java
+++ b/rhubarbward-daemon/src/test/java/io/rhubarbward/daemon/CorruptedAnswerTest.java
@@ -15,6 +15,11 @@
 /** Answers of servers in trouble, through a router. */
 @Timeout(60)
 final class CorruptedAnswerTest {
+    /** The largest body that the sample configuration allows. */
+    private static final int MAX_BODY_BYTES = 4_194_304;
+
+    private static final int UPLOADS = 5;
+
     /** Guards against a broken status that reaches the caller. */
     @ParameterizedTest
     @ValueSource(strings = {"000", "099", "101", "600", "999"})
@@ -63,4 +68,30 @@
             assertThrows(IOException.class, () -> caller.send("POST", "/plain/1", "r-1"));
         }
     }
+
+    /** Guards against the same during a long upload on a kept connection. */
+    @Test
+    void aBodyWithoutLengthThatIsResetDuringAnUploadIsCut() throws IOException {
+        try (ScriptedFleet fleet = new ScriptedFleet()) {
+            ScriptedReplica replica =
+                    fleet.startReplica(
+                            request -> {
+                                if (request.attemptId().startsWith("upload")) {
+                                    request.runAndReset("HTTP/1.1 200 OK", "part");
+                                } else {
+                                    request.run(200);
+                                }
+                            });
+            fleet.list(replica, "i-1");
+            FleetRouterDaemon router = fleet.startRouter(EventLog.none());
+            CallerStandin caller = new CallerStandin(router.callersPort());
+            byte[] body = new byte[MAX_BODY_BYTES];
+            for (int upload = 0; upload < UPLOADS; upload++) {
+                assertThat(caller.send("POST", "/plain/1", "r-" + upload).status()).isEqualTo(200);
+                String id = "upload-" + upload;
+                assertThrows(IOException.class, () -> caller.send("POST", "/plain/1", id, body));
+                assertThat(replica.record().sends(id)).isEqualTo(1);
+            }
+        }
+    }
 }
--- a/rhubarbward-standin/src/main/java/io/rhubarbward/standin/fleet/CallerStandin.java
+++ b/rhubarbward-standin/src/main/java/io/rhubarbward/standin/fleet/CallerStandin.java
@@ -2,6 +2,7 @@
 
 import java.io.IOException;
 import java.io.InputStream;
+import java.io.OutputStream;
 import java.net.HttpURLConnection;
 import java.net.URI;
 import java.net.URL;
@@ -20,6 +21,12 @@
 
     /** Sends a request without a body and waits for the complete answer. */
     public Reply send(String method, String path, String attemptId) throws IOException {
+        return send(method, path, attemptId, new byte[0]);
+    }
+
+    /** Sends a request and waits for the complete answer. */
+    public Reply send(String method, String path, String attemptId, byte[] requestBody)
+            throws IOException {
         URL url = URI.create("http://127.0.0.1:" + mRouterPort + path).toURL();
         HttpURLConnection connection = (HttpURLConnection) url.openConnection();
         connection.setRequestMethod(method);
@@ -29,6 +36,13 @@
         connection.setRequestProperty("Rhubarbward-Model-Name", "m");
         connection.setRequestProperty("Rhubarbward-Token-Count", "100,10");
         connection.setRequestProperty("Rhubarbward-Prompt-Prefix", "5c1e:80,91bd:20");
+        if (requestBody.length > 0) {
+            connection.setDoOutput(true);
+            connection.setFixedLengthStreamingMode(requestBody.length);
+            try (OutputStream out = connection.getOutputStream()) {
+                out.write(requestBody);
+            }
+        }
         int status = connection.getResponseCode();
         try (InputStream body =
                 status < FIRST_ERROR_STATUS
--- a/rhubarbward-standin/src/main/java/io/rhubarbward/standin/fleet/ReplicaConnection.java
+++ b/rhubarbward-standin/src/main/java/io/rhubarbward/standin/fleet/ReplicaConnection.java
@@ -2,7 +2,6 @@
 
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
-import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.SimpleChannelInboundHandler;
@@ -75,11 +74,11 @@
         }
     }
 
-    /** Writes bytes and resets the connection once they are written. */
-    public void writeAndReset(String bytes) {
+    /** Writes bytes, and resets the connection later. */
+    public void writeAndReset(String bytes, Duration untilReset) {
         mChannel.config().setOption(ChannelOption.SO_LINGER, 0);
-        mChannel.writeAndFlush(Unpooled.copiedBuffer(bytes, StandardCharsets.ISO_8859_1))
-                .addListener(ChannelFutureListener.CLOSE);
+        write(bytes);
+        after(untilReset, mChannel::close);
     }
 
     private void write(String bytes) {
--- a/rhubarbward-standin/src/main/java/io/rhubarbward/standin/fleet/ReplicaRequest.java
+++ b/rhubarbward-standin/src/main/java/io/rhubarbward/standin/fleet/ReplicaRequest.java
@@ -19,6 +19,9 @@
         ReplicaConnection connection) {
     private static final int MISDIRECTED = 421;
 
+    /** Long enough for a router to read what was written before the reset. */
+    private static final Duration UNTIL_RESET = Duration.ofMillis(50);
+
     /** Answers that the request did not run. */
     public void decline(ReplicaRefusal refusal) {
         connection.refuse(refusal);
@@ -43,12 +46,13 @@
 
     /**
      * Runs the request, answers with the status line and a body without a length, and resets the
-     * connection.
+     * connection a moment later.
      */
     public void runAndReset(String statusLine, String body) {
         ReplicaRecord.Run run = connection.record().run(attemptId, target, 200);
         connection.writeAndReset(
                 (statusLine + "\r\nRhubarbward-Attempt-Id: " + attemptId)
-                        + ("\r\nRhubarbward-Server-Seal: " + run.seal() + "\r\n\r\n" + body));
+                        + ("\r\nRhubarbward-Server-Seal: " + run.seal() + "\r\n\r\n" + body),
+                UNTIL_RESET);
     }
 }
--- a/rhubarbward-standin/src/main/java/io/rhubarbward/standin/fleet/ScriptedReplica.java
+++ b/rhubarbward-standin/src/main/java/io/rhubarbward/standin/fleet/ScriptedReplica.java
@@ -3,6 +3,7 @@
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.group.ChannelGroup;
 import io.netty.channel.group.DefaultChannelGroup;
@@ -14,7 +15,8 @@
 
 /**
  * A simulated replica whose behaviour decides which bytes its connections carry, for faults that an
- * HTTP server does not show.
+ * HTTP server does not show. It serves a request with a longer body than it accepts once it has the
+ * head, and reads no more of that connection.
  *
  * <pre>{@code
  * ScriptedReplica replica = new ScriptedReplica(group, address, request -> request.run(200));
@@ -24,6 +26,9 @@
 public final class ScriptedReplica implements AutoCloseable {
     private static final int MAX_BODY_BYTES = 1_048_576;
 
+    /** Small, so that a long body cannot be written whole while the replica does not read it. */
+    private static final int RECEIVE_BUFFER_BYTES = 16_384;
+
     private final ChannelGroup mConnections =
             new DefaultChannelGroup(GlobalEventExecutor.INSTANCE, true);
     private final ReplicaRecord mRecord = new ReplicaRecord();
@@ -47,6 +52,7 @@
                 new ServerBootstrap()
                         .group(group)
                         .channel(NioServerSocketChannel.class)
+                        .option(ChannelOption.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
                         .childHandler(
                                 new ChannelInitializer<Channel>() {
                                     @Override
@@ -65,6 +71,7 @@
         channel.pipeline()
                 .addLast(
                         new HttpRequestDecoder(),
+                        new UnreadBodies(MAX_BODY_BYTES),
                         new HttpObjectAggregator(MAX_BODY_BYTES),
                         new ReplicaConnection(channel, mRecord, behaviour));
     }
