--- a/rhubarbward-standin/src/main/java/io/rhubarbward/standin/fleet/ReplicaConnection.java
+++ b/rhubarbward-standin/src/main/java/io/rhubarbward/standin/fleet/ReplicaConnection.java
@@ -3,6 +3,7 @@
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelOption;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.handler.codec.http.FullHttpRequest;
 import java.nio.charset.StandardCharsets;
@@ -73,6 +74,13 @@
         }
     }
 
+    /** Writes bytes, and resets the connection later. */
+    public void writeAndReset(String bytes, Duration untilReset) {
+        mChannel.config().setOption(ChannelOption.SO_LINGER, 0);
+        write(bytes);
+        after(untilReset, mChannel::close);
+    }
+
     private void write(String bytes) {
         mChannel.writeAndFlush(Unpooled.copiedBuffer(bytes, StandardCharsets.ISO_8859_1));
     }
