--- a/rhubarbward-core/src/main/java/io/rhubarbward/node/FleetNodeSettings.java
+++ b/rhubarbward-core/src/main/java/io/rhubarbward/node/FleetNodeSettings.java
@@ -13,6 +13,7 @@
  * @param forwarding the address to listen on for requests that other routers forward
  * @param store host and port of the platform's store
  * @param processorCapacity how many processor cores' work the VM can do; 0 if not known
+ * @param maxDescriptors how many descriptors the process may have open; 0 if not known
  * @param bounds the limits that the fleet keeps
  */
 public record FleetNodeSettings(
@@ -24,6 +25,7 @@
         InetSocketAddress forwarding,
         String store,
         double processorCapacity,
+        int maxDescriptors,
         FleetBounds bounds) {
     /** Returns these settings with other ports for routers, such as those that were bound. */
     public FleetNodeSettings withPeerPorts(int peersPort, int forwardingPort) {
@@ -36,6 +38,7 @@
                 new InetSocketAddress(forwarding.getAddress(), forwardingPort),
                 store,
                 processorCapacity,
+                maxDescriptors,
                 bounds);
     }
 }
--- a/rhubarbward-core/src/test/java/io/rhubarbward/testing/RouterFleet.java
+++ b/rhubarbward-core/src/test/java/io/rhubarbward/testing/RouterFleet.java
@@ -285,6 +285,7 @@
                             InetSocketAddress.createUnresolved(mName, 2),
                             "store",
                             1,
+                            0,
                             bounds),
                     new FleetPorts(
                             mTimers,
--- a/rhubarbward-daemon/src/main/java/io/rhubarbward/daemon/LocalFleet.java
+++ b/rhubarbward-daemon/src/main/java/io/rhubarbward/daemon/LocalFleet.java
@@ -80,6 +80,7 @@
                         DemoPorts.loopback(0),
                         storeAddress,
                         0,
+                        0,
                         new FleetBounds(
                                 true,
                                 Duration.ofSeconds(5),
