Mend what the review of bounds for clients found

- A connection with less than 4 KB pending is not cut for the sum, and a paused reader counts as large: slow readers could end ordinary connections.
- The kernel takes 128 KB of a response: with its default a client that reads slowly but steadily seemed to read nothing for the idle time.
- Connections of other routers are probed, and at the bound the most silent one is closed: silent strangers and lost VMs kept routers out for good.
- A connection whose head has begun is not idle; after a failed head the rest is read and dropped, so that the refusal arrives; each port takes 16 connections at least.

--- a/rhubarbward-daemon/src/main/java/io/rhubarbward/daemon/FleetRouterDaemon.java
+++ b/rhubarbward-daemon/src/main/java/io/rhubarbward/daemon/FleetRouterDaemon.java
@@ -81,6 +81,9 @@
      */
     private static final double CALLERS_SHARE = 20 / 32.0;
 
+    /** Connections that each port takes however few descriptors there are. */
+    private static final int MIN_CONNECTIONS = 16;
+
     private static final double FORWARDING_SHARE = 4 / 32.0;
     private static final double PEERS_SHARE = 3 / 32.0;
     private static final double CHECKS_SHARE = 0.5 / 32.0;
@@ -178,7 +181,7 @@
             return HttpListener.UNBOUNDED;
         }
         int sockets = Math.max(descriptors / 2, descriptors - FILE_DESCRIPTORS);
-        return Math.max(1, (int) (sockets * share));
+        return Math.max(MIN_CONNECTIONS, (int) (sockets * share));
     }
 
     private CallerListener serveForwarded(CallerRequest request, CallerResponse response) {
--- a/rhubarbward-net/src/main/java/io/rhubarbward/net/http/CallerConnection.java
+++ b/rhubarbward-net/src/main/java/io/rhubarbward/net/http/CallerConnection.java
@@ -119,9 +119,11 @@
                                 TimeUnit.MILLISECONDS);
     }
 
-    /** Closes the connection unless a request is in progress. */
+    /** Closes the connection unless a request is in progress, or the head of one has begun. */
     void closeIfIdle(Channel channel) {
-        if (mRequestHead == null && mResponse == null && !mDiscarding) {
+        ListenerCodec codec = channel.pipeline().get(ListenerCodec.class);
+        boolean headBegun = codec != null && codec.headBegun();
+        if (mRequestHead == null && mResponse == null && !mDiscarding && !headBegun) {
             channel.close();
         }
     }
--- a/rhubarbward-net/src/main/java/io/rhubarbward/net/http/HttpListener.java
+++ b/rhubarbward-net/src/main/java/io/rhubarbward/net/http/HttpListener.java
@@ -53,7 +53,13 @@
     /** Pending bytes at which a response's source is asked to pause, and to go on. */
     static final int HIGH_WATERMARK_BYTES = 32_768;
 
-    private static final int LOW_WATERMARK_BYTES = 16_384;
+    /**
+     * Bytes of a response that the kernel takes. With its default of megabytes, a client that reads
+     * slowly but steadily seems to read nothing for longer than the idle time.
+     */
+    private static final int SEND_BUFFER_BYTES = 131_072;
+
+    static final int LOW_WATERMARK_BYTES = 16_384;
 
     /**
      * Size up to which heads are read whatever their limit, so that it can be raised on an open
@@ -148,6 +154,7 @@
                         .channelFactory(() -> new NioServerSocketChannel(socket))
                         .childOption(ChannelOption.TCP_NODELAY, true)
                         .childOption(ChannelOption.SO_KEEPALIVE, true)
+                        .childOption(ChannelOption.SO_SNDBUF, SEND_BUFFER_BYTES)
                         // Reads until the socket is empty, so that a close is seen with the
                         // request that it follows.
                         .childOption(
--- a/rhubarbward-net/src/main/java/io/rhubarbward/net/http/HttpResources.java
+++ b/rhubarbward-net/src/main/java/io/rhubarbward/net/http/HttpResources.java
@@ -28,8 +28,8 @@
     /** All heads get a fifth of the heap; bodies get a third. */
     private static final int HEAP_DIVISOR_OF_HEADS = 5;
 
-    /** Pending bytes of a connection whose client keeps up: twice its high watermark. */
-    private static final int SMALL_PENDING_BYTES = 2 * HttpListener.HIGH_WATERMARK_BYTES;
+    /** Pending bytes of a connection whose client keeps up: those of a paused one are more. */
+    private static final int SMALL_PENDING_BYTES = HttpListener.LOW_WATERMARK_BYTES;
 
     /** Responses of clients that do not keep up get a tenth of the heap. */
     private static final int HEAP_DIVISOR_OF_LARGE_PENDING = 10;
--- a/rhubarbward-net/src/main/java/io/rhubarbward/net/http/ListenerCodec.java
+++ b/rhubarbward-net/src/main/java/io/rhubarbward/net/http/ListenerCodec.java
@@ -26,6 +26,11 @@
         init(new MethodRecorder(config, limits, resources), new MethodAwareEncoder());
     }
 
+    /** Returns whether a head has begun and not ended. */
+    boolean headBegun() {
+        return inboundHandler().headBegun();
+    }
+
     private final class MethodRecorder extends RequestDecoder {
         MethodRecorder(
                 HttpDecoderConfig config, Supplier<HttpLimits> limits, HttpResources resources) {
--- a/rhubarbward-net/src/main/java/io/rhubarbward/net/http/PendingResponseGuard.java
+++ b/rhubarbward-net/src/main/java/io/rhubarbward/net/http/PendingResponseGuard.java
@@ -19,6 +19,12 @@
     /** Whole responses, such as metrics and lists of objects, are written in one go. */
     static final long MAX_PENDING_BYTES = 16_777_216;
 
+    /**
+     * Pending bytes below which a connection is not cut for the sum of all: otherwise many clients
+     * that read slowly could end the connections of those that read at once.
+     */
+    private static final long MIN_CUT_BYTES = 4096;
+
     private final Supplier<HttpLimits> mLimits;
     private final HttpResources mResources;
     private final SharedMemory.Reservation mMemory;
@@ -63,7 +69,8 @@
             return;
         }
         long bytes = pending.totalPendingWriteBytes();
-        if (bytes > MAX_PENDING_BYTES || !mMemory.resizeTo(bytes)) {
+        boolean fits = mMemory.resizeTo(bytes) || bytes < MIN_CUT_BYTES;
+        if (bytes > MAX_PENDING_BYTES || !fits) {
             cut(context, ConnectionRefusal.RESPONSE_MEMORY_FULL);
         } else if (bytes > 0 && mProgressCheck == null) {
             checkProgressLater(context, pending);
--- a/rhubarbward-net/src/main/java/io/rhubarbward/net/http/RequestDecoder.java
+++ b/rhubarbward-net/src/main/java/io/rhubarbward/net/http/RequestDecoder.java
@@ -234,6 +234,9 @@
         int undecoded = actualReadableBytes();
         if (mFailed || !context.channel().isActive()) {
             cancelHeadTimeout();
+            // What follows is dropped. Unread bytes would reset the connection at its close, and
+            // the client might not receive the refusal.
+            context.channel().config().setAutoRead(true);
             return;
         }
         if (!mMemory.resizeTo(keptBytes() + undecoded)) {
@@ -252,6 +255,11 @@
         }
     }
 
+    /** Returns whether a head has begun and not ended; its own time-out covers it. */
+    boolean headBegun() {
+        return mHeadTimeout != null;
+    }
+
     private void startHeadTimeout(ChannelHandlerContext context) {
         if (mHeadTimeout == null) {
             mHeadTimeout =
--- a/rhubarbward-net/src/main/java/io/rhubarbward/net/peer/ThriftPeerTransport.java
+++ b/rhubarbward-net/src/main/java/io/rhubarbward/net/peer/ThriftPeerTransport.java
@@ -20,6 +20,7 @@
 import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.LengthFieldBasedFrameDecoder;
 import io.netty.handler.codec.LengthFieldPrepender;
+import io.netty.util.AttributeKey;
 import io.netty.util.concurrent.GlobalEventExecutor;
 import io.prometheus.metrics.core.metrics.Counter;
 import io.prometheus.metrics.model.registry.PrometheusRegistry;
@@ -37,6 +38,7 @@
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.Collection;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -61,6 +63,10 @@
     private static final int CONNECT_TIMEOUT_MILLIS = 1000;
     private static final double NANOS_PER_SECOND = 1e9;
 
+    /** When a message last arrived on an accepted connection, by the monotonic clock. */
+    private static final AttributeKey<Long> HEARD_NANOS =
+            AttributeKey.valueOf(ThriftPeerTransport.class, "heardNanos");
+
     private final String mOwnVm;
     private final EventLoopGroup mGroup;
     private final TimerService mTimers;
@@ -102,7 +108,8 @@
     /**
      * Creates a transport that shares memory with the listeners of its process.
      *
-     * @param maxAccepted further connections of other routers are closed at once
+     * @param maxAccepted the most connections of other routers; beyond it, the one that has been
+     *     silent for longest is closed
      */
     public ThriftPeerTransport(
             String ownVm,
@@ -149,6 +156,8 @@
                 .group(mGroup)
                 .channel(NioServerSocketChannel.class)
                 .childOption(ChannelOption.TCP_NODELAY, true)
+                // Finds connections of lost VMs, which would take a place for good.
+                .childOption(ChannelOption.SO_KEEPALIVE, true)
                 .childHandler(
                         new ChannelInitializer<SocketChannel>() {
                             @Override
@@ -161,16 +170,26 @@
                 .channel();
     }
 
+    /**
+     * Accepts a connection. At the bound, the one that has been silent for longest is closed:
+     * routers send often, so that silent strangers do not keep them out.
+     */
     private void accept(SocketChannel channel) {
         if (mAccepted.size() >= mMaxAccepted) {
             mResources.record(ConnectionRefusal.TOO_MANY_CONNECTIONS);
-            channel.close();
-            return;
+            mAccepted.stream()
+                    .min(Comparator.comparingLong(ThriftPeerTransport::heardNanos))
+                    .ifPresent(Channel::close);
         }
+        channel.attr(HEARD_NANOS).set(System.nanoTime());
         mAccepted.add(channel);
         initialize(channel);
     }
 
+    private static long heardNanos(Channel channel) {
+        return Objects.requireNonNullElse(channel.attr(HEARD_NANOS).get(), Long.MIN_VALUE);
+    }
+
     private void initialize(SocketChannel channel) {
         mConnections.add(channel);
         channel.pipeline()
@@ -333,6 +352,7 @@
 
         @Override
         protected void channelRead0(ChannelHandlerContext context, ByteBuf frame) {
+            context.channel().attr(HEARD_NANOS).set(System.nanoTime());
             SharedMemory.Reservation memory = mResources.peerMessages().reservation();
             if (!memory.growTo(frame.readableBytes() + MESSAGE_COST_BYTES)) {
                 refuse(context);
--- a/rhubarbward-net/src/test/java/io/rhubarbward/net/http/RequestDecoderTest.java
+++ b/rhubarbward-net/src/test/java/io/rhubarbward/net/http/RequestDecoderTest.java
@@ -278,4 +278,28 @@
         assertThat(channel.isOpen()).isFalse();
         assertThat(mRefusals).containsExactly(ConnectionRefusal.SLOW_READER);
     }
+
+    /** Guards against clients that read slowly and so end the connections of those that do not. */
+    @Test
+    void aSmallResponseIsNotCutWhileOthersTakeUpTheMemory() {
+        mResources.pendingResponses().reservation().growTo(MAX_PENDING_BYTES);
+        EmbeddedChannel channel = connect();
+        send(channel, REQUEST);
+        answer(channel, 0);
+        assertThat(received(channel)).startsWith("HTTP/1.1 200 ");
+        assertThat(channel.isOpen()).isTrue();
+        assertThat(mRefusals).isEmpty();
+    }
+
+    /** Guards against an idle time that ends within the time that a head has. */
+    @Test
+    void aConnectionWhoseHeadHasBegunIsNotIdle() {
+        EmbeddedChannel channel = connect();
+        advance(channel, IDLE_MILLIS - HEAD_MILLIS / 2);
+        send(channel, REQUEST.substring(0, 10));
+        advance(channel, HEAD_MILLIS - 1);
+        assertThat(channel.isOpen()).isTrue();
+        send(channel, REQUEST.substring(10));
+        assertThat(mRequests).hasSize(1);
+    }
 }
