Do not wake up an idle router for admission and unread responses

Turns are now probed only while requests wait, the room is looked at once a second and with each decision, and a response is watched only if something is left after its flush.

--- a/rhubarbward-core/src/main/java/io/rhubarbward/admission/AdmissionQueue.java
+++ b/rhubarbward-core/src/main/java/io/rhubarbward/admission/AdmissionQueue.java
@@ -39,6 +39,8 @@
     private final Map<String, ServiceQueue> mQueuesByService = new TreeMap<>();
     private AdmissionSettings mLimits = AdmissionSettings.NO_WAITING;
     private int mWaitingInTotal;
+    private boolean mProbesOnlyWhileWaiting;
+    private boolean mProbeScheduled;
 
     /** Creates a queue that is bounded for each service, as the settings say. */
     AdmissionQueue(TimerService timers) {
@@ -50,9 +52,13 @@
         mMaxWaitingInTotal = maxWaitingInTotal;
     }
 
-    /** Creates a queue that is bounded over all services; each request brings its longest wait. */
+    /**
+     * Creates a queue that is bounded over all services; each request brings its longest wait. It
+     * gives periodic turns by itself while requests wait, so that an idle router does not wake up.
+     */
     static AdmissionQueue boundedInTotal(TimerService timers, int maxWaitingInTotal) {
         AdmissionQueue queue = new AdmissionQueue(timers, maxWaitingInTotal);
+        queue.mProbesOnlyWhileWaiting = true;
         queue.mLimits = new AdmissionSettings(0, MAX_WAITING_FOR_SERVICE, 1);
         return queue;
     }
@@ -68,6 +74,21 @@
                 () -> List.copyOf(mQueuesByService.values()).forEach(ServiceQueue::giveTurn));
     }
 
+    private void scheduleProbe() {
+        if (mProbesOnlyWhileWaiting && !mProbeScheduled) {
+            mProbeScheduled = true;
+            mTimers.after(PROBE_PERIOD, this::probe);
+        }
+    }
+
+    private void probe() {
+        mProbeScheduled = false;
+        List.copyOf(mQueuesByService.values()).forEach(ServiceQueue::giveTurn);
+        if (mWaitingInTotal > 0) {
+            scheduleProbe();
+        }
+    }
+
     /** Returns an entry for a request, which waits only after {@link Entry#enqueue}. */
     public Entry newEntry(String service, ClientAccount account, EntryListener listener) {
         return newEntry(service, new AccountRequest(account), listener);
@@ -266,6 +287,7 @@
             if (mWaiting.put(entry.mSequenceNumber, entry) == null) {
                 mWaitingInTotal++;
             }
+            scheduleProbe();
             if (mWaiting.size() > mLimits.maxWaiting()) {
                 mWaiting.values().stream().max(keptFirst()).ifPresent(Entry::refuse);
             } else if (mWaitingInTotal > mMaxWaitingInTotal) {
--- a/rhubarbward-core/src/main/java/io/rhubarbward/admission/FleetAdmission.java
+++ b/rhubarbward-core/src/main/java/io/rhubarbward/admission/FleetAdmission.java
@@ -29,8 +29,11 @@
     /** The most requests that wait at one router. */
     private static final int MAX_WAITING = 512;
 
-    /** How often the room of services in use is looked at for logs and metrics. */
-    private static final Duration OBSERVE_PERIOD = Duration.ofMillis(100);
+    /**
+     * How often the room of services in use is looked at for metrics, and for logs besides each
+     * decision. Each time wakes up an idle router.
+     */
+    private static final Duration OBSERVE_PERIOD = Duration.ofSeconds(1);
 
     /** Shortest time between two log lines about the room of one service. */
     private static final long ROOM_LOG_INTERVAL_MILLIS = 1000;
@@ -78,9 +81,8 @@
         mQueue = AdmissionQueue.boundedInTotal(timers, MAX_WAITING);
     }
 
-    /** Starts to give turns periodically, in addition to one for each request that ends. */
+    /** Starts to observe the room of services in use. */
     public void start() {
-        mQueue.start();
         mTimers.every(OBSERVE_PERIOD, () -> mServices.values().forEach(this::observe));
     }
 
@@ -137,6 +139,7 @@
     AdmissionDecision decide(AdmissionRequest request, AdmissionQueue.Entry entry) {
         ServiceRoom room = service(request).room(mTimers.nowMillis());
         boolean wantsRoom = ServiceAdmission.wantsRoom(room, request.places());
+        logRoom(request.service().name(), ServiceAdmission.wantsRoom(room, 1));
         if (!wantsRoom) {
             return isBehind(request, entry)
                             && mayWait(request, entry, AdmissionDecision.Cause.OTHERS_WAIT)
--- a/rhubarbward-net/src/main/java/io/rhubarbward/net/http/PendingResponseGuard.java
+++ b/rhubarbward-net/src/main/java/io/rhubarbward/net/http/PendingResponseGuard.java
@@ -42,7 +42,8 @@
     @Override
     public void write(ChannelHandlerContext context, Object message, ChannelPromise promise) {
         context.write(message, promise.unvoid().addListener(mOnWritten));
-        update(context);
+        // Nothing is waiting for the client before the flush, so that no check is needed yet.
+        reserve(context);
     }
 
     @Override
@@ -64,6 +65,17 @@
     }
 
     private void update(ChannelHandlerContext context) {
+        reserve(context);
+        ChannelOutboundBuffer pending = context.channel().unsafe().outboundBuffer();
+        if (pending != null
+                && !mClosed
+                && pending.totalPendingWriteBytes() > 0
+                && mProgressCheck == null) {
+            checkProgressLater(context, pending);
+        }
+    }
+
+    private void reserve(ChannelHandlerContext context) {
         ChannelOutboundBuffer pending = context.channel().unsafe().outboundBuffer();
         if (pending == null || mClosed) {
             return;
@@ -72,8 +84,6 @@
         boolean fits = mMemory.resizeTo(bytes) || bytes < MIN_CUT_BYTES;
         if (bytes > MAX_PENDING_BYTES || !fits) {
             cut(context, ConnectionRefusal.RESPONSE_MEMORY_FULL);
-        } else if (bytes > 0 && mProgressCheck == null) {
-            checkProgressLater(context, pending);
         }
     }
 
