Rehearse admission control and uneven servers for the class archive

The build records the classes that its rehearsal loads. The sample configuration stated no engine capacity and its servers no slowdown, so that the classes of admission and of uneven servers were missing, and each router loaded them with its first requests. The rehearsal now passes through both.

--- a/rhubarbward-standin/src/main/java/io/rhubarbward/standin/fleet/ReplicaStandin.java
+++ b/rhubarbward-standin/src/main/java/io/rhubarbward/standin/fleet/ReplicaStandin.java
@@ -86,7 +86,7 @@
         HeaderFields sealedHeaders =
                 attemptHeader
                         .with("Rhubarbward-Server-Seal", "seal-" + mId)
-                        .with("Rhubarbward-Server-Load", "1,0,8");
+                        .with("Rhubarbward-Server-Load", "1,0,8,120");
         if (request.path().startsWith("/stream/")) {
             response.begin(OK, sealedHeaders.with("content-type", "text/event-stream"));
             sendEvent(response, 1);
--- a/rhubarbward-standin/src/main/java/io/rhubarbward/standin/fleet/SampleConfig.java
+++ b/rhubarbward-standin/src/main/java/io/rhubarbward/standin/fleet/SampleConfig.java
@@ -3,6 +3,9 @@
 /**
  * A sample configuration in the JSON format of the platform's operators: one plain service, one
  * engine service and one tenant.
+ *
+ * <p>It states the engines' capacity, so that the rehearsal of a build passes admission control and
+ * its classes come into the archive: a router that loads them with its first requests starts later.
  */
 public final class SampleConfig {
     /** The API key of the only tenant. */
@@ -27,7 +30,7 @@
              "services":[
               {"name":"orders","maxConnections":100,"coldStartS":0.0,"coldPerS":0.0},
               {"name":"chat","maxConnections":100,"coldStartS":3.0,"coldPerS":20.0,
-               "engine":{"slots":8}}],
+               "engine":{"slots":8,"kvCapacityTokens":80000}}],
              "limits":{"maxHeaderBytes":16384,"maxBodyBytes":4194304,"headerTimeoutMs":3000,
               "idleTimeoutMs":15000},
              "tenants":[{"name":"acme","apiKeys":["%s"]}]}
