--- a/rhubarbward-core/src/main/java/io/rhubarbward/event/LogEvent.java
+++ b/rhubarbward-core/src/main/java/io/rhubarbward/event/LogEvent.java
@@ -73,10 +73,15 @@
     BACKEND_SAYS_LEAVING(1510, INFO),
     BACKEND_RESTS(1511, INFO),
     BACKEND_BRITTLE_CHANGED(1512, INFO),
+    BACKEND_PACE_CHANGED(1513, INFO),
 
     // 1600: routing (no events yet).
 
-    // 1700: admission (no events yet).
+    // 1700: admission.
+    REQUEST_WAITS(1701, INFO),
+    REQUEST_PUT_OFF(1702, INFO),
+    ROOM_WANTED(1703, WARNING),
+    ROOM_REGAINED(1704, INFO),
 
     // 1800: requests.
     REQUEST_REFUSED(1801, INFO),
--- a/rhubarbward-core/src/main/java/io/rhubarbward/node/FleetRouter.java
+++ b/rhubarbward-core/src/main/java/io/rhubarbward/node/FleetRouter.java
@@ -1,5 +1,10 @@
 package io.rhubarbward.node;
 
+import io.rhubarbward.admission.AccountUsage;
+import io.rhubarbward.admission.AdmissionMetrics;
+import io.rhubarbward.admission.FleetAdmission;
+import io.rhubarbward.admission.RoomEstimate;
+import io.rhubarbward.admission.ServiceRoom;
 import io.rhubarbward.catalog.CallerLimits;
 import io.rhubarbward.catalog.Catalog;
 import io.rhubarbward.catalog.CurrentCatalog;
@@ -20,11 +25,14 @@
 import io.rhubarbward.forward.PeerGateway;
 import io.rhubarbward.move.FleetRollouts;
 import io.rhubarbward.move.RolloutOrder;
+import io.rhubarbward.placement.PlacementMetrics;
 import io.rhubarbward.placement.PlacementPolicy;
 import io.rhubarbward.placement.ServerTable;
+import io.rhubarbward.placement.TableRoomEstimate;
 import io.rhubarbward.reach.ForwardingPeers;
 import io.rhubarbward.reach.ReachState;
 import io.rhubarbward.reach.ServerReachability;
+import io.rhubarbward.relay.ExchangedState;
 import io.rhubarbward.relay.LoadExchange;
 import io.rhubarbward.relay.RelayMetrics;
 import io.rhubarbward.relay.StoreFollower;
@@ -58,38 +66,6 @@
  * <p>All calls are made on the timer service's thread.
  */
 public final class FleetRouter {
-    /**
-     * How long a watch of the catalogue waits for changes. Each return confirms that this router
-     * knows the valid keys, so several waits fit into the revocation time. Each return also states
-     * how far the store has got, so that silent watches of other kinds are found soon.
-     */
-    private static final Duration CATALOG_WATCH_WAIT = Duration.ofMillis(1500);
-
-    /** How long other watches wait: a return costs a call and confirms nothing that is needed. */
-    private static final Duration WATCH_WAIT = Duration.ofSeconds(12);
-
-    /** Rest of a watch after changes, which then come in fewer calls; well within every bound. */
-    private static final Duration WATCH_REST = Duration.ofMillis(500);
-
-    /** Time between checks of the servers: together with a catalogue's wait within a drain's. */
-    private static final Duration SERVERS_CHECK = Duration.ofMillis(400);
-
-    /** Time between checks of evacuations and rollouts, whose bounds are longer. */
-    private static final Duration MARKERS_CHECK = Duration.ofMillis(1500);
-
-    private static final WatchTiming CATALOG_TIMING =
-            new WatchTiming(CATALOG_WATCH_WAIT, Duration.ZERO, CATALOG_WATCH_WAIT);
-    private static final WatchTiming SERVERS_TIMING =
-            new WatchTiming(WATCH_WAIT, WATCH_REST, SERVERS_CHECK);
-    private static final WatchTiming EVACUATIONS_TIMING =
-            new WatchTiming(WATCH_WAIT, WATCH_REST, MARKERS_CHECK);
-    private static final WatchTiming ROLLOUTS_TIMING =
-            new WatchTiming(WATCH_WAIT, Duration.ZERO, MARKERS_CHECK);
-
-    /** Nothing depends on hearing of another router within the wait. */
-    private static final WatchTiming ROUTERS_TIMING =
-            new WatchTiming(WATCH_WAIT, WATCH_REST, WATCH_WAIT);
-
     /** How often the clocks are compared, in addition to the comparison at each send. */
     private static final Duration CLOCK_CHECK_PERIOD = Duration.ofMillis(200);
 
@@ -116,6 +92,9 @@
     private final RouterDirectory mRouters;
     private final CrashSuspects mCrashSuspects;
     private final FleetRollouts mRollouts;
+    private final FleetLimitSplitter mLimitSplitter;
+    private final AccountUsage mAccountUsage;
+    private final RoomEstimate mRoomEstimate;
     private final LoadExchange mLoadExchange;
     private final StoreFollower mStoreFollower;
     private final KindWatcher<Catalog> mCatalogWatcher;
@@ -125,6 +104,7 @@
     private final Optional<KindWatcher<RolloutOrder>> mRolloutWatcher;
     private final ServerReachability mReach;
     private final ForwardingPeers mForwardingPeers;
+    private final FleetAdmission mAdmission;
     private final ForwardingService mForwarding;
     private final PeerGateway mPeerGateway;
     private final ClockJumpDetector mClockJumpDetector;
@@ -143,28 +123,19 @@
         mClockJumpDetector = new ClockJumpDetector(ports.timers());
         mLoopLag = new EventLoopLag(ports.timers(), CLOCK_CHECK_PERIOD);
         ServerTable table = new ServerTable(ports.timers(), ports.events());
+        PlacementMetrics.register(ports.metrics(), table);
         table.subscribeToRemovals(
                 removed -> ports.backends().evictIdleConnections(removed.server().address()));
         BackendDirectory directory =
                 new BackendDirectory(ports.timers(), mStoreAvailability, ports.events(), table);
-        mCatalogWatcher = watcher(ports.store().catalogs(), mCatalog, CATALOG_TIMING);
-        mServerWatcher = watcher(ports.store().servers(), directory, SERVERS_TIMING);
-        mEvacuationWatcher = watcher(ports.store().evacuations(), mEvacuations, EVACUATIONS_TIMING);
-        mRouterWatcher = watcher(ports.store().routers(), mRouters, ROUTERS_TIMING);
+        mCatalogWatcher = watcher(ports.store().catalogs(), mCatalog, StoreWatchTimings.CATALOG);
+        mServerWatcher = watcher(ports.store().servers(), directory, StoreWatchTimings.SERVERS);
+        mEvacuationWatcher =
+                watcher(ports.store().evacuations(), mEvacuations, StoreWatchTimings.EVACUATIONS);
+        mRouterWatcher = watcher(ports.store().routers(), mRouters, StoreWatchTimings.ROUTERS);
         mRollouts = rollouts(table);
-        mRolloutWatcher =
-                settings.bounds().allowsRollouts()
-                        ? Optional.of(watcher(ports.store().rollouts(), mRollouts, ROLLOUTS_TIMING))
-                        : Optional.empty();
-        List<KindWatcher<?>> watchers =
-                Stream.<KindWatcher<?>>concat(
-                                Stream.of(
-                                        mCatalogWatcher,
-                                        mServerWatcher,
-                                        mEvacuationWatcher,
-                                        mRouterWatcher),
-                                mRolloutWatcher.stream())
-                        .toList();
+        mRolloutWatcher = rolloutWatcher();
+        List<KindWatcher<?>> watchers = watchers();
         mStoreFollower =
                 new StoreFollower(
                         settings.vm(),
@@ -178,10 +149,14 @@
                         this::relistAfterClockJump);
         RelayMetrics.register(ports.metrics(), mStoreFollower, watchers);
         mCrashSuspects = new CrashSuspects(ports.timers(), ports.events());
+        mLimitSplitter = new FleetLimitSplitter(settings.vm(), mRouters::names);
+        mAccountUsage = new AccountUsage(ports.timers());
+        mRoomEstimate = roomEstimate(table);
         mLoadExchange = loadExchange(table);
         mReach =
                 new ServerReachability(table, ports.connectProbe(), ports.timers(), ports.events());
         mForwardingPeers = forwardingPeers();
+        mAdmission = admission();
         ForwardContext context = forwardContext(table);
         mForwarding = new ForwardingService(context);
         mPeerGateway =
@@ -194,6 +169,38 @@
         subscribeToReachability(table, context.metrics());
     }
 
+    private Optional<KindWatcher<RolloutOrder>> rolloutWatcher() {
+        return mSettings.bounds().allowsRollouts()
+                ? Optional.of(
+                        watcher(mPorts.store().rollouts(), mRollouts, StoreWatchTimings.ROLLOUTS))
+                : Optional.empty();
+    }
+
+    private List<KindWatcher<?>> watchers() {
+        return Stream.<KindWatcher<?>>concat(
+                        Stream.of(
+                                mCatalogWatcher,
+                                mServerWatcher,
+                                mEvacuationWatcher,
+                                mRouterWatcher),
+                        mRolloutWatcher.stream())
+                .toList();
+    }
+
+    private RoomEstimate roomEstimate(ServerTable table) {
+        return new TableRoomEstimate(
+                mPorts.timers(), table, mLimitSplitter, mEvacuations::contains, mAccountUsage);
+    }
+
+    private FleetAdmission admission() {
+        return new FleetAdmission(
+                mRoomEstimate,
+                mAccountUsage,
+                mPorts.timers(),
+                mPorts.events(),
+                new AdmissionMetrics(mPorts.metrics()));
+    }
+
     private LoadExchange loadExchange(ServerTable table) {
         return new LoadExchange(
                 mSettings.vm(),
@@ -201,12 +208,19 @@
                 mRouters::routers,
                 mStoreFollower::aggregator,
                 mPorts.peers(),
-                mCrashSuspects,
-                mRollouts,
-                table,
+                new ExchangedState(
+                        mCrashSuspects, mRollouts, table, mAccountUsage, this::needsAccountCounts),
                 mPorts.timers());
     }
 
+    private boolean needsAccountCounts(String service) {
+        return mCatalog.current()
+                .flatMap(catalog -> catalog.service(service))
+                .map(mRoomEstimate::room)
+                .filter(ServiceRoom::needsAccountCounts)
+                .isPresent();
+    }
+
     private ForwardingPeers forwardingPeers() {
         return new ForwardingPeers(
                 mSettings.vm(),
@@ -262,13 +276,12 @@
     }
 
     private ForwardContext forwardContext(ServerTable table) {
-        FleetLimitSplitter limitSplitter = new FleetLimitSplitter(mSettings.vm(), mRouters::names);
         PlacementPolicy policy =
                 new PlacementPolicy(
                         mSettings.dataCentre(),
                         mPorts.timers(),
                         table,
-                        limitSplitter,
+                        mLimitSplitter,
                         mEvacuations::contains,
                         mRollouts);
         return new ForwardContext(
@@ -279,9 +292,10 @@
                         mSettings.bounds().revocation(),
                         mCatalogWatcher::stalenessMillis,
                         this::relistAfterClockJump),
+                mAdmission,
                 policy,
                 table,
-                new LocalRetryBudget(mSettings.bounds().retries(), mPorts.timers(), limitSplitter),
+                new LocalRetryBudget(mSettings.bounds().retries(), mPorts.timers(), mLimitSplitter),
                 mCrashSuspects,
                 mRollouts,
                 mReach,
@@ -311,6 +325,7 @@
         mLoadExchange.start();
         mRollouts.start();
         mCrashSuspects.start();
+        mAdmission.start();
         mLoopLag.tick();
         mPorts.timers()
                 .every(
