--- a/review/6/Case6.java
+++ b/review/6/Case6.java
@@ -1,42 +1,46 @@
 import java.io.IOException;
+import java.io.InputStream;
 import java.io.OutputStream;
 import java.net.Socket;
-import java.util.Arrays;
-import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.Semaphore;
 import java.util.concurrent.atomic.AtomicInteger;
-import java.util.concurrent.atomic.AtomicLong;
 
 /**
- * A crowd of clients outside the operator's control, each request of legal size: does the process
- * live, and do other callers get answers?
+ * Clients come back on kept connections and ask for reports; in a burst, some of the reports wait
+ * for a slot at their replica: do the clients get their answers?
  */
 final class Case6 {
-    /** Bodies just above a power of two: the router's buffer for them is twice as large. */
-    private static final int LARGE_BODY_BYTES = 2_097_153;
+    private static final int REPLICAS = 4;
+    private static final int SLOTS = 16;
 
-    private static final int LARGE_UPLOADS = 17;
-    private static final int BODY_BYTES = 65_537;
-    private static final int UPLOADS = 190;
-    private static final int CHATS = 200;
+    /** As many clients as the replicas have slots for, and 1.7 times as many. */
+    private static final int USUAL_CLIENTS = 48;
 
-    /** Parts of a prompt, so that the whole head stays below maxHeaderBytes. */
-    private static final int PROMPT_PARTS = 3900;
+    private static final int BURST_CLIENTS = 81;
 
-    private static final int CROWD_MILLIS = 25_000;
+    /** A report: its first event comes within the aim, if it need not wait. */
+    private static final int FIRST_EVENT_MILLIS = 600;
 
-    /** A time without any answer from which the process hangs: the longest client deadline. */
-    private static final int HANG_MILLIS = 12_000;
+    private static final int EVENTS = 48;
+    private static final int EVENT_GAP_MILLIS = 55;
 
-    /** recoveryS in the settings. */
-    private static final int RECOVERY_MILLIS = 12_000;
+    /** Below four fifths of idleTimeoutMs, 15,000. */
+    private static final int REST_MILLIS = 11_500;
 
-    private static final int JUDGED_REQUESTS = 20;
+    private static final int DEADLINE_MILLIS = 15_194;
+
+    /** How many closed connections the rule allows. */
+    private static final int ALLOWED = 3;
 
     private final Fleet mFleet;
-    private final AtomicBoolean mCrowdLeft = new AtomicBoolean();
-    private final AtomicInteger mIds = new AtomicInteger();
-    private final AtomicLong mAnsweredMillis = new AtomicLong();
-    private final AtomicLong mLongestSilence = new AtomicLong();
+    private final Set<String> mArrived = ConcurrentHashMap.newKeySet();
+    private final AtomicInteger mWhole = new AtomicInteger();
+    private final AtomicInteger mRefused = new AtomicInteger();
+    private final AtomicInteger mCut = new AtomicInteger();
 
     private Case6(Fleet fleet) {
         mFleet = fleet;
@@ -47,185 +51,149 @@
     }
 
     private boolean play(boolean trouble) throws IOException {
-        mFleet.configure(1);
-        for (int i = 1; i <= 3; i++) {
-            mFleet.replica("i-despacho-" + i, "despacho", "lima-norte", Replica.running(60));
-        }
-        for (int i = 1; i <= 13; i++) {
-            Replica engine = mFleet.replica("i-asistente-" + i, "asistente", "lima-norte", chat());
+        mFleet.store.put("config", "main", config());
+        mFleet.replica("i-portal-1", "portal", "lima-norte", Replica.running(60));
+        for (int i = 1; i <= REPLICAS; i++) {
+            Replica replica = mFleet.replica("i-model-" + i, "model", "lima-norte", report());
             mFleet.store.put(
                     "servers",
-                    engine.id(),
-                    engine.entry("asistente", "lima-norte", "v1", "ready", 2)
-                            .replace("\"slots\":8", "\"slots\":64"));
+                    replica.id(),
+                    replica.entry("model", "lima-norte", "v1", "ready", 2)
+                            .replace("\"slots\":8", "\"slots\":" + SLOTS));
         }
         Router router = mFleet.router("front-1", "lima-norte");
         Case.require(router.awaitReady(20_000), "the router is not ready");
-        Case.require(served(router, "first"), "the router does not serve");
-        mAnsweredMillis.set(mFleet.record.millis());
-        Threads.start("caller", () -> call(router));
-        Threads.start("balancer", () -> checkReadiness(router));
-        if (trouble) {
-            startCrowd(router);
+        Replica.sleep(1000);
+        int clients = trouble ? BURST_CLIENTS : USUAL_CLIENTS;
+        List<Thread> threads = new ArrayList<>();
+        for (int i = 0; i < clients; i++) {
+            int number = i;
+            threads.add(Threads.start("client", () -> client(router, number)));
         }
-        long crowdEnd = mFleet.record.millis() + CROWD_MILLIS;
-        while (mFleet.record.millis() < crowdEnd) {
-            mFleet.record.line(
-                    "process alive " + router.alive() + ", " + router.residentMegabytes() + " MB");
-            Replica.sleep(1000);
+        for (Thread thread : threads) {
+            join(thread);
         }
-        mCrowdLeft.set(true);
-        mFleet.record.line("the crowd has left; the router has recoveryS to recover");
-        Replica.sleep(RECOVERY_MILLIS);
-        return judge(router);
+        mFleet.record.line(
+                clients
+                        + " reports: "
+                        + mWhole
+                        + " whole, "
+                        + mRefused
+                        + " refused, "
+                        + mCut
+                        + " passed on to a replica and cut without an answer");
+        return mCut.get() > ALLOWED;
     }
 
-    private boolean judge(Router router) {
-        int served = 0;
-        for (int i = 0; i < JUDGED_REQUESTS; i++) {
-            served += served(router, "judged") ? 1 : 0;
-            Replica.sleep(200);
+    private static void join(Thread thread) {
+        try {
+            thread.join();
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
         }
-        mFleet.record.line(
-                "process "
-                        + (router.alive() ? "alive" : "ended, status " + router.exitValue())
-                        + "; longest time without any answer to a caller or a readiness check "
-                        + mLongestSilence
-                        + " ms; served after recoveryS without the crowd: "
-                        + served
-                        + " of "
-                        + JUDGED_REQUESTS);
-        return !router.alive()
-                || mLongestSilence.get() >= HANG_MILLIS
-                || served < JUDGED_REQUESTS / 4;
     }
 
-    /** Sends ordinary requests one after the other, without a body, until the crowd leaves. */
-    private void call(Router router) {
-        while (!mCrowdLeft.get()) {
-            if (mFleet.send(router, "GET", "/status/1", id("caller"), 4000) > 0) {
-                answered();
+    /** Looks a report up, rests, and asks for another one on the same connection. */
+    private void client(Router router, int number) throws IOException {
+        String first = "lookup-" + number;
+        String second = "report-" + number;
+        try (Socket socket = router.connect()) {
+            socket.setSoTimeout(DEADLINE_MILLIS);
+            InputStream in = Http.buffered(socket.getInputStream());
+            OutputStream out = socket.getOutputStream();
+            out.write(Http.bytes(Fleet.request("GET", "/lookup/1", first, 3000) + "\r\n"));
+            Http.Message answer = Http.read(in);
+            mFleet.record.line("answer of " + first + ": " + status(answer));
+            if (answer == null || answer.status() != 200) {
+                return;
             }
-            Replica.sleep(300);
+            Replica.sleep(REST_MILLIS);
+            out.write(
+                    Http.bytes(
+                            Fleet.request("POST", "/report/1", second, DEADLINE_MILLIS)
+                                    + "Content-Length: 0\r\n\r\n"));
+            mFleet.record.line("sent " + second);
+            finish(second, in);
         }
     }
 
-    /** Asks for readiness once a second, as the platform does; any answer counts. */
-    private void checkReadiness(Router router) {
-        while (!mCrowdLeft.get()) {
-            int status = router.readiness();
-            mFleet.record.line("readiness: " + (status == 0 ? "no answer" : status));
-            if (status > 0) {
-                answered();
+    private void finish(String id, InputStream in) {
+        String result;
+        try {
+            Http.Message answer = Http.read(in);
+            result = status(answer);
+            if (answer != null) {
+                (answer.status() == 200 ? mWhole : mRefused).incrementAndGet();
+                mFleet.record.line("answer of " + id + ": " + result);
+                return;
             }
-            mLongestSilence.accumulateAndGet(
-                    mFleet.record.millis() - mAnsweredMillis.get(), Math::max);
-            Replica.sleep(1000);
+        } catch (IOException e) {
+            result = "none, " + e;
+        }
+        mFleet.record.line("answer of " + id + ": " + result);
+        if (mArrived.contains(id)) {
+            mCut.incrementAndGet();
         }
     }
 
-    private void answered() {
-        long now = mFleet.record.millis();
-        mLongestSilence.accumulateAndGet(now - mAnsweredMillis.getAndSet(now), Math::max);
-    }
-
-    private boolean served(Router router, String name) {
-        return mFleet.send(router, "GET", "/status/1", id(name), 2000) == 200;
-    }
-
-    private String id(String name) {
-        return name + "-" + mIds.incrementAndGet();
+    private static String status(Http.Message answer) {
+        return answer == null ? "none, the connection was closed" : "" + answer.status();
     }
 
-    /** Streams 40 events with pauses of 250 ms, as a long answer of a model does. */
-    private static Replica.Handler chat() {
+    /** Streams a report once one of the replica's slots is free. */
+    private Replica.Handler report() {
+        Semaphore slots = new Semaphore(SLOTS, true);
         return (replica, request, socket) -> {
-            replica.recordRun(request);
-            OutputStream out = socket.getOutputStream();
-            Replica.sleep(200);
-            out.write(
-                    Http.bytes(
-                            "HTTP/1.1 200 OK\r\n"
-                                    + Replica.idLine(request)
-                                    + Replica.sealLine(request)
-                                    + "Content-Type: text/event-stream\r\n"
-                                    + "Transfer-Encoding: chunked\r\n\r\n"));
-            for (int i = 1; i <= 40; i++) {
-                String event = "id: " + i + "\ndata: word\n\n";
-                out.write(
-                        Http.bytes(
-                                Integer.toHexString(event.length()) + "\r\n" + event + "\r\n"));
-                Replica.sleep(250);
+            mArrived.add(request.header("Rhubarbward-Attempt-Id"));
+            slots.acquireUninterruptibly();
+            try {
+                replica.recordRun(request);
+                stream(request, socket);
+            } finally {
+                slots.release();
             }
-            out.write(Http.bytes("0\r\n\r\n"));
             return true;
         };
     }
 
-    private void startCrowd(Router router) {
-        mFleet.record.line(
-                "crowd: "
-                        + LARGE_UPLOADS
-                        + " uploads of "
-                        + LARGE_BODY_BYTES
-                        + " bytes and "
-                        + UPLOADS
-                        + " of "
-                        + BODY_BYTES
-                        + " bytes that pause before their end, and "
-                        + CHATS
-                        + " chats with "
-                        + PROMPT_PARTS
-                        + " prompt parts each");
-        for (int i = 0; i < LARGE_UPLOADS + UPLOADS; i++) {
-            int bytes = i < LARGE_UPLOADS ? LARGE_BODY_BYTES : BODY_BYTES;
-            Threads.start("upload", () -> upload(router, bytes));
-        }
-        Replica.sleep(2500);
-        for (int i = 0; i < CHATS; i++) {
-            Threads.start("chat", () -> chat(router));
-        }
-    }
-
-    /** Uploads in chunks and pauses before the last one, until the router answers. */
-    private void upload(Router router, int bytes) {
-        byte[] body = new byte[bytes];
-        Arrays.fill(body, (byte) 'x');
-        while (!mCrowdLeft.get()) {
-            try (Socket socket = router.connect()) {
-                OutputStream out = socket.getOutputStream();
-                out.write(
-                        Http.bytes(
-                                Fleet.request("POST", "/order/1", id("upload"), 4000)
-                                        + "Transfer-Encoding: chunked\r\n\r\n"
-                                        + Integer.toHexString(bytes)
-                                        + "\r\n"));
-                out.write(body);
-                out.write(Http.bytes("\r\n"));
-                while (!mCrowdLeft.get() && socket.getInputStream().available() == 0) {
-                    Replica.sleep(200);
-                }
-            } catch (IOException e) {
-                // The router may refuse such a client; it comes again.
-            }
-            Replica.sleep(500);
+    private static void stream(Http.Message request, Socket socket) throws IOException {
+        OutputStream out = socket.getOutputStream();
+        Replica.sleep(FIRST_EVENT_MILLIS);
+        out.write(
+                Http.bytes(
+                        "HTTP/1.1 200 OK\r\n"
+                                + Replica.idLine(request)
+                                + Replica.sealLine(request)
+                                + "Content-Type: text/event-stream\r\n"
+                                + "Transfer-Encoding: chunked\r\n\r\n"));
+        for (int i = 1; i <= EVENTS; i++) {
+            String event = "id: " + i + "\ndata: word\n\n";
+            out.write(Http.bytes(Integer.toHexString(event.length()) + "\r\n" + event + "\r\n"));
+            Replica.sleep(EVENT_GAP_MILLIS);
         }
+        out.write(Http.bytes("0\r\n\r\n"));
     }
 
-    private void chat(Router router) {
-        String head =
-                Fleet.request("POST", "/chat/1", "ID", 12_000)
-                        + "Rhubarbward-Model-Name: m\r\nRhubarbward-Token-Count: 4000,50\r\n"
-                        + "Rhubarbward-Prompt-Prefix: "
-                        + "a:1,".repeat(PROMPT_PARTS - 1)
-                        + "b:1\r\nContent-Length: 0\r\n\r\n";
-        while (!mCrowdLeft.get()) {
-            try {
-                router.send(head.replace("ID", id("chat")), 13_000);
-            } catch (IOException e) {
-                // The router may refuse such a client; it comes again.
-            }
-            Replica.sleep(400);
-        }
+    private static String config() {
+        return """
+               {"version":1,
+                "routes":[
+                 {"name":"lookup","host":"%s","pathPrefix":"/lookup/","kind":"idempotent",
+                  "timeoutMs":3000,"targetLatencyMs":393,"service":"portal","maxAttempts":2,
+                  "priority":2},
+                 {"name":"report","host":"%s","pathPrefix":"/report/","kind":"streaming",
+                  "timeoutMs":15194,"targetLatencyMs":1519,"gapTargetMs":600,"service":"model",
+                  "maxAttempts":1,"priority":1,"sessionAffinity":true}],
+                "services":[
+                 {"name":"portal","healthPath":"/health","maxConnections":550,
+                  "coldStartS":0,"coldPerS":0},
+                 {"name":"model","healthPath":"/health","maxConnections":810,
+                  "coldStartS":3.0,"coldPerS":20.0,
+                  "engine":{"slots":16,"kvCapacityTokens":567890}}],
+                "limits":{"maxHeaderBytes":16384,"maxBodyBytes":4194304,
+                 "headerTimeoutMs":3000,"idleTimeoutMs":15000},
+                "tenants":[{"name":"hule930","apiKeys":["%s"]}]}
+               """
+                .formatted(Fleet.HOST, Fleet.HOST, Fleet.KEY);
     }
 }
