Log why this process closes a caller's connection

A request whose connection the router itself closed ended as caller-gone, like one whose caller had left, and event 2002 had neither the client nor the state of the connection.

Such a request now ends as "connection-closed: CAUSE". Event 2002 has the client's address, the pending bytes, whether a request was in progress, and the error of a connection that failed. Connections that were closed without any record get one: the rest of a refused body that cannot be read, errors in the pipeline, and requests that are cut at the end of a stop.

ConnectionRefusal moves to the core, as the exchange reads it. RequestDecoderTest's fixture becomes EmbeddedListener; its tests are unchanged.

--- a/rhubarbward-core/src/main/java/io/rhubarbward/forward/ExchangeEvents.java
+++ b/rhubarbward-core/src/main/java/io/rhubarbward/forward/ExchangeEvents.java
@@ -5,6 +5,7 @@
 import io.rhubarbward.placement.Placement;
 import io.rhubarbward.placement.TrackedServer;
 import io.rhubarbward.reach.ForwardingPeer;
+import io.rhubarbward.request.CallerResponse;
 
 /** Writes the log events and metrics of one forwarded request. */
 final class ExchangeEvents {
@@ -47,6 +48,13 @@
         mContext.metrics().observeFirstByte(mRequest.route().kind().name(), afterMillis);
     }
 
+    /** Returns the outcome of a request whose caller's connection was closed, by either side. */
+    static String departureOutcome(CallerResponse response) {
+        return response.closeCause()
+                .map(cause -> "connection-closed: " + cause.label())
+                .orElse("caller-gone");
+    }
+
     void onEnded(End end) {
         String kind = mRequest.route().kind().name();
         mContext.metrics().countRequest(kind, end.outcome().split(":", 2)[0]);
--- a/rhubarbward-core/src/main/java/io/rhubarbward/forward/ForwardedExchange.java
+++ b/rhubarbward-core/src/main/java/io/rhubarbward/forward/ForwardedExchange.java
@@ -489,7 +489,7 @@
         if (call != null) {
             call.cancel(SendResult.CANCELLED);
         }
-        end("caller-gone", () -> {});
+        end(ExchangeEvents.departureOutcome(mResponse), () -> {});
     }
 
     private Route route() {
--- a/rhubarbward-core/src/main/java/io/rhubarbward/request/CallerListener.java
+++ b/rhubarbward-core/src/main/java/io/rhubarbward/request/CallerListener.java
@@ -5,6 +5,9 @@
     /** The connection can take more data, or cannot for now because the caller reads slowly. */
     void onWritable(boolean writable);
 
-    /** The caller's connection was closed. */
+    /**
+     * The caller's connection was closed, by the caller or by this process: see {@link
+     * CallerResponse#closeCause}.
+     */
     void onGone();
 }
--- a/rhubarbward-core/src/main/java/io/rhubarbward/request/CallerResponse.java
+++ b/rhubarbward-core/src/main/java/io/rhubarbward/request/CallerResponse.java
@@ -1,6 +1,7 @@
 package io.rhubarbward.request;
 
 import java.nio.ByteBuffer;
+import java.util.Optional;
 import java.util.function.LongFunction;
 
 /**
@@ -54,4 +55,12 @@
     default boolean callerPresent() {
         return true;
     }
+
+    /**
+     * Returns why this process closed the caller's connection while the request was in progress;
+     * empty while the connection is open, or if the caller closed it.
+     */
+    default Optional<ConnectionRefusal> closeCause() {
+        return Optional.empty();
+    }
 }
--- a/rhubarbward-net/src/main/java/io/rhubarbward/net/http/ConnectionRefusal.java
+++ b/rhubarbward-core/src/main/java/io/rhubarbward/request/ConnectionRefusal.java
@@ -1,8 +1,8 @@
-package io.rhubarbward.net.http;
+package io.rhubarbward.request;
 
 import java.util.Locale;
 
-/** Why a connection is refused or closed because its client is outside the limits. */
+/** Why this process refuses or closes a connection that its client would keep. */
 public enum ConnectionRefusal {
     /** The listener has its largest number of connections. */
     TOO_MANY_CONNECTIONS,
@@ -19,10 +19,16 @@
     /** A client reads nothing of a pending response. */
     SLOW_READER,
     /** The unfinished messages of other routers take up the memory for them. */
-    PEER_MEMORY_FULL;
+    PEER_MEMORY_FULL,
+    /** The rest of a refused request cannot be decoded, is too long or does not end in time. */
+    UNREADABLE_REST,
+    /** Handling what the connection brought threw an exception. */
+    INTERNAL_ERROR,
+    /** The listener is closed while a request is in progress. */
+    LISTENER_CLOSED;
 
     /** Returns the name in log lines and metrics. */
-    String label() {
+    public String label() {
         return name().toLowerCase(Locale.ROOT).replace('_', '-');
     }
 }
--- a/rhubarbward-core/src/test/java/io/rhubarbward/forward/ForwardingTest.java
+++ b/rhubarbward-core/src/test/java/io/rhubarbward/forward/ForwardingTest.java
@@ -9,6 +9,7 @@
 import io.rhubarbward.event.LogEvent;
 import io.rhubarbward.forward.ForwardFixture.PendingRequest;
 import io.rhubarbward.request.BackendFailure;
+import io.rhubarbward.request.ConnectionRefusal;
 import io.rhubarbward.request.HeaderFields;
 import io.rhubarbward.testing.Catalogs;
 import io.rhubarbward.testing.FakeBackends;
@@ -187,6 +188,20 @@
         assertThat(mFixture.mService.openRequests()).isEqualTo(0);
     }
 
+    /** Guards against a log in which a caller that was cut off looks like one that left. */
+    @Test
+    void theEndOfARequestTellsWhetherTheCallerLeftOrWasCutOff() {
+        PendingRequest left = mFixture.send("/chat/7");
+        left.listener().onGone();
+        assertThat(mFixture.mEvents.lastFields(LogEvent.REQUEST_ENDED))
+                .contains(EventField.of("outcome", "caller-gone"));
+        PendingRequest cutOff = mFixture.send("/chat/8");
+        cutOff.response().closeFor(ConnectionRefusal.SLOW_READER);
+        cutOff.listener().onGone();
+        assertThat(mFixture.mEvents.lastFields(LogEvent.REQUEST_ENDED))
+                .contains(EventField.of("outcome", "connection-closed: slow-reader"));
+    }
+
     @Test
     void refusesAtTheCallersDeadline() {
         PendingRequest request = mFixture.send("/order/7");
--- a/rhubarbward-core/src/test/java/io/rhubarbward/testing/RecordingResponse.java
+++ b/rhubarbward-core/src/test/java/io/rhubarbward/testing/RecordingResponse.java
@@ -1,9 +1,11 @@
 package io.rhubarbward.testing;
 
 import io.rhubarbward.request.CallerResponse;
+import io.rhubarbward.request.ConnectionRefusal;
 import io.rhubarbward.request.HeaderFields;
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
+import java.util.Optional;
 
 /** A response that records what was sent to the caller. */
 public final class RecordingResponse implements CallerResponse {
@@ -15,6 +17,7 @@
     private boolean mStalled;
     private boolean mCallerLeft;
     private Runnable mOnDelivered = () -> {};
+    private Optional<ConnectionRefusal> mCloseCause = Optional.empty();
 
     @Override
     public void begin(int status, HeaderFields headers) {
@@ -57,6 +60,16 @@
         return !mCallerLeft;
     }
 
+    @Override
+    public Optional<ConnectionRefusal> closeCause() {
+        return mCloseCause;
+    }
+
+    /** Simulates that this process closes the caller's connection. */
+    public void closeFor(ConnectionRefusal cause) {
+        mCloseCause = Optional.of(cause);
+    }
+
     /** Simulates a close of the caller's connection of which the exchange is not told yet. */
     public void callerLeaves() {
         mCallerLeft = true;
--- a/rhubarbward-net/src/main/java/io/rhubarbward/net/http/CallerConnection.java
+++ b/rhubarbward-net/src/main/java/io/rhubarbward/net/http/CallerConnection.java
@@ -21,11 +21,13 @@
 import io.netty.util.concurrent.ScheduledFuture;
 import io.rhubarbward.request.CallerListener;
 import io.rhubarbward.request.CallerRequest;
+import io.rhubarbward.request.ConnectionRefusal;
 import io.rhubarbward.request.HeaderField;
 import io.rhubarbward.request.HeaderFields;
 import io.rhubarbward.request.Refusal;
 import io.rhubarbward.request.RefusalCode;
 import io.rhubarbward.timer.TimerService;
+import java.io.IOException;
 import java.nio.ByteBuffer;
 import java.util.ArrayDeque;
 import java.util.Queue;
@@ -50,6 +52,7 @@
     private final BooleanSupplier mKeepAliveDisabled;
     // Messages of a decoder that decodes ahead; the listeners' own decodes one request at a time.
     private final Queue<HttpObject> mPipelined = new ArrayDeque<>();
+    private final HttpResources mResources;
     private final RequestBodyMemory.Reservation mBodyMemory;
     private HttpLimits mLimits;
     private @Nullable HttpRequest mRequestHead;
@@ -69,19 +72,20 @@
      * Creates the handler of one connection.
      *
      * @param limits the limits that are in force; asked for each request
-     * @param bodyMemory where the bodies of requests find room
+     * @param resources where the bodies of requests find room, and closed connections are recorded
      * @param keepAliveDisabled whether the connection closes after its response; asked when a
      *     response begins
      */
     CallerConnection(
             TimerService timers,
             Supplier<HttpLimits> limits,
-            RequestBodyMemory bodyMemory,
+            HttpResources resources,
             HttpHandler handler,
             BooleanSupplier keepAliveDisabled) {
         mTimers = timers;
         mCurrentLimits = limits;
-        mBodyMemory = bodyMemory.reservation();
+        mResources = resources;
+        mBodyMemory = resources.bodies().reservation();
         mLimits = limits.get();
         mHandler = handler;
         mKeepAliveDisabled = keepAliveDisabled;
@@ -119,6 +123,11 @@
                                 TimeUnit.MILLISECONDS);
     }
 
+    /** Returns whether a request is being served. */
+    boolean requestInProgress() {
+        return mResponse != null;
+    }
+
     /** Closes the connection unless a request is in progress, or the head of one has begun. */
     void closeIfIdle(Channel channel) {
         ListenerCodec codec = channel.pipeline().get(ListenerCodec.class);
@@ -259,7 +268,7 @@
             mDiscardedBytes += content.content().readableBytes();
         }
         if (message.decoderResult().isFailure() || mDiscardedBytes > mLimits.maxBodyBytes()) {
-            context.close();
+            mResources.close(context.channel(), ConnectionRefusal.UNREADABLE_REST);
         } else if (message instanceof LastHttpContent) {
             mDiscarding = false;
             cancelReadTimeout();
@@ -325,7 +334,7 @@
 
     private void onReadTimeout(ChannelHandlerContext context) {
         if (mDiscarding) {
-            context.close();
+            mResources.close(context.channel(), ConnectionRefusal.UNREADABLE_REST);
             return;
         }
         sendRefusal(context, mLimits.requestTimeout());
@@ -403,7 +412,11 @@
     @Override
     public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
         // Nothing can be sent on a broken connection. channelInactive notifies the exchange.
-        context.close();
+        if (cause instanceof IOException) {
+            context.close();
+        } else {
+            mResources.closeAfterError(context.channel(), cause);
+        }
     }
 
     /** The request in progress; its listener is null until the handler returns. */
--- a/rhubarbward-net/src/main/java/io/rhubarbward/net/http/HttpListener.java
+++ b/rhubarbward-net/src/main/java/io/rhubarbward/net/http/HttpListener.java
@@ -13,6 +13,7 @@
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.util.concurrent.GlobalEventExecutor;
+import io.rhubarbward.request.ConnectionRefusal;
 import io.rhubarbward.timer.TimerService;
 import java.io.IOException;
 import java.io.UncheckedIOException;
@@ -70,12 +71,17 @@
     private final Channel mServerChannel;
     private final ChannelGroup mConnections;
     private final AtomicBoolean mKeepAliveDisabled;
+    private final HttpResources mResources;
 
     private HttpListener(
-            Channel serverChannel, ChannelGroup connections, AtomicBoolean keepAliveDisabled) {
+            Channel serverChannel,
+            ChannelGroup connections,
+            AtomicBoolean keepAliveDisabled,
+            HttpResources resources) {
         mServerChannel = serverChannel;
         mConnections = connections;
         mKeepAliveDisabled = keepAliveDisabled;
+        mResources = resources;
     }
 
     /** Opens a listener with a memory for bodies of its own; port 0 binds to a free port. */
@@ -171,9 +177,9 @@
                                     @Override
                                     protected void initChannel(SocketChannel channel) {
                                         if (connections.size() >= maxConnections) {
-                                            resources.record(
+                                            resources.close(
+                                                    channel,
                                                     ConnectionRefusal.TOO_MANY_CONNECTIONS);
-                                            channel.close();
                                             return;
                                         }
                                         connections.add(channel);
@@ -185,14 +191,14 @@
                                                         new CallerConnection(
                                                                 timers,
                                                                 limits,
-                                                                resources.bodies(),
+                                                                resources,
                                                                 handler,
                                                                 keepAliveDisabled::get));
                                     }
                                 })
                         .register()
                         .channel();
-        return new HttpListener(serverChannel, connections, keepAliveDisabled);
+        return new HttpListener(serverChannel, connections, keepAliveDisabled, resources);
     }
 
     private static ListenerCodec codec(Supplier<HttpLimits> limits, HttpResources resources) {
@@ -231,10 +237,19 @@
                 });
     }
 
-    /** Closes the listening socket and all connections. */
+    /** Closes the listening socket and all connections, also those with a request in progress. */
     @Override
     public void close() {
         mServerChannel.close().syncUninterruptibly();
+        mConnections.forEach(
+                channel -> channel.eventLoop().execute(() -> closeIfRequestInProgress(channel)));
         mConnections.close().syncUninterruptibly();
     }
+
+    private void closeIfRequestInProgress(Channel channel) {
+        CallerConnection connection = channel.pipeline().get(CallerConnection.class);
+        if (connection != null && connection.requestInProgress()) {
+            mResources.close(channel, ConnectionRefusal.LISTENER_CLOSED);
+        }
+    }
 }
--- a/rhubarbward-net/src/main/java/io/rhubarbward/net/http/HttpResources.java
+++ b/rhubarbward-net/src/main/java/io/rhubarbward/net/http/HttpResources.java
@@ -1,12 +1,16 @@
 package io.rhubarbward.net.http;
 
+import io.netty.channel.Channel;
+import io.netty.util.AttributeKey;
 import io.prometheus.metrics.core.metrics.Counter;
 import io.prometheus.metrics.model.registry.PrometheusRegistry;
 import io.rhubarbward.event.EventField;
 import io.rhubarbward.event.EventLog;
 import io.rhubarbward.event.LogEvent;
+import io.rhubarbward.request.ConnectionRefusal;
+import java.util.Optional;
 import java.util.concurrent.atomic.AtomicLong;
-import java.util.function.Consumer;
+import java.util.function.BiConsumer;
 import java.util.function.LongSupplier;
 
 /**
@@ -49,6 +53,12 @@
     /** At most one log line in this time; the counter has them all. */
     private static final long LOG_PERIOD_MILLIS = 1000;
 
+    /**
+     * Why this process closed a connection; absent while it is open, or if the client closed it.
+     */
+    private static final AttributeKey<ConnectionRefusal> CLOSE_CAUSE =
+            AttributeKey.valueOf(HttpResources.class, "closeCause");
+
     private final RequestBodyMemory mBodies;
     private final SharedMemory mHeads;
     private final SharedMemory mPendingResponses;
@@ -57,13 +67,13 @@
                     SMALL_PEER_MESSAGE_BYTES,
                     HEAP_DIVISOR_OF_LARGE_PEER_MESSAGES,
                     HEAP_DIVISOR_OF_PEER_MESSAGES);
-    private final Consumer<ConnectionRefusal> mRecorder;
+    private final BiConsumer<ConnectionRefusal, ConnectionState> mRecorder;
 
     HttpResources(
             RequestBodyMemory bodies,
             SharedMemory heads,
             SharedMemory pendingResponses,
-            Consumer<ConnectionRefusal> recorder) {
+            BiConsumer<ConnectionRefusal, ConnectionState> recorder) {
         mBodies = bodies;
         mHeads = heads;
         mPendingResponses = pendingResponses;
@@ -77,7 +87,7 @@
 
     /** Returns such resources with a memory for bodies that exists. */
     static HttpResources ofHeap(RequestBodyMemory bodies) {
-        return ofHeap(bodies, refusal -> {});
+        return ofHeap(bodies, (refusal, connection) -> {});
     }
 
     /**
@@ -97,20 +107,24 @@
         AtomicLong nextLogMillis = new AtomicLong(Long.MIN_VALUE);
         return ofHeap(
                 RequestBodyMemory.ofHeap(),
-                refusal -> {
+                (refusal, connection) -> {
                     counter.labelValues(refusal.label()).inc();
                     long next = nextLogMillis.get();
                     long now = nowMillis.getAsLong();
                     if (now >= next && nextLogMillis.compareAndSet(next, now + LOG_PERIOD_MILLIS)) {
                         events.log(
                                 LogEvent.CONNECTION_REFUSED,
-                                EventField.of("cause", refusal.label()));
+                                EventField.of("cause", refusal.label()),
+                                EventField.of("client", connection.client()),
+                                EventField.of("pendingBytes", connection.pendingBytes()),
+                                EventField.of("requestInProgress", connection.requestInProgress()),
+                                EventField.of("detail", connection.detail()));
                     }
                 });
     }
 
     private static HttpResources ofHeap(
-            RequestBodyMemory bodies, Consumer<ConnectionRefusal> recorder) {
+            RequestBodyMemory bodies, BiConsumer<ConnectionRefusal, ConnectionState> recorder) {
         return new HttpResources(
                 bodies,
                 SharedMemory.ofHeap(
@@ -140,7 +154,28 @@
     }
 
     /** Counts a refused connection, and logs it unless another one was logged just now. */
-    public void record(ConnectionRefusal refusal) {
-        mRecorder.accept(refusal);
+    public void record(ConnectionRefusal refusal, Channel channel) {
+        mRecorder.accept(refusal, ConnectionState.of(channel));
+    }
+
+    /** Closes a connection after {@link #record recording} it. */
+    public void close(Channel channel, ConnectionRefusal cause) {
+        close(channel, cause, "");
+    }
+
+    /** Closes a connection after an error that is not its client's. */
+    void closeAfterError(Channel channel, Throwable error) {
+        close(channel, ConnectionRefusal.INTERNAL_ERROR, error.toString());
+    }
+
+    private void close(Channel channel, ConnectionRefusal cause, String detail) {
+        mRecorder.accept(cause, ConnectionState.of(channel).withDetail(detail));
+        channel.attr(CLOSE_CAUSE).set(cause);
+        channel.close();
+    }
+
+    /** Returns the cause that a connection was closed for by {@link #close}; empty without one. */
+    static Optional<ConnectionRefusal> closeCause(Channel channel) {
+        return Optional.ofNullable(channel.attr(CLOSE_CAUSE).get());
     }
 }
--- a/rhubarbward-net/src/main/java/io/rhubarbward/net/http/NettyResponse.java
+++ b/rhubarbward-net/src/main/java/io/rhubarbward/net/http/NettyResponse.java
@@ -15,8 +15,10 @@
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
 import io.rhubarbward.request.CallerResponse;
+import io.rhubarbward.request.ConnectionRefusal;
 import io.rhubarbward.request.HeaderFields;
 import java.nio.ByteBuffer;
+import java.util.Optional;
 import java.util.function.BooleanSupplier;
 import org.jspecify.annotations.Nullable;
 
@@ -144,6 +146,11 @@
         return mChannel.isActive();
     }
 
+    @Override
+    public Optional<ConnectionRefusal> closeCause() {
+        return HttpResources.closeCause(mChannel);
+    }
+
     @Override
     public void whenDelivered(Runnable action) {
         ChannelFuture last = mLastWrite != null ? mLastWrite : mChannel.closeFuture();
--- a/rhubarbward-net/src/main/java/io/rhubarbward/net/http/PendingResponseGuard.java
+++ b/rhubarbward-net/src/main/java/io/rhubarbward/net/http/PendingResponseGuard.java
@@ -7,6 +7,7 @@
 import io.netty.channel.ChannelOutboundBuffer;
 import io.netty.channel.ChannelPromise;
 import io.netty.util.concurrent.ScheduledFuture;
+import io.rhubarbward.request.ConnectionRefusal;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
 import org.jspecify.annotations.Nullable;
@@ -109,9 +110,8 @@
     /** Resets the connection: a response without a length would seem to end with a close. */
     private void cut(ChannelHandlerContext context, ConnectionRefusal refusal) {
         mClosed = true;
-        mResources.record(refusal);
         context.channel().config().setOption(ChannelOption.SO_LINGER, 0);
-        context.close();
+        mResources.close(context.channel(), refusal);
     }
 
     @Override
--- a/rhubarbward-net/src/main/java/io/rhubarbward/net/http/RequestDecoder.java
+++ b/rhubarbward-net/src/main/java/io/rhubarbward/net/http/RequestDecoder.java
@@ -15,6 +15,7 @@
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.concurrent.ScheduledFuture;
+import io.rhubarbward.request.ConnectionRefusal;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
@@ -128,9 +129,9 @@
             countSection(in, start);
         }
         if (decoded.isEmpty()) {
-            checkSection(in, out);
+            checkSection(context, in, out);
         } else {
-            onMessages(in, out, size);
+            onMessages(context, in, out, size);
         }
         onDecoded(out.subList(size, out.size()));
     }
@@ -152,12 +153,12 @@
     }
 
     /** Refuses a head or a trailer that is too long or does not fit into the memory. */
-    private void checkSection(ByteBuf in, List<Object> out) {
+    private void checkSection(ChannelHandlerContext context, ByteBuf in, List<Object> out) {
         int undecoded = in.readableBytes();
         if (mSectionBytes + undecoded > mLimits.get().maxHeadWireBytes()) {
-            fail(in, out, ConnectionRefusal.HEAD_TOO_LARGE);
+            fail(context, in, out, ConnectionRefusal.HEAD_TOO_LARGE);
         } else if (!mMemory.growTo(keptBytes() + undecoded)) {
-            fail(in, out, ConnectionRefusal.HEAD_MEMORY_FULL);
+            fail(context, in, out, ConnectionRefusal.HEAD_MEMORY_FULL);
         }
     }
 
@@ -165,7 +166,8 @@
         return mRequestCost + mSectionCost + mLongestLineBytes;
     }
 
-    private void onMessages(ByteBuf in, List<Object> out, int first) {
+    private void onMessages(
+            ChannelHandlerContext context, ByteBuf in, List<Object> out, int first) {
         List<Object> decoded = out.subList(first, out.size());
         mFailed =
                 decoded.stream()
@@ -184,7 +186,7 @@
             mInBody = true;
             if (!mMemory.growTo(keptBytes())) {
                 out.subList(first, out.size()).clear();
-                fail(in, out, ConnectionRefusal.HEAD_MEMORY_FULL);
+                fail(context, in, out, ConnectionRefusal.HEAD_MEMORY_FULL);
                 return;
             }
         }
@@ -194,14 +196,18 @@
         }
     }
 
-    private void fail(ByteBuf in, List<Object> out, ConnectionRefusal refusal) {
+    private void fail(
+            ChannelHandlerContext context,
+            ByteBuf in,
+            List<Object> out,
+            ConnectionRefusal refusal) {
         in.skipBytes(in.readableBytes());
-        out.add(failed(refusal));
+        out.add(failed(context, refusal));
     }
 
-    private HttpRequest failed(ConnectionRefusal refusal) {
+    private HttpRequest failed(ChannelHandlerContext context, ConnectionRefusal refusal) {
         mFailed = true;
-        mResources.record(refusal);
+        mResources.record(refusal, context.channel());
         HttpRequest request =
                 new DefaultFullHttpRequest(
                         HttpVersion.HTTP_1_1, HttpMethod.GET, "/", Unpooled.EMPTY_BUFFER);
@@ -241,8 +247,7 @@
         }
         if (!mMemory.resizeTo(keptBytes() + undecoded)) {
             mFailed = true;
-            mResources.record(ConnectionRefusal.PIPELINE_MEMORY_FULL);
-            context.close();
+            mResources.close(context.channel(), ConnectionRefusal.PIPELINE_MEMORY_FULL);
             return;
         }
         boolean pause = mRequestInProgress && undecoded >= MAX_READ_AHEAD_BYTES;
@@ -279,7 +284,7 @@
     }
 
     private void onHeadTimeout(ChannelHandlerContext context) {
-        HttpRequest request = failed(ConnectionRefusal.HEAD_TIMEOUT);
+        HttpRequest request = failed(context, ConnectionRefusal.HEAD_TIMEOUT);
         onDecoded(List.of(request));
         context.fireChannelRead(request);
     }
--- a/rhubarbward-net/src/main/java/io/rhubarbward/net/http/RequestRefusedException.java
+++ b/rhubarbward-net/src/main/java/io/rhubarbward/net/http/RequestRefusedException.java
@@ -1,6 +1,7 @@
 package io.rhubarbward.net.http;
 
 import io.netty.handler.codec.DecoderException;
+import io.rhubarbward.request.ConnectionRefusal;
 
 /** A request is not decoded further, for a cause that is not in its syntax. */
 final class RequestRefusedException extends DecoderException {
--- a/rhubarbward-net/src/main/java/io/rhubarbward/net/peer/ThriftPeerTransport.java
+++ b/rhubarbward-net/src/main/java/io/rhubarbward/net/peer/ThriftPeerTransport.java
@@ -30,10 +30,10 @@
 import io.rhubarbward.membership.Peer;
 import io.rhubarbward.membership.PeerMessage;
 import io.rhubarbward.membership.PeerTransport;
-import io.rhubarbward.net.http.ConnectionRefusal;
 import io.rhubarbward.net.http.HttpListener;
 import io.rhubarbward.net.http.HttpResources;
 import io.rhubarbward.net.http.SharedMemory;
+import io.rhubarbward.request.ConnectionRefusal;
 import io.rhubarbward.timer.TimerService;
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
@@ -176,7 +176,7 @@
      */
     private void accept(SocketChannel channel) {
         if (mAccepted.size() >= mMaxAccepted) {
-            mResources.record(ConnectionRefusal.TOO_MANY_CONNECTIONS);
+            mResources.record(ConnectionRefusal.TOO_MANY_CONNECTIONS, channel);
             mAccepted.stream()
                     .min(Comparator.comparingLong(ThriftPeerTransport::heardNanos))
                     .ifPresent(Channel::close);
@@ -374,8 +374,7 @@
     }
 
     private void refuse(ChannelHandlerContext context) {
-        mResources.record(ConnectionRefusal.PEER_MEMORY_FULL);
-        context.close();
+        mResources.close(context.channel(), ConnectionRefusal.PEER_MEMORY_FULL);
     }
 
     /** Splits frames, and closes a connection whose unfinished frame finds no memory. */
--- a/rhubarbward-net/src/test/java/io/rhubarbward/net/http/CallerConnectionTest.java
+++ b/rhubarbward-net/src/test/java/io/rhubarbward/net/http/CallerConnectionTest.java
@@ -24,7 +24,7 @@
                         new CallerConnection(
                                 new VirtualTimerService(),
                                 () -> mLimits,
-                                RequestBodyMemory.ofHeap(),
+                                HttpResources.ofHeap(),
                                 (request, response) -> JsonResponses.send(response, 200, Map.of()),
                                 () -> false));
         channel.freezeTime();
--- /dev/null
+++ b/rhubarbward-net/src/test/java/io/rhubarbward/net/http/EmbeddedListener.java
@@ -0,0 +1,111 @@
+package io.rhubarbward.net.http;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.ChannelOutboundBuffer;
+import io.netty.channel.embedded.EmbeddedChannel;
+import io.netty.handler.codec.http.HttpDecoderConfig;
+import io.rhubarbward.request.CallerListener;
+import io.rhubarbward.request.CallerRequest;
+import io.rhubarbward.request.CallerResponse;
+import io.rhubarbward.request.ConnectionRefusal;
+import io.rhubarbward.timer.VirtualTimerService;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+
+/** Connections of a listener without sockets, in virtual time; the test holds the responses. */
+class EmbeddedListener {
+    static final int HEAD_MILLIS = 3000;
+    static final int IDLE_MILLIS = 15_000;
+    static final HttpLimits LIMITS =
+            new HttpLimits(1024, 100_000, 10_000, IDLE_MILLIS, HEAD_MILLIS);
+    static final int SMALL_HEAD_BYTES = 2048;
+    static final int MAX_LARGE_BYTES = 40_000;
+    static final int MAX_PENDING_BYTES = 50_000;
+    static final String REQUEST = "GET /1 HTTP/1.1\r\nHost: a\r\n\r\n";
+
+    final List<ConnectionRefusal> mRefusals = new ArrayList<>();
+    final List<ConnectionState> mRefusedStates = new ArrayList<>();
+    final HttpResources mResources =
+            new HttpResources(
+                    RequestBodyMemory.ofHeap(),
+                    new SharedMemory(
+                            SMALL_HEAD_BYTES,
+                            MAX_LARGE_BYTES,
+                            MAX_LARGE_BYTES + 2 * SMALL_HEAD_BYTES),
+                    new SharedMemory(1000, MAX_PENDING_BYTES, MAX_PENDING_BYTES),
+                    this::record);
+    final VirtualTimerService mTimers = new VirtualTimerService();
+    final List<CallerRequest> mRequests = new ArrayList<>();
+    final List<CallerResponse> mResponses = new ArrayList<>();
+
+    boolean mClientReadsNothing;
+
+    private void record(ConnectionRefusal refusal, ConnectionState connection) {
+        mRefusals.add(refusal);
+        mRefusedStates.add(connection);
+    }
+
+    EmbeddedChannel connect() {
+        EmbeddedChannel channel =
+                new EmbeddedChannel(
+                        new PendingResponseGuard(() -> LIMITS, mResources),
+                        new ListenerCodec(
+                                new HttpDecoderConfig()
+                                        .setMaxInitialLineLength(65_536)
+                                        .setMaxHeaderSize(65_536),
+                                () -> LIMITS,
+                                mResources),
+                        new CallerConnection(
+                                mTimers, () -> LIMITS, mResources, this::hold, () -> false)) {
+                    @Override
+                    protected void doWrite(ChannelOutboundBuffer pending) throws Exception {
+                        if (!mClientReadsNothing) {
+                            super.doWrite(pending);
+                        }
+                    }
+                };
+        channel.freezeTime();
+        return channel;
+    }
+
+    CallerListener hold(CallerRequest request, CallerResponse response) {
+        mRequests.add(request);
+        mResponses.add(response);
+        return JsonResponses.NO_OP_LISTENER;
+    }
+
+    void send(EmbeddedChannel channel, String bytes) {
+        channel.writeInbound(Unpooled.copiedBuffer(bytes, StandardCharsets.US_ASCII));
+        run(channel);
+    }
+
+    void run(EmbeddedChannel channel) {
+        channel.runPendingTasks();
+        mTimers.runDue();
+        channel.runPendingTasks();
+    }
+
+    void answer(EmbeddedChannel channel, int index) {
+        JsonResponses.send(mResponses.get(index), 200, Map.of());
+        run(channel);
+    }
+
+    static String received(EmbeddedChannel channel) {
+        StringBuilder received = new StringBuilder();
+        for (ByteBuf part = channel.readOutbound(); part != null; part = channel.readOutbound()) {
+            received.append(part.toString(StandardCharsets.ISO_8859_1));
+            part.release();
+        }
+        return received.toString();
+    }
+
+    void advance(EmbeddedChannel channel, long millis) {
+        channel.advanceTimeBy(millis, TimeUnit.MILLISECONDS);
+        channel.runScheduledPendingTasks();
+        run(channel);
+    }
+}
--- a/rhubarbward-net/src/test/java/io/rhubarbward/net/http/RequestBodyMemoryTest.java
+++ b/rhubarbward-net/src/test/java/io/rhubarbward/net/http/RequestBodyMemoryTest.java
@@ -53,7 +53,11 @@
                 new EmbeddedChannel(
                         new HttpServerCodec(),
                         new CallerConnection(
-                                mTimers, () -> LIMITS, mMemory, this::serve, () -> false));
+                                mTimers,
+                                () -> LIMITS,
+                                HttpResources.ofHeap(mMemory),
+                                this::serve,
+                                () -> false));
         channel.freezeTime();
         return channel;
     }
--- a/rhubarbward-net/src/test/java/io/rhubarbward/net/http/RequestDecoderTest.java
+++ b/rhubarbward-net/src/test/java/io/rhubarbward/net/http/RequestDecoderTest.java
@@ -2,115 +2,16 @@
 
 import static com.google.common.truth.Truth.assertThat;
 
-import io.netty.buffer.ByteBuf;
-import io.netty.buffer.Unpooled;
-import io.netty.channel.ChannelOutboundBuffer;
 import io.netty.channel.embedded.EmbeddedChannel;
-import io.netty.handler.codec.http.HttpDecoderConfig;
-import io.rhubarbward.request.CallerListener;
-import io.rhubarbward.request.CallerRequest;
-import io.rhubarbward.request.CallerResponse;
+import io.rhubarbward.request.ConnectionRefusal;
 import io.rhubarbward.request.HeaderFields;
-import io.rhubarbward.timer.VirtualTimerService;
 import java.nio.ByteBuffer;
-import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.Map;
-import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.Test;
 
 /** Tests the bounds on heads, on requests that are sent ahead and on unread responses. */
-final class RequestDecoderTest {
-    private static final int HEAD_MILLIS = 3000;
-    private static final int IDLE_MILLIS = 15_000;
-    private static final HttpLimits LIMITS =
-            new HttpLimits(1024, 100_000, 10_000, IDLE_MILLIS, HEAD_MILLIS);
-    private static final int SMALL_HEAD_BYTES = 2048;
-    private static final int MAX_LARGE_BYTES = 40_000;
-    private static final int MAX_PENDING_BYTES = 50_000;
-    private static final String REQUEST = "GET /1 HTTP/1.1\r\nHost: a\r\n\r\n";
-
-    private final List<ConnectionRefusal> mRefusals = new ArrayList<>();
-    private final HttpResources mResources =
-            new HttpResources(
-                    RequestBodyMemory.ofHeap(),
-                    new SharedMemory(
-                            SMALL_HEAD_BYTES,
-                            MAX_LARGE_BYTES,
-                            MAX_LARGE_BYTES + 2 * SMALL_HEAD_BYTES),
-                    new SharedMemory(1000, MAX_PENDING_BYTES, MAX_PENDING_BYTES),
-                    mRefusals::add);
-    private final VirtualTimerService mTimers = new VirtualTimerService();
-    private final List<CallerRequest> mRequests = new ArrayList<>();
-    private final List<CallerResponse> mResponses = new ArrayList<>();
-
-    private boolean mClientReadsNothing;
-
-    private EmbeddedChannel connect() {
-        EmbeddedChannel channel =
-                new EmbeddedChannel(
-                        new PendingResponseGuard(() -> LIMITS, mResources),
-                        new ListenerCodec(
-                                new HttpDecoderConfig()
-                                        .setMaxInitialLineLength(65_536)
-                                        .setMaxHeaderSize(65_536),
-                                () -> LIMITS,
-                                mResources),
-                        new CallerConnection(
-                                mTimers,
-                                () -> LIMITS,
-                                mResources.bodies(),
-                                this::hold,
-                                () -> false)) {
-                    @Override
-                    protected void doWrite(ChannelOutboundBuffer pending) throws Exception {
-                        if (!mClientReadsNothing) {
-                            super.doWrite(pending);
-                        }
-                    }
-                };
-        channel.freezeTime();
-        return channel;
-    }
-
-    private CallerListener hold(CallerRequest request, CallerResponse response) {
-        mRequests.add(request);
-        mResponses.add(response);
-        return JsonResponses.NO_OP_LISTENER;
-    }
-
-    private void send(EmbeddedChannel channel, String bytes) {
-        channel.writeInbound(Unpooled.copiedBuffer(bytes, StandardCharsets.US_ASCII));
-        run(channel);
-    }
-
-    private void run(EmbeddedChannel channel) {
-        channel.runPendingTasks();
-        mTimers.runDue();
-        channel.runPendingTasks();
-    }
-
-    private void answer(EmbeddedChannel channel, int index) {
-        JsonResponses.send(mResponses.get(index), 200, Map.of());
-        run(channel);
-    }
-
-    private static String received(EmbeddedChannel channel) {
-        StringBuilder received = new StringBuilder();
-        for (ByteBuf part = channel.readOutbound(); part != null; part = channel.readOutbound()) {
-            received.append(part.toString(StandardCharsets.ISO_8859_1));
-            part.release();
-        }
-        return received.toString();
-    }
-
-    private void advance(EmbeddedChannel channel, long millis) {
-        channel.advanceTimeBy(millis, TimeUnit.MILLISECONDS);
-        channel.runScheduledPendingTasks();
-        run(channel);
-    }
-
+final class RequestDecoderTest extends EmbeddedListener {
     /** Guards against a process that ends, as the empty lines of a client are skipped for ever. */
     @Test
     void emptyLinesWithoutEndAreRefused() {
