Let only pending writes make a client a slow reader

Cause: Netty takes a write off the outbound buffer's sum only after the write's listeners have run. The listener of a response's last write begins the next request, at which PendingResponseGuard looked at the sum, found 96 bytes and set a check with nothing to wait for. Unless a byte was written until then, the check reset the connection.

The guard now counts writes by their own listeners, checks only while one is pending, and cancels the check with the last one. Asking for pending bytes when the check fires would still cut a response that became pending a moment before.

The fixture now runs responses as an event loop does: before, each write flushed itself, so that the order did not occur.

--- a/rhubarbward-net/src/main/java/io/rhubarbward/net/http/PendingResponseGuard.java
+++ b/rhubarbward-net/src/main/java/io/rhubarbward/net/http/PendingResponseGuard.java
@@ -9,12 +9,17 @@
 import io.netty.util.concurrent.ScheduledFuture;
 import io.rhubarbward.request.ConnectionRefusal;
 import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
 import java.util.function.Supplier;
 import org.jspecify.annotations.Nullable;
 
 /**
- * Bounds the bytes that wait to be written, for a connection and in sum, and closes a connection
+ * Bounds the bytes that wait to be written, for a connection and in sum, and resets a connection
  * whose client reads none of them for the idle time.
+ *
+ * <p>The time runs only while a write is pending. The outbound buffer's sum does not tell: it
+ * includes a write until the listeners of that write have run, and those of a response's last write
+ * begin the next request.
  */
 final class PendingResponseGuard extends ChannelDuplexHandler {
     /** Whole responses, such as metrics and lists of objects, are written in one go. */
@@ -29,8 +34,9 @@
     private final Supplier<HttpLimits> mLimits;
     private final HttpResources mResources;
     private final SharedMemory.Reservation mMemory;
-    private long mWrites;
-    private final ChannelFutureListener mOnWritten = written -> mWrites++;
+    private final ChannelFutureListener mOnWritten = written -> onWritten();
+    private long mPendingWrites;
+    private long mCompletedWrites;
     private boolean mClosed;
     private @Nullable ScheduledFuture<?> mProgressCheck;
 
@@ -42,11 +48,27 @@
 
     @Override
     public void write(ChannelHandlerContext context, Object message, ChannelPromise promise) {
+        mPendingWrites++;
         context.write(message, promise.unvoid().addListener(mOnWritten));
         // Nothing is waiting for the client before the flush, so that no check is needed yet.
         reserve(context);
     }
 
+    private void onWritten() {
+        mCompletedWrites++;
+        mPendingWrites--;
+        if (mPendingWrites == 0) {
+            cancelProgressCheck();
+        }
+    }
+
+    private void cancelProgressCheck() {
+        if (mProgressCheck != null) {
+            mProgressCheck.cancel(false);
+            mProgressCheck = null;
+        }
+    }
+
     @Override
     public void flush(ChannelHandlerContext context) {
         context.flush();
@@ -68,11 +90,8 @@
     private void update(ChannelHandlerContext context) {
         reserve(context);
         ChannelOutboundBuffer pending = context.channel().unsafe().outboundBuffer();
-        if (pending != null
-                && !mClosed
-                && pending.totalPendingWriteBytes() > 0
-                && mProgressCheck == null) {
-            checkProgressLater(context, pending);
+        if (pending != null && !mClosed && mPendingWrites > 0 && mProgressCheck == null) {
+            checkProgressAfterIdleTime(context, pending);
         }
     }
 
@@ -88,25 +107,41 @@
         }
     }
 
-    private void checkProgressLater(ChannelHandlerContext context, ChannelOutboundBuffer pending) {
-        long writesBefore = mWrites;
-        long bytesBefore = pending.currentProgress();
+    private void checkProgressAfterIdleTime(
+            ChannelHandlerContext context, ChannelOutboundBuffer pending) {
+        long completedWrites = mCompletedWrites;
+        long partialBytes = pending.currentProgress();
+        BooleanSupplier noProgress =
+                () ->
+                        mCompletedWrites == completedWrites
+                                && pending.currentProgress() == partialBytes;
+        scheduleProgressCheck(context, noProgress, 0);
+    }
+
+    /** Checks at the end of the idle time in force, which may be raised until then. */
+    private void scheduleProgressCheck(
+            ChannelHandlerContext context, BooleanSupplier noProgress, long passedMillis) {
+        long idleMillis = mLimits.get().idleMillis();
         mProgressCheck =
                 context.executor()
                         .schedule(
-                                () -> {
-                                    mProgressCheck = null;
-                                    if (mWrites == writesBefore
-                                            && pending.currentProgress() == bytesBefore) {
-                                        cut(context, ConnectionRefusal.SLOW_READER);
-                                    } else {
-                                        update(context);
-                                    }
-                                },
-                                mLimits.get().idleMillis(),
+                                () -> checkProgress(context, noProgress, idleMillis),
+                                idleMillis - passedMillis,
                                 TimeUnit.MILLISECONDS);
     }
 
+    private void checkProgress(
+            ChannelHandlerContext context, BooleanSupplier noProgress, long passedMillis) {
+        mProgressCheck = null;
+        if (!noProgress.getAsBoolean()) {
+            update(context);
+        } else if (passedMillis < mLimits.get().idleMillis()) {
+            scheduleProgressCheck(context, noProgress, passedMillis);
+        } else {
+            cut(context, ConnectionRefusal.SLOW_READER);
+        }
+    }
+
     /** Resets the connection: a response without a length would seem to end with a close. */
     private void cut(ChannelHandlerContext context, ConnectionRefusal refusal) {
         mClosed = true;
@@ -116,9 +151,7 @@
 
     @Override
     public void channelInactive(ChannelHandlerContext context) {
-        if (mProgressCheck != null) {
-            mProgressCheck.cancel(false);
-        }
+        cancelProgressCheck();
         mMemory.release();
         mClosed = true;
         context.fireChannelInactive();
--- a/rhubarbward-net/src/test/java/io/rhubarbward/net/http/EmbeddedListener.java
+++ b/rhubarbward-net/src/test/java/io/rhubarbward/net/http/EmbeddedListener.java
@@ -2,6 +2,8 @@
 
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelOutboundBuffer;
 import io.netty.channel.embedded.EmbeddedChannel;
 import io.netty.handler.codec.http.HttpDecoderConfig;
@@ -42,6 +44,7 @@
     final List<CallerRequest> mRequests = new ArrayList<>();
     final List<CallerResponse> mResponses = new ArrayList<>();
 
+    HttpLimits mLimits = LIMITS;
     boolean mClientReadsNothing;
 
     private void record(ConnectionRefusal refusal, ConnectionState connection) {
@@ -52,15 +55,16 @@
     EmbeddedChannel connect() {
         EmbeddedChannel channel =
                 new EmbeddedChannel(
-                        new PendingResponseGuard(() -> LIMITS, mResources),
+                        new ActionRunner(),
+                        new PendingResponseGuard(() -> mLimits, mResources),
                         new ListenerCodec(
                                 new HttpDecoderConfig()
                                         .setMaxInitialLineLength(65_536)
                                         .setMaxHeaderSize(65_536),
-                                () -> LIMITS,
+                                () -> mLimits,
                                 mResources),
                         new CallerConnection(
-                                mTimers, () -> LIMITS, mResources, this::hold, () -> false)) {
+                                mTimers, () -> mLimits, mResources, this::hold, () -> false)) {
                     @Override
                     protected void doWrite(ChannelOutboundBuffer pending) throws Exception {
                         if (!mClientReadsNothing) {
@@ -90,10 +94,29 @@
     }
 
     void answer(EmbeddedChannel channel, int index) {
-        JsonResponses.send(mResponses.get(index), 200, Map.of());
+        onEventLoop(channel, () -> JsonResponses.send(mResponses.get(index), 200, Map.of()));
+    }
+
+    /**
+     * Runs the action and then what it scheduled, like the event loop of a socket. Called directly,
+     * each write of the action would run the tasks that are due.
+     */
+    void onEventLoop(EmbeddedChannel channel, Runnable action) {
+        channel.writeInbound(action);
         run(channel);
     }
 
+    private static final class ActionRunner extends ChannelInboundHandlerAdapter {
+        @Override
+        public void channelRead(ChannelHandlerContext context, Object message) {
+            if (message instanceof Runnable action) {
+                action.run();
+            } else {
+                context.fireChannelRead(message);
+            }
+        }
+    }
+
     static String received(EmbeddedChannel channel) {
         StringBuilder received = new StringBuilder();
         for (ByteBuf part = channel.readOutbound(); part != null; part = channel.readOutbound()) {
