Read what has arrived before a time-out expires

Cause: after a stop the event loop's wait for sockets returns none, and the timers that are due run before anything is read. Request deadlines had one more iteration of the loop (TimerService.afterReading); the time-outs of callers' connections, of requests that are being written, and of the HTTP client had not.

LoopTimeout gives it to all of them.

Time-outs now act one iteration, 1 ms, after they are due. The tests that were exact to the millisecond (CallerConnectionTest, RequestDecoderTest by its fixture, RequestBodyMemoryTest) let that iteration pass and still require that nothing happens before; RequestBodyMemoryTest also checks that nothing happens at the due time itself.

--- a/rhubarbward-net/src/main/java/io/rhubarbward/net/backend/ResponseGuard.java
+++ b/rhubarbward-net/src/main/java/io/rhubarbward/net/backend/ResponseGuard.java
@@ -18,6 +18,7 @@
 import io.netty.util.ReferenceCountUtil;
 import io.netty.util.concurrent.Future;
 import io.netty.util.concurrent.ScheduledFuture;
+import io.rhubarbward.net.loop.LoopTimeout;
 import java.util.concurrent.TimeUnit;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
@@ -91,7 +92,7 @@
     /** The close of the connection, if it waits until the request is written. */
     private @Nullable ChannelPromise mHeldClose;
 
-    private @Nullable ScheduledFuture<?> mWriteLimit;
+    private @Nullable LoopTimeout mWriteLimit;
     private long mIdleTimeoutMillis = DEFAULT_IDLE_TIMEOUT_MILLIS;
     private @Nullable ScheduledFuture<?> mIdleClose;
 
@@ -158,8 +159,9 @@
         }
     }
 
-    private static ScheduledFuture<?> limitWriting(ChannelHandlerContext context, Runnable onEnd) {
-        return context.executor().schedule(onEnd, WRITE_AFTER_END_MILLIS, TimeUnit.MILLISECONDS);
+    private static LoopTimeout limitWriting(ChannelHandlerContext context, Runnable onEnd) {
+        return LoopTimeout.start(
+                context.executor(), onEnd, WRITE_AFTER_END_MILLIS, TimeUnit.MILLISECONDS);
     }
 
     private void closeNow(ChannelHandlerContext context) {
@@ -346,7 +348,7 @@
             mIdleClose.cancel(false);
         }
         if (mWriteLimit != null) {
-            mWriteLimit.cancel(false);
+            mWriteLimit.cancel();
         }
         closeNow(context);
         releaseHeldEnd();
--- a/rhubarbward-net/src/main/java/io/rhubarbward/net/http/CallerConnection.java
+++ b/rhubarbward-net/src/main/java/io/rhubarbward/net/http/CallerConnection.java
@@ -18,7 +18,7 @@
 import io.netty.handler.codec.http.TooLongHttpHeaderException;
 import io.netty.handler.codec.http.TooLongHttpLineException;
 import io.netty.util.ReferenceCountUtil;
-import io.netty.util.concurrent.ScheduledFuture;
+import io.rhubarbward.net.loop.LoopTimeout;
 import io.rhubarbward.request.CallerListener;
 import io.rhubarbward.request.CallerRequest;
 import io.rhubarbward.request.ConnectionRefusal;
@@ -62,9 +62,9 @@
     private long mDiscardedBytes;
     // Whether the connection closes with the response that is being written.
     private boolean mClosing;
-    private @Nullable ScheduledFuture<?> mReadTimeout;
+    private @Nullable LoopTimeout mReadTimeout;
     private @Nullable NettyResponse mResponse;
-    private @Nullable ScheduledFuture<?> mIdleTimeout;
+    private @Nullable LoopTimeout mIdleTimeout;
     // Accessed on the timer service's thread only.
     private @Nullable ActiveExchange mActiveExchange;
 
@@ -103,7 +103,7 @@
 
     private void cancelIdleTimeout() {
         if (mIdleTimeout != null) {
-            mIdleTimeout.cancel(false);
+            mIdleTimeout.cancel();
             mIdleTimeout = null;
         }
     }
@@ -116,11 +116,11 @@
             return;
         }
         mIdleTimeout =
-                context.executor()
-                        .schedule(
-                                () -> closeAfterIdleTime(context, maxIdleMillis),
-                                maxIdleMillis - idleMillis,
-                                TimeUnit.MILLISECONDS);
+                LoopTimeout.start(
+                        context.executor(),
+                        () -> closeAfterIdleTime(context, maxIdleMillis),
+                        maxIdleMillis - idleMillis,
+                        TimeUnit.MILLISECONDS);
     }
 
     /** Returns whether a request is being served. */
@@ -196,16 +196,16 @@
 
     private void startReadTimeout(ChannelHandlerContext context) {
         mReadTimeout =
-                context.executor()
-                        .schedule(
-                                () -> onReadTimeout(context),
-                                mLimits.requestReadMillis(),
-                                TimeUnit.MILLISECONDS);
+                LoopTimeout.start(
+                        context.executor(),
+                        () -> onReadTimeout(context),
+                        mLimits.requestReadMillis(),
+                        TimeUnit.MILLISECONDS);
     }
 
     private void cancelReadTimeout() {
         if (mReadTimeout != null) {
-            mReadTimeout.cancel(false);
+            mReadTimeout.cancel();
             mReadTimeout = null;
         }
     }
--- a/rhubarbward-net/src/main/java/io/rhubarbward/net/http/PendingResponseGuard.java
+++ b/rhubarbward-net/src/main/java/io/rhubarbward/net/http/PendingResponseGuard.java
@@ -6,7 +6,7 @@
 import io.netty.channel.ChannelOption;
 import io.netty.channel.ChannelOutboundBuffer;
 import io.netty.channel.ChannelPromise;
-import io.netty.util.concurrent.ScheduledFuture;
+import io.rhubarbward.net.loop.LoopTimeout;
 import io.rhubarbward.request.ConnectionRefusal;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
@@ -38,7 +38,7 @@
     private long mPendingWrites;
     private long mCompletedWrites;
     private boolean mClosed;
-    private @Nullable ScheduledFuture<?> mProgressCheck;
+    private @Nullable LoopTimeout mProgressCheck;
 
     PendingResponseGuard(Supplier<HttpLimits> limits, HttpResources resources) {
         mLimits = limits;
@@ -64,7 +64,7 @@
 
     private void cancelProgressCheck() {
         if (mProgressCheck != null) {
-            mProgressCheck.cancel(false);
+            mProgressCheck.cancel();
             mProgressCheck = null;
         }
     }
@@ -123,11 +123,11 @@
             ChannelHandlerContext context, BooleanSupplier noProgress, long passedMillis) {
         long idleMillis = mLimits.get().idleMillis();
         mProgressCheck =
-                context.executor()
-                        .schedule(
-                                () -> checkProgress(context, noProgress, idleMillis),
-                                idleMillis - passedMillis,
-                                TimeUnit.MILLISECONDS);
+                LoopTimeout.start(
+                        context.executor(),
+                        () -> checkProgress(context, noProgress, idleMillis),
+                        idleMillis - passedMillis,
+                        TimeUnit.MILLISECONDS);
     }
 
     private void checkProgress(
--- a/rhubarbward-net/src/main/java/io/rhubarbward/net/http/RequestDecoder.java
+++ b/rhubarbward-net/src/main/java/io/rhubarbward/net/http/RequestDecoder.java
@@ -14,7 +14,7 @@
 import io.netty.handler.codec.http.HttpRequestDecoder;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
-import io.netty.util.concurrent.ScheduledFuture;
+import io.rhubarbward.net.loop.LoopTimeout;
 import io.rhubarbward.request.ConnectionRefusal;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
@@ -58,7 +58,7 @@
     private long mRequestCost;
     // The decoder keeps a buffer of the size of the longest line.
     private long mLongestLineBytes;
-    private @Nullable ScheduledFuture<?> mHeadTimeout;
+    private @Nullable LoopTimeout mHeadTimeout;
 
     RequestDecoder(HttpDecoderConfig config, Supplier<HttpLimits> limits, HttpResources resources) {
         super(config);
@@ -268,17 +268,17 @@
     private void startHeadTimeout(ChannelHandlerContext context) {
         if (mHeadTimeout == null) {
             mHeadTimeout =
-                    context.executor()
-                            .schedule(
-                                    () -> onHeadTimeout(context),
-                                    mLimits.get().headMillis(),
-                                    TimeUnit.MILLISECONDS);
+                    LoopTimeout.start(
+                            context.executor(),
+                            () -> onHeadTimeout(context),
+                            mLimits.get().headMillis(),
+                            TimeUnit.MILLISECONDS);
         }
     }
 
     private void cancelHeadTimeout() {
         if (mHeadTimeout != null) {
-            mHeadTimeout.cancel(false);
+            mHeadTimeout.cancel();
             mHeadTimeout = null;
         }
     }
--- a/rhubarbward-net/src/main/java/io/rhubarbward/net/loop/EventLoopTimer.java
+++ b/rhubarbward-net/src/main/java/io/rhubarbward/net/loop/EventLoopTimer.java
@@ -4,7 +4,6 @@
 import io.netty.util.Timeout;
 import io.netty.util.Timer;
 import io.netty.util.TimerTask;
-import io.netty.util.concurrent.Future;
 import io.rhubarbward.event.EventLog;
 import io.rhubarbward.event.LogEvent;
 import java.util.Set;
@@ -12,8 +11,9 @@
 import org.jspecify.annotations.Nullable;
 
 /**
- * A Netty timer that runs its tasks on an event loop. {@link io.netty.util.HashedWheelTimer} would
- * need a thread that wakes at every tick, even with no timeout pending.
+ * A Netty timer that runs its tasks on an event loop, after what has arrived in time was read.
+ * {@link io.netty.util.HashedWheelTimer} would need a thread that wakes at every tick, even with no
+ * timeout pending.
  */
 public final class EventLoopTimer implements Timer {
     private final EventLoop mEventLoop;
@@ -28,7 +28,7 @@
     @Override
     public Timeout newTimeout(TimerTask task, long delay, TimeUnit unit) {
         ScheduledTimeout timeout = new ScheduledTimeout(task);
-        timeout.mFuture = mEventLoop.schedule(timeout::expire, delay, unit);
+        timeout.mTimeout = LoopTimeout.start(mEventLoop, timeout::expire, delay, unit);
         return timeout;
     }
 
@@ -39,7 +39,7 @@
 
     private final class ScheduledTimeout implements Timeout {
         private final TimerTask mTask;
-        private @Nullable Future<?> mFuture;
+        private @Nullable LoopTimeout mTimeout;
         private boolean mExpired;
 
         ScheduledTimeout(TimerTask task) {
@@ -73,12 +73,12 @@
 
         @Override
         public boolean isCancelled() {
-            return mFuture != null && mFuture.isCancelled();
+            return mTimeout != null && mTimeout.cancelled();
         }
 
         @Override
         public boolean cancel() {
-            return mFuture != null && mFuture.cancel(false);
+            return mTimeout != null && mTimeout.cancel();
         }
     }
 }
--- a/rhubarbward-net/src/main/java/io/rhubarbward/net/loop/EventLoopTimerService.java
+++ b/rhubarbward-net/src/main/java/io/rhubarbward/net/loop/EventLoopTimerService.java
@@ -18,9 +18,6 @@
  * throws is logged as {@link LogEvent#ACTION_FAILED} and does not stop the others.
  */
 public final class EventLoopTimerService implements TimerService {
-    /** Shortest delay that no timer of the current iteration of the event loop has. */
-    private static final Duration ONE_ITERATION = Duration.ofMillis(1);
-
     private final EventLoop mEventLoop;
     private final UnreadTime mUnread;
     private final EventLog mEvents;
@@ -66,11 +63,12 @@
 
     @Override
     public Subscription afterReading(Duration delay, Runnable action) {
-        // Timers run after the sockets that were ready when the iteration began, so that what
-        // arrived during a long iteration is read in the next one.
-        ReplaceableSubscription pending = new ReplaceableSubscription();
-        pending.mCurrent = after(delay, () -> pending.mCurrent = after(ONE_ITERATION, action));
-        return pending;
+        return LoopTimeout.start(
+                        mEventLoop,
+                        () -> runAndLogFailure(action),
+                        delay.toNanos(),
+                        TimeUnit.NANOSECONDS)
+                ::cancel;
     }
 
     @Override
@@ -106,14 +104,4 @@
             mEvents.log(LogEvent.ACTION_FAILED, e);
         }
     }
-
-    /** Cancels the timer that is pending now, of several that follow each other. */
-    private static final class ReplaceableSubscription implements Subscription {
-        private volatile Subscription mCurrent = () -> {};
-
-        @Override
-        public void cancel() {
-            mCurrent.cancel();
-        }
-    }
 }
--- a/rhubarbward-net/src/test/java/io/rhubarbward/net/backend/ResponseGuardTest.java
+++ b/rhubarbward-net/src/test/java/io/rhubarbward/net/backend/ResponseGuardTest.java
@@ -295,6 +295,10 @@
             mPromises.add(promise);
         }
 
+        void complete() {
+            mPromises.forEach(ChannelPromise::setSuccess);
+        }
+
         void fail() {
             mPromises.forEach(promise -> promise.setFailure(new IOException("Broken pipe")));
         }
@@ -343,4 +347,43 @@
         mChannel.runScheduledPendingTasks();
         assertThat(mChannel.isActive()).isFalse();
     }
+
+    /** Guards against a call that is cut by the idle time after the call before. */
+    @Test
+    void aReusedConnectionStaysOpenForAsLongAsItsRequestRuns() {
+        sendRequest("r-1");
+        receive(response("r-1", "one"));
+        mChannel.advanceTimeBy(3200, TimeUnit.MILLISECONDS);
+        mChannel.runScheduledPendingTasks();
+        sendRequest("r-2");
+        mChannel.advanceTimeBy(60, TimeUnit.SECONDS);
+        mChannel.runScheduledPendingTasks();
+        assertThat(mChannel.isActive()).isTrue();
+        receive(response("r-2", "two"));
+        mChannel.advanceTimeBy(3200, TimeUnit.MILLISECONDS);
+        mChannel.runScheduledPendingTasks();
+        assertThat(completeResponseIds()).containsExactly("r-1", "r-2");
+        assertThat(mChannel.isActive()).isTrue();
+    }
+
+    /** Guards against an answer that fails as a stopped process has not yet written its request. */
+    @Test
+    void aRequestThatIsWrittenAfterAStopCompletesItsResponse() {
+        AnswerDecoder decoder = new AnswerDecoder(new HttpDecoderConfig());
+        HeldWrites writes = new HeldWrites();
+        EmbeddedChannel channel =
+                new EmbeddedChannel(writes, decoder.codec(), new ResponseGuard(ID_HEADER, decoder));
+        channel.writeOneOutbound(request("r-1"));
+        channel.writeInbound(bytes("HTTP/1.1 200 OK\r\n" + ID_HEADER + ": r-1\r\n\r\nbody"));
+        channel.pipeline().fireUserEventTriggered(ChannelInputShutdownEvent.INSTANCE);
+        channel.advanceTimeBy(1500, TimeUnit.MILLISECONDS);
+        channel.runScheduledPendingTasks();
+        writes.complete();
+        channel.advanceTimeBy(1500, TimeUnit.MILLISECONDS);
+        channel.runScheduledPendingTasks();
+        channel.checkException();
+        assertThat(channel.inboundMessages().stream().anyMatch(LastHttpContent.class::isInstance))
+                .isTrue();
+        channel.releaseInbound();
+    }
 }
--- a/rhubarbward-net/src/test/java/io/rhubarbward/net/http/CallerConnectionTest.java
+++ b/rhubarbward-net/src/test/java/io/rhubarbward/net/http/CallerConnectionTest.java
@@ -38,5 +38,8 @@
     private static void advance(EmbeddedChannel channel, long millis) {
         channel.advanceTimeBy(millis, TimeUnit.MILLISECONDS);
         channel.runScheduledPendingTasks();
+        // One more iteration of the event loop.
+        channel.advanceTimeBy(1, TimeUnit.MILLISECONDS);
+        channel.runScheduledPendingTasks();
     }
 }
--- a/rhubarbward-net/src/test/java/io/rhubarbward/net/http/EmbeddedListener.java
+++ b/rhubarbward-net/src/test/java/io/rhubarbward/net/http/EmbeddedListener.java
@@ -126,9 +126,16 @@
         return received.toString();
     }
 
+    /** Lets the time pass, and one more iteration of the event loop. */
     void advance(EmbeddedChannel channel, long millis) {
+        standStill(channel, millis);
+        standStill(channel, 1);
+        run(channel);
+    }
+
+    /** Lets the time pass while nothing is read, as in a process that is stopped and goes on. */
+    void standStill(EmbeddedChannel channel, long millis) {
         channel.advanceTimeBy(millis, TimeUnit.MILLISECONDS);
         channel.runScheduledPendingTasks();
-        run(channel);
     }
 }
--- a/rhubarbward-net/src/test/java/io/rhubarbward/net/http/RequestBodyMemoryTest.java
+++ b/rhubarbward-net/src/test/java/io/rhubarbward/net/http/RequestBodyMemoryTest.java
@@ -193,6 +193,10 @@
         send(refused, head("/late", 2000));
         refused.advanceTimeBy(READ_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS);
         refused.runScheduledPendingTasks();
+        // What has arrived in time is read before the connection is closed.
+        assertThat(refused.isOpen()).isTrue();
+        refused.advanceTimeBy(1, TimeUnit.MILLISECONDS);
+        refused.runScheduledPendingTasks();
         assertThat(refused.isOpen()).isFalse();
     }
 
