Answer a request before closing for what follows it

A connection was closed at once when what its client had sent behind a request did not fit into the memory, while a server ran the request, and when the rest of a refused body could not be decoded, before the refusal was written. Found by reading what else ends a connection while a request runs; no user reported it.

What follows is dropped now, and the connection closes after the response in progress. Failed before: RequestDecoderTest.whatDoesNotFitBehindARequestEndsTheConnectionAfterItsResponse, whatDoesNotFitBehindARequestDoesNotCutAResponseThatHasBegun and RequestBodyMemoryTest.aRefusalIsSentAlsoIfTheRestOfItsBodyIsMalformed.

--- a/rhubarbward-net/src/main/java/io/rhubarbward/net/http/CallerConnection.java
+++ b/rhubarbward-net/src/main/java/io/rhubarbward/net/http/CallerConnection.java
@@ -268,7 +268,7 @@
             mDiscardedBytes += content.content().readableBytes();
         }
         if (message.decoderResult().isFailure() || mDiscardedBytes > mLimits.maxBodyBytes()) {
-            mResources.close(context.channel(), ConnectionRefusal.UNREADABLE_REST);
+            onUnreadableRest(context);
         } else if (message instanceof LastHttpContent) {
             mDiscarding = false;
             cancelReadTimeout();
@@ -279,6 +279,28 @@
         }
     }
 
+    private void onUnreadableRest(ChannelHandlerContext context) {
+        mResources.record(ConnectionRefusal.UNREADABLE_REST, context.channel());
+        mDiscarding = false;
+        cancelReadTimeout();
+        closeAfterResponse(context);
+    }
+
+    private void closeAfterResponse(ChannelHandlerContext context) {
+        mClosing = true;
+        if (mResponse == null) {
+            context.close();
+        }
+    }
+
+    @Override
+    public void userEventTriggered(ChannelHandlerContext context, Object event) {
+        if (event == CloseAfterResponse.INSTANCE) {
+            closeAfterResponse(context);
+        }
+        context.fireUserEventTriggered(event);
+    }
+
     private void serve(CallerRequest request, NettyResponse response) {
         ActiveExchange exchange = new ActiveExchange();
         mActiveExchange = exchange;
@@ -291,7 +313,7 @@
                 new NettyResponse(
                         context.channel(),
                         callerVersion,
-                        () -> keepAlive && !mKeepAliveDisabled.getAsBoolean(),
+                        () -> keepAlive && !mClosing && !mKeepAliveDisabled.getAsBoolean(),
                         () -> onResponseWritten(context));
         mResponse = response;
         return response;
@@ -301,6 +323,10 @@
         mResponse = null;
         mBodyMemory.release();
         mTimers.execute(() -> mActiveExchange = null);
+        if (mClosing) {
+            context.close();
+            return;
+        }
         startIdleTimeout(context);
         processPipelined(context);
         if (!mDiscarding) {
@@ -334,7 +360,7 @@
 
     private void onReadTimeout(ChannelHandlerContext context) {
         if (mDiscarding) {
-            mResources.close(context.channel(), ConnectionRefusal.UNREADABLE_REST);
+            onUnreadableRest(context);
             return;
         }
         sendRefusal(context, mLimits.requestTimeout());
--- a/rhubarbward-net/src/main/java/io/rhubarbward/net/http/RequestDecoder.java
+++ b/rhubarbward-net/src/main/java/io/rhubarbward/net/http/RequestDecoder.java
@@ -236,7 +236,7 @@
         super.userEventTriggered(context, event);
     }
 
-    private void afterRead(ChannelHandlerContext context) {
+    private void afterRead(ChannelHandlerContext context) throws Exception {
         int undecoded = actualReadableBytes();
         if (mFailed || !context.channel().isActive()) {
             cancelHeadTimeout();
@@ -246,8 +246,7 @@
             return;
         }
         if (!mMemory.resizeTo(keptBytes() + undecoded)) {
-            mFailed = true;
-            mResources.close(context.channel(), ConnectionRefusal.PIPELINE_MEMORY_FULL);
+            onReadAheadTooLarge(context);
             return;
         }
         boolean pause = mRequestInProgress && undecoded >= MAX_READ_AHEAD_BYTES;
@@ -260,6 +259,20 @@
         }
     }
 
+    /**
+     * Drops what does not fit, and ends the connection once the request in progress is answered.
+     */
+    private void onReadAheadTooLarge(ChannelHandlerContext context) throws Exception {
+        mFailed = true;
+        mResources.record(ConnectionRefusal.PIPELINE_MEMORY_FULL, context.channel());
+        // Decoding skips the bytes now.
+        super.channelRead(context, Unpooled.EMPTY_BUFFER);
+        mMemory.resizeTo(keptBytes());
+        cancelHeadTimeout();
+        context.channel().config().setAutoRead(true);
+        context.fireUserEventTriggered(CloseAfterResponse.INSTANCE);
+    }
+
     /** Returns whether a head has begun and not ended; its own time-out covers it. */
     boolean headBegun() {
         return mHeadTimeout != null;
--- a/rhubarbward-net/src/test/java/io/rhubarbward/net/http/RequestBodyMemoryTest.java
+++ b/rhubarbward-net/src/test/java/io/rhubarbward/net/http/RequestBodyMemoryTest.java
@@ -185,6 +185,20 @@
         assertThat(mServed.stream().map(CallerRequest::target)).containsExactly("/next");
     }
 
+    /** Guards against a refusal that is lost when the rest of its body cannot be decoded. */
+    @Test
+    void aRefusalIsSentAlsoIfTheRestOfItsBodyIsMalformed() {
+        send(connect(), head("/slow", 4000));
+        EmbeddedChannel refused = connect();
+        String chunk = Integer.toHexString(2000) + "\r\n" + "x".repeat(2000) + "\r\n";
+        send(
+                refused,
+                "POST /broken HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n" + chunk + "zz\r\n");
+        assertThat(received(refused)).contains(REFUSED);
+        assertThat(refused.isOpen()).isFalse();
+        assertThat(mServed).isEmpty();
+    }
+
     /** Guards against a refused body that holds its connection open without end. */
     @Test
     void aRefusedBodyThatDoesNotEndInTimeEndsItsConnection() {
--- a/rhubarbward-net/src/test/java/io/rhubarbward/net/http/RequestDecoderTest.java
+++ b/rhubarbward-net/src/test/java/io/rhubarbward/net/http/RequestDecoderTest.java
@@ -137,6 +137,37 @@
         assertThat(channel.config().isAutoRead()).isTrue();
     }
 
+    /** Guards against an answer that is lost for what its client sent behind the request. */
+    @Test
+    void whatDoesNotFitBehindARequestEndsTheConnectionAfterItsResponse() {
+        mResources.heads().reservation().growTo(MAX_LARGE_BYTES);
+        EmbeddedChannel channel = connect();
+        send(channel, REQUEST);
+        send(channel, REQUEST.repeat(100));
+        assertThat(mRefusals).containsExactly(ConnectionRefusal.PIPELINE_MEMORY_FULL);
+        assertThat(channel.isOpen()).isTrue();
+        answer(channel, 0);
+        assertThat(received(channel)).startsWith("HTTP/1.1 200 ");
+        assertThat(channel.isOpen()).isFalse();
+        assertThat(mRequests).hasSize(1);
+    }
+
+    /** The same for a response whose head has promised to keep the connection. */
+    @Test
+    void whatDoesNotFitBehindARequestDoesNotCutAResponseThatHasBegun() {
+        mResources.heads().reservation().growTo(MAX_LARGE_BYTES);
+        EmbeddedChannel channel = connect();
+        send(channel, REQUEST);
+        mResponses.get(0).begin(200, HeaderFields.of("a", "b"));
+        run(channel);
+        send(channel, REQUEST.repeat(100));
+        mResponses.get(0).finish();
+        run(channel);
+        assertThat(received(channel)).endsWith("0\r\n\r\n");
+        assertThat(channel.isOpen()).isFalse();
+        assertThat(mRequests).hasSize(1);
+    }
+
     /** Guards against a body after HEAD, which the caller takes for the next response. */
     @Test
     void aResponseToHeadHasNoBody() {
