Check in fleet tests that no caller in the limits is cut off

FleetRouterDaemonTest.noConnectionOfACallerWithinTheLimitsIsClosed sends four requests that take twice the idle time on one kept connection, over sockets; event 2002 must not occur.

--- a/rhubarbward-daemon/src/test/java/io/rhubarbward/daemon/FleetRouterDaemonTest.java
+++ b/rhubarbward-daemon/src/test/java/io/rhubarbward/daemon/FleetRouterDaemonTest.java
@@ -6,13 +6,17 @@
 import io.rhubarbward.event.EventLog;
 import io.rhubarbward.event.LogEvent;
 import io.rhubarbward.request.CallerRequest;
+import io.rhubarbward.standin.fleet.SampleConfig;
+import io.rhubarbward.standin.fleet.ScriptedReplica;
 import java.io.IOException;
 import java.io.UncheckedIOException;
 import java.net.HttpURLConnection;
 import java.net.URI;
 import java.net.URL;
+import java.time.Duration;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.atomic.AtomicInteger;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 
@@ -129,6 +133,32 @@
         }
     }
 
+    /** Guards against callers on kept connections that are cut as if they read nothing. */
+    @Test
+    void noConnectionOfACallerWithinTheLimitsIsClosed() throws Exception {
+        int idleMillis = 400;
+        int requests = 4;
+        AtomicInteger begun = new AtomicInteger();
+        ClosedConnectionLog closed = new ClosedConnectionLog();
+        try (ScriptedFleet fleet = new ScriptedFleet()) {
+            SampleConfig.writeTo(fleet.store(), idleMillis);
+            ScriptedReplica replica =
+                    fleet.startReplica(
+                            request -> request.run(200, Duration.ofMillis(2 * idleMillis)));
+            fleet.list(replica, "i-1");
+            FleetRouterDaemon router = fleet.startRouter(closed);
+            SoakCaller caller =
+                    new SoakCaller(
+                            router.callersPort(),
+                            () -> begun.get() < requests ? begun.incrementAndGet() : 0);
+            caller.start();
+            caller.join();
+            assertThat(caller.replies().stream().map(SoakCaller.Reply::status).toList())
+                    .containsExactly(200, 200, 200, 200);
+            assertThat(closed.fields()).isEmpty();
+        }
+    }
+
     private static HttpURLConnection forward(LocalFleet fleet, int fillerBytes) throws IOException {
         URL url =
                 URI.create("http://127.0.0.1:" + fleet.router().forwardingPort() + "/plain/1")
--- a/rhubarbward-daemon/src/test/java/io/rhubarbward/daemon/RefusalSoakTest.java
+++ b/rhubarbward-daemon/src/test/java/io/rhubarbward/daemon/RefusalSoakTest.java
@@ -2,7 +2,6 @@
 
 import static com.google.common.truth.Truth.assertThat;
 
-import io.rhubarbward.event.EventLog;
 import java.util.stream.LongStream;
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -28,8 +27,8 @@
     @MethodSource("seeds")
     @Timeout(120)
     void callersAreToldWhatRan(long seed) throws Exception {
-        RefusalSoak.Result result =
-                RefusalSoak.run(new RefusalSoak.Plan(seed, REQUESTS), EventLog.none());
+        ClosedConnectionLog closed = new ClosedConnectionLog();
+        RefusalSoak.Result result = RefusalSoak.run(new RefusalSoak.Plan(seed, REQUESTS), closed);
         LOGGER.log(System.Logger.Level.INFO, "seed {0}: {1}", seed, result);
         assertThat(result.verdicts()).hasSize(REQUESTS);
         assertThat(result.withStatus(200)).isGreaterThan(0);
@@ -39,5 +38,6 @@
         assertThat(result.ids(RefusalVerdict.Failure.REFUSED)).isEmpty();
         assertThat(result.ids(RefusalVerdict.Failure.TWICE)).isEmpty();
         assertThat(result.ids(RefusalVerdict.Failure.MIXED)).isEmpty();
+        assertThat(closed.fields()).isEmpty();
     }
 }
--- a/rhubarbward-standin/src/main/java/io/rhubarbward/standin/fleet/SampleConfig.java
+++ b/rhubarbward-standin/src/main/java/io/rhubarbward/standin/fleet/SampleConfig.java
@@ -32,15 +32,22 @@
               {"name":"chat","maxConnections":100,"coldStartS":3.0,"coldPerS":20.0,
                "engine":{"slots":8,"kvCapacityTokens":80000}}],
              "limits":{"maxHeaderBytes":16384,"maxBodyBytes":4194304,"headerTimeoutMs":3000,
-              "idleTimeoutMs":15000},
+              "idleTimeoutMs":%d},
              "tenants":[{"name":"acme","apiKeys":["%s"]}]}
             """;
 
+    private static final int IDLE_TIMEOUT_MILLIS = 15_000;
+
     private SampleConfig() {}
 
     /** Writes the configuration into the store, and no server objects. */
     public static void writeTo(StoreStandin store) {
-        store.put("config", "main", JSON_TEMPLATE.formatted(API_KEY));
+        writeTo(store, IDLE_TIMEOUT_MILLIS);
+    }
+
+    /** The same with another idle timeout of callers' connections. */
+    public static void writeTo(StoreStandin store, int idleTimeoutMillis) {
+        store.put("config", "main", JSON_TEMPLATE.formatted(idleTimeoutMillis, API_KEY));
     }
 
     /** Writes the configuration and one server object per replica into the store. */
