Let answers that arrived during a stop count as in time

After a stop of the process, a call to the store whose answer was in the socket failed with a timeout and took its connection pool with it; on the product's own path, a request whose answer had arrived was refused with 504 as "silent". Cause: the limits were plain timers, which run before the sockets are read then (docs/incidents/timers-before-sockets.md).

--- a/rhubarbward-core/src/main/java/io/rhubarbward/request/Attempt.java
+++ b/rhubarbward-core/src/main/java/io/rhubarbward/request/Attempt.java
@@ -167,7 +167,7 @@
     private void restartSilenceTimeout(int millis) {
         mSilenceTimeout.cancel();
         mSilenceTimeout =
-                mContext.timers().after(Duration.ofMillis(millis), this::onSilenceTimeout);
+                mContext.timers().afterReading(Duration.ofMillis(millis), this::onSilenceTimeout);
     }
 
     private boolean hasHead() {
--- a/rhubarbward-core/src/main/java/io/rhubarbward/request/Exchange.java
+++ b/rhubarbward-core/src/main/java/io/rhubarbward/request/Exchange.java
@@ -71,7 +71,8 @@
         mQuarantine = new ExchangeQuarantine(request, context.quarantine());
         mDeadlineTimer =
                 context.timers()
-                        .after(Duration.ofMillis(limits().deadlineMillis()), () -> onDeadline());
+                        .afterReading(
+                                Duration.ofMillis(limits().deadlineMillis()), () -> onDeadline());
     }
 
     void start() {
--- a/rhubarbward-core/src/main/java/io/rhubarbward/timer/VirtualTimerService.java
+++ b/rhubarbward-core/src/main/java/io/rhubarbward/timer/VirtualTimerService.java
@@ -1,8 +1,11 @@
 package io.rhubarbward.timer;
 
 import java.time.Duration;
+import java.util.ArrayDeque;
 import java.util.Comparator;
 import java.util.PriorityQueue;
+import java.util.Queue;
+import java.util.concurrent.atomic.AtomicBoolean;
 
 /**
  * A timer service with a simulated clock, which moves only in {@link #advance}.
@@ -20,6 +23,7 @@
             new PriorityQueue<>(
                     Comparator.comparingLong(ScheduledAction::dueMillis)
                             .thenComparingLong(ScheduledAction::sequence));
+    private final Queue<Runnable> mUnread = new ArrayDeque<>();
     private long mNowMillis;
     private long mSequence;
 
@@ -42,6 +46,38 @@
         return () -> mQueue.remove(scheduled);
     }
 
+    @Override
+    public Subscription afterReading(Duration delay, Runnable action) {
+        AtomicBoolean cancelled = new AtomicBoolean();
+        Subscription timer =
+                after(
+                        delay,
+                        () -> {
+                            readAll();
+                            if (!cancelled.get()) {
+                                action.run();
+                            }
+                        });
+        return () -> {
+            cancelled.set(true);
+            timer.cancel();
+        };
+    }
+
+    private void readAll() {
+        for (Runnable arrival = mUnread.poll(); arrival != null; arrival = mUnread.poll()) {
+            arrival.run();
+        }
+    }
+
+    /**
+     * Simulates what arrives while the process stands still: it is handled before the next action
+     * of {@link #afterReading} that is due, and after plain timers.
+     */
+    public void arriveUnread(Runnable arrival) {
+        mUnread.add(arrival);
+    }
+
     @Override
     public Subscription every(Duration period, Runnable action) {
         RepeatingAction repeating = new RepeatingAction(period, action);
--- a/rhubarbward-core/src/test/java/io/rhubarbward/request/ExchangeTest.java
+++ b/rhubarbward-core/src/test/java/io/rhubarbward/request/ExchangeTest.java
@@ -98,6 +98,18 @@
         assertThat(mSite.backends().last().cancelled()).isTrue();
     }
 
+    /** Guards against a stop of the process after which requests fail whose answers are there. */
+    @Test
+    void anAnswerThatHasArrivedDuringAStopIsInTime() {
+        serve(Site.request("POST", "/orders/1", "tray"));
+        Sent call = mSite.backends().last();
+        mSite.timers()
+                .arriveUnread(() -> call.head(OK, "text/plain").part("whole answer").complete());
+        mSite.advance(Duration.ofMillis(20_000));
+        assertThat(mResponse.status()).isEqualTo(OK);
+        assertThat(mResponse.finished()).isTrue();
+    }
+
     @Test
     void slowCallerPausesReadingFromTheServer() {
         CallerListener caller = serve(Site.chat("slow"));
