Let a raised limit hold for a head that has begun

A head was refused after the headerTimeoutMs that was in force when it began, also if the limit had been raised since. Idle connections and pending responses ask again when their time-out is due; heads did not.

LoopTimeout.startWithLimit asks for the limit when the time-out is due, for all three. RequestDecoderTest.aRaisedTimeHoldsForAHeadThatHasBegun failed before.

--- a/rhubarbward-net/src/main/java/io/rhubarbward/net/http/CallerConnection.java
+++ b/rhubarbward-net/src/main/java/io/rhubarbward/net/http/CallerConnection.java
@@ -98,7 +98,11 @@
 
     private void startIdleTimeout(ChannelHandlerContext context) {
         cancelIdleTimeout();
-        closeAfterIdleTime(context, 0);
+        mIdleTimeout =
+                LoopTimeout.startWithLimit(
+                        context.executor(),
+                        () -> closeIfIdle(context.channel()),
+                        () -> mCurrentLimits.get().idleMillis());
     }
 
     private void cancelIdleTimeout() {
@@ -108,21 +112,6 @@
         }
     }
 
-    /** Closes the connection after the idle time in force, which may be raised until then. */
-    private void closeAfterIdleTime(ChannelHandlerContext context, long idleMillis) {
-        long maxIdleMillis = mCurrentLimits.get().idleMillis();
-        if (idleMillis > 0 && idleMillis >= maxIdleMillis) {
-            closeIfIdle(context.channel());
-            return;
-        }
-        mIdleTimeout =
-                LoopTimeout.start(
-                        context.executor(),
-                        () -> closeAfterIdleTime(context, maxIdleMillis),
-                        maxIdleMillis - idleMillis,
-                        TimeUnit.MILLISECONDS);
-    }
-
     /** Returns whether a request is being served. */
     boolean requestInProgress() {
         return mResponse != null;
--- a/rhubarbward-net/src/main/java/io/rhubarbward/net/http/PendingResponseGuard.java
+++ b/rhubarbward-net/src/main/java/io/rhubarbward/net/http/PendingResponseGuard.java
@@ -8,8 +8,6 @@
 import io.netty.channel.ChannelPromise;
 import io.rhubarbward.net.loop.LoopTimeout;
 import io.rhubarbward.request.ConnectionRefusal;
-import java.util.concurrent.TimeUnit;
-import java.util.function.BooleanSupplier;
 import java.util.function.Supplier;
 import org.jspecify.annotations.Nullable;
 
@@ -111,35 +109,19 @@
             ChannelHandlerContext context, ChannelOutboundBuffer pending) {
         long completedWrites = mCompletedWrites;
         long partialBytes = pending.currentProgress();
-        BooleanSupplier noProgress =
-                () ->
-                        mCompletedWrites == completedWrites
-                                && pending.currentProgress() == partialBytes;
-        scheduleProgressCheck(context, noProgress, 0);
-    }
-
-    /** Checks at the end of the idle time in force, which may be raised until then. */
-    private void scheduleProgressCheck(
-            ChannelHandlerContext context, BooleanSupplier noProgress, long passedMillis) {
-        long idleMillis = mLimits.get().idleMillis();
         mProgressCheck =
-                LoopTimeout.start(
+                LoopTimeout.startWithLimit(
                         context.executor(),
-                        () -> checkProgress(context, noProgress, idleMillis),
-                        idleMillis - passedMillis,
-                        TimeUnit.MILLISECONDS);
-    }
-
-    private void checkProgress(
-            ChannelHandlerContext context, BooleanSupplier noProgress, long passedMillis) {
-        mProgressCheck = null;
-        if (!noProgress.getAsBoolean()) {
-            update(context);
-        } else if (passedMillis < mLimits.get().idleMillis()) {
-            scheduleProgressCheck(context, noProgress, passedMillis);
-        } else {
-            cut(context, ConnectionRefusal.SLOW_READER);
-        }
+                        () -> {
+                            mProgressCheck = null;
+                            if (mCompletedWrites == completedWrites
+                                    && pending.currentProgress() == partialBytes) {
+                                cut(context, ConnectionRefusal.SLOW_READER);
+                            } else {
+                                update(context);
+                            }
+                        },
+                        () -> mLimits.get().idleMillis());
     }
 
     /** Resets the connection: a response without a length would seem to end with a close. */
--- a/rhubarbward-net/src/main/java/io/rhubarbward/net/http/RequestDecoder.java
+++ b/rhubarbward-net/src/main/java/io/rhubarbward/net/http/RequestDecoder.java
@@ -17,7 +17,6 @@
 import io.rhubarbward.net.loop.LoopTimeout;
 import io.rhubarbward.request.ConnectionRefusal;
 import java.util.List;
-import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
 import org.jspecify.annotations.Nullable;
 
@@ -281,11 +280,10 @@
     private void startHeadTimeout(ChannelHandlerContext context) {
         if (mHeadTimeout == null) {
             mHeadTimeout =
-                    LoopTimeout.start(
+                    LoopTimeout.startWithLimit(
                             context.executor(),
                             () -> onHeadTimeout(context),
-                            mLimits.get().headMillis(),
-                            TimeUnit.MILLISECONDS);
+                            () -> mLimits.get().headMillis());
         }
     }
 
--- a/rhubarbward-net/src/test/java/io/rhubarbward/net/http/RequestDecoderTest.java
+++ b/rhubarbward-net/src/test/java/io/rhubarbward/net/http/RequestDecoderTest.java
@@ -60,6 +60,18 @@
         assertThat(mRefusals).containsExactly(ConnectionRefusal.HEAD_TIMEOUT);
     }
 
+    /** Guards against a head that is refused for a limit that is no longer in force. */
+    @Test
+    void aRaisedTimeHoldsForAHeadThatHasBegun() {
+        EmbeddedChannel channel = connect();
+        send(channel, REQUEST.substring(0, 10));
+        mLimits = new HttpLimits(1024, 100_000, 10_000, IDLE_MILLIS, 2 * HEAD_MILLIS);
+        advance(channel, HEAD_MILLIS);
+        assertThat(channel.isOpen()).isTrue();
+        advance(channel, HEAD_MILLIS);
+        assertThat(received(channel)).startsWith("HTTP/1.1 408 ");
+    }
+
     /** Guards against a time for heads that also ends requests in progress. */
     @Test
     void theTimeForAHeadEndsWithIt() {
--- a/rhubarbward-net/src/test/java/io/rhubarbward/net/loop/LoopTimeoutTest.java
+++ b/rhubarbward-net/src/test/java/io/rhubarbward/net/loop/LoopTimeoutTest.java
@@ -6,6 +6,7 @@
 import io.netty.util.Timeout;
 import io.rhubarbward.event.EventLog;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
 import org.junit.jupiter.api.Test;
 
 /** Tests in virtual time that sockets go before time-outs that are due. */
@@ -61,6 +62,20 @@
         assertThat(mExpired).isEqualTo(0);
     }
 
+    /** Guards against a time-out by a limit that is no longer in force when it is due. */
+    @Test
+    void waitsForTheRestOfARaisedLimit() {
+        AtomicInteger limitMillis = new AtomicInteger(DELAY_MILLIS);
+        LoopTimeout.startWithLimit(mChannel.eventLoop(), () -> mExpired++, limitMillis::get);
+        limitMillis.set(2 * DELAY_MILLIS);
+        iterateAfter(DELAY_MILLIS);
+        iterateAfter(DELAY_MILLIS - 1);
+        assertThat(mExpired).isEqualTo(0);
+        iterateAfter(1);
+        iterateAfter(1);
+        assertThat(mExpired).isEqualTo(1);
+    }
+
     /** Guards against calls to the store that fail although their answers have arrived. */
     @Test
     void timersOfTheHttpClientLetAnswersGoFirst() {
