Record the connection that makes room at the routers' listener

At its bound the listener between routers closes the connection that has been silent for longest, but event 2002 described the new one since it has a client and a state. ThriftPeerTransportTest holds which one is closed.

--- a/rhubarbward-net/src/main/java/io/rhubarbward/net/peer/ThriftPeerTransport.java
+++ b/rhubarbward-net/src/main/java/io/rhubarbward/net/peer/ThriftPeerTransport.java
@@ -176,10 +176,12 @@
      */
     private void accept(SocketChannel channel) {
         if (mAccepted.size() >= mMaxAccepted) {
-            mResources.record(ConnectionRefusal.TOO_MANY_CONNECTIONS, channel);
             mAccepted.stream()
                     .min(Comparator.comparingLong(ThriftPeerTransport::heardNanos))
-                    .ifPresent(Channel::close);
+                    .ifPresent(
+                            silent ->
+                                    mResources.close(
+                                            silent, ConnectionRefusal.TOO_MANY_CONNECTIONS));
         }
         channel.attr(HEARD_NANOS).set(System.nanoTime());
         mAccepted.add(channel);
