Tell an expired time-out from a cancelled one

LoopTimeout.cancel, called by the time-out's own action, said that it was cancelled. The tests' way to begin a response moves to their fixture.

--- a/rhubarbward-net/src/main/java/io/rhubarbward/net/loop/LoopTimeout.java
+++ b/rhubarbward-net/src/main/java/io/rhubarbward/net/loop/LoopTimeout.java
@@ -32,6 +32,7 @@
     private final LongSupplier mLimitNanos;
     private @Nullable Future<?> mPending;
     private boolean mCancelled;
+    private boolean mExpired;
 
     private LoopTimeout(EventExecutor loop, Runnable onExpired, LongSupplier limitNanos) {
         mLoop = loop;
@@ -66,7 +67,7 @@
     private void await(long passedNanos) {
         long limitNanos = mLimitNanos.getAsLong();
         if (passedNanos > 0 && passedNanos >= limitNanos) {
-            schedule(mOnExpired, TimeUnit.MILLISECONDS.toNanos(ONE_ITERATION_MILLIS));
+            schedule(this::expire, TimeUnit.MILLISECONDS.toNanos(ONE_ITERATION_MILLIS));
         } else {
             schedule(() -> await(Math.max(1, limitNanos)), limitNanos - passedNanos);
         }
@@ -78,14 +79,27 @@
         }
     }
 
+    private void expire() {
+        if (markExpired()) {
+            mOnExpired.run();
+        }
+    }
+
+    private synchronized boolean markExpired() {
+        mExpired = !mCancelled;
+        return mExpired;
+    }
+
     /** Cancels the time-out, on any thread; returns false if it has expired. */
     public synchronized boolean cancel() {
-        boolean expired = mPending != null && mPending.isDone() && !mPending.isCancelled();
-        mCancelled |= !expired;
+        if (mExpired) {
+            return false;
+        }
+        mCancelled = true;
         if (mPending != null) {
             mPending.cancel(false);
         }
-        return !expired;
+        return true;
     }
 
     /** Returns whether it was cancelled before it expired. */
--- a/rhubarbward-net/src/test/java/io/rhubarbward/net/http/EmbeddedListener.java
+++ b/rhubarbward-net/src/test/java/io/rhubarbward/net/http/EmbeddedListener.java
@@ -11,7 +11,9 @@
 import io.rhubarbward.request.CallerRequest;
 import io.rhubarbward.request.CallerResponse;
 import io.rhubarbward.request.ConnectionRefusal;
+import io.rhubarbward.request.HeaderFields;
 import io.rhubarbward.timer.VirtualTimerService;
+import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
@@ -97,6 +99,21 @@
         onEventLoop(channel, () -> JsonResponses.send(mResponses.get(index), 200, Map.of()));
     }
 
+    /** Sends the head and the first 100 bytes of a response. */
+    void begin(EmbeddedChannel channel, int index) {
+        onEventLoop(
+                channel,
+                () -> {
+                    mResponses.get(index).begin(200, HeaderFields.of("a", "b"));
+                    mResponses.get(index).write(ByteBuffer.allocate(100));
+                });
+    }
+
+    /** Sends the end of a response that has begun. */
+    void finish(EmbeddedChannel channel, int index) {
+        onEventLoop(channel, mResponses.get(index)::finish);
+    }
+
     /**
      * Runs the action and then what it scheduled, like the event loop of a socket. Called directly,
      * each write of the action would run the tasks that are due.
--- a/rhubarbward-net/src/test/java/io/rhubarbward/net/http/PendingResponseGuardTest.java
+++ b/rhubarbward-net/src/test/java/io/rhubarbward/net/http/PendingResponseGuardTest.java
@@ -4,8 +4,6 @@
 
 import io.netty.channel.embedded.EmbeddedChannel;
 import io.rhubarbward.request.ConnectionRefusal;
-import io.rhubarbward.request.HeaderFields;
-import java.nio.ByteBuffer;
 import org.junit.jupiter.api.Test;
 
 /** Tests that only clients that read nothing of a pending response are cut off. */
@@ -21,19 +19,6 @@
         return channel;
     }
 
-    private void begin(EmbeddedChannel channel, int index) {
-        onEventLoop(
-                channel,
-                () -> {
-                    mResponses.get(index).begin(200, HeaderFields.of("a", "b"));
-                    mResponses.get(index).write(ByteBuffer.allocate(100));
-                });
-    }
-
-    private void finish(EmbeddedChannel channel, int index) {
-        onEventLoop(channel, mResponses.get(index)::finish);
-    }
-
     /** Guards against the reset of a request that runs when the check for the response is due. */
     @Test
     void aRequestThatRunsIsNotCutForTheResponseBeforeIt() {
--- a/rhubarbward-net/src/test/java/io/rhubarbward/net/http/StoppedProcessTest.java
+++ b/rhubarbward-net/src/test/java/io/rhubarbward/net/http/StoppedProcessTest.java
@@ -4,8 +4,6 @@
 
 import io.netty.channel.embedded.EmbeddedChannel;
 import io.rhubarbward.request.ConnectionRefusal;
-import io.rhubarbward.request.HeaderFields;
-import java.nio.ByteBuffer;
 import org.junit.jupiter.api.Test;
 
 /**
@@ -56,9 +54,7 @@
         EmbeddedChannel channel = connect();
         send(channel, REQUEST);
         mClientReadsNothing = true;
-        mResponses.get(0).begin(200, HeaderFields.of("a", "b"));
-        mResponses.get(0).write(ByteBuffer.allocate(100));
-        run(channel);
+        begin(channel, 0);
         mClientReadsNothing = false;
         standStill(channel, IDLE_MILLIS);
         channel.flush();
--- a/rhubarbward-net/src/test/java/io/rhubarbward/net/loop/LoopTimeoutTest.java
+++ b/rhubarbward-net/src/test/java/io/rhubarbward/net/loop/LoopTimeoutTest.java
@@ -5,6 +5,8 @@
 import io.netty.channel.embedded.EmbeddedChannel;
 import io.netty.util.Timeout;
 import io.rhubarbward.event.EventLog;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import org.junit.jupiter.api.Test;
@@ -53,6 +55,23 @@
         assertThat(timeout.cancelled()).isTrue();
     }
 
+    /** Guards against an expired time-out that counts as cancelled by its own action. */
+    @Test
+    void cannotBeCancelledByItsOwnAction() {
+        List<LoopTimeout> timeouts = new ArrayList<>();
+        List<Boolean> cancelled = new ArrayList<>();
+        timeouts.add(
+                LoopTimeout.start(
+                        mChannel.eventLoop(),
+                        () -> cancelled.add(timeouts.get(0).cancel()),
+                        DELAY_MILLIS,
+                        TimeUnit.MILLISECONDS));
+        iterateAfter(DELAY_MILLIS);
+        iterateAfter(1);
+        assertThat(cancelled).containsExactly(false);
+        assertThat(timeouts.get(0).cancelled()).isFalse();
+    }
+
     @Test
     void canBeCancelledBeforeItIsDue() {
         LoopTimeout timeout = start();
