Show that slow readers can end the responses of others

At the bound on the sum of pending responses, the connection that adds to it is reset, also if its client reads at once and the bytes only wait for the flush.

--- a/rhubarbward-net/src/test/java/io/rhubarbward/net/http/PendingResponseGuardTest.java
+++ b/rhubarbward-net/src/test/java/io/rhubarbward/net/http/PendingResponseGuardTest.java
@@ -4,6 +4,9 @@
 
 import io.netty.channel.embedded.EmbeddedChannel;
 import io.rhubarbward.request.ConnectionRefusal;
+import io.rhubarbward.request.HeaderFields;
+import java.nio.ByteBuffer;
+import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 
 /** Tests that only clients that read nothing of a pending response are cut off. */
@@ -126,4 +129,22 @@
         advance(channel, 1);
         assertThat(mRefusals).containsExactly(ConnectionRefusal.SLOW_READER);
     }
+
+    /** Guards against clients that read nothing and so end the responses of those that do. */
+    @Test
+    @Tag("known-red")
+    void aClientThatReadsAtOnceIsNotCutWhileOthersTakeUpTheMemory() {
+        mResources.pendingResponses().reservation().growTo(MAX_PENDING_BYTES);
+        EmbeddedChannel channel = connect();
+        send(channel, REQUEST);
+        onEventLoop(
+                channel,
+                () -> {
+                    mResponses.get(0).begin(200, HeaderFields.of("a", "b"));
+                    mResponses.get(0).write(ByteBuffer.allocate(MAX_PENDING_BYTES / 5));
+                    mResponses.get(0).finish();
+                });
+        assertThat(mRefusals).isEmpty();
+        assertThat(received(channel)).endsWith("0\r\n\r\n");
+    }
 }
