--- a/review/standins-3/src/BrittleClump.java
+++ b/review/standins-3/src/BrittleClump.java
@@ -6,14 +6,14 @@
 
 /** Replicas say that they are brittle; then usual traffic comes in clumps. */
 final class BrittleClump extends Case {
-    private static final int ROUTERS = 4;
+    private static final int ROUTERS = 6;
     private static final int REPLICAS = 3;
     private static final int CONTACT_MILLIS = 3000;
     private static final int DECLINES_A_SECOND = 3;
     private static final int QUEUE_WHILE_BRITTLE = 2;
     private static final int WORK_MILLIS = 86;
-    private static final int CLUMPS = 8;
-    private static final int CLUMP_REQUESTS = 60;
+    private static final int CLUMPS = 10;
+    private static final int CLUMP_REQUESTS = 72;
     private static final int CLUMP_PERIOD_MILLIS = 2000;
 
     private final AtomicInteger mFalls = new AtomicInteger();
