--- a/review/standins-3/src/CrashingRequest.java
+++ b/review/standins-3/src/CrashingRequest.java
@@ -27,7 +27,7 @@
     /**
      * Creates the case.
      *
-     * @param engines replicas of another service, which no request goes to
+     * @param engines replicas of another service, which no request goes to; 0 if there is none
      */
     private CrashingRequest(int engines) {
         mEngines = engines;
@@ -71,6 +71,9 @@
                     new Replica.Profile(Fleet.PLAIN, Fleet.zone(i), 6, 24, 0, BACK_MILLIS),
                     new Plain());
         }
+        if (mEngines == 0) {
+            fleet.withoutEngines();
+        }
         for (int i = 0; i < mEngines; i++) {
             fleet.addReplica(
                     "llm" + i,
--- a/review/standins-3/src/Fleet.java
+++ b/review/standins-3/src/Fleet.java
@@ -16,30 +16,48 @@
 
     static final String PLAIN = "wuno96b";
 
-    private static final String CONFIG =
+    private static final String ENGINE_ROUTES =
             """
-            {"version":7,"routes":[\
             {"name":"r-chat","host":"ficu95.example","pathPrefix":"/lohu930/",\
             "kind":"streaming","timeoutMs":12000,"targetLatencyMs":500,"priority":1,\
             "service":"huvo11a","maxAttempts":1,"noAuth":false,"sessionAffinity":true,\
             "streamResume":false,"gapTargetMs":250},\
+            """;
+
+    private static final String PLAIN_ROUTES =
+            """
             {"name":"r-order","host":"ficu95.example","pathPrefix":"/puxa403/",\
             "kind":"non_idempotent","timeoutMs":4000,"targetLatencyMs":300,"priority":2,\
             "service":"wuno96b","maxAttempts":1,"noAuth":false},\
             {"name":"r-status","host":"ficu95.example","pathPrefix":"/cufi504/",\
             "kind":"idempotent","timeoutMs":4000,"targetLatencyMs":300,"priority":2,\
-            "service":"wuno96b","maxAttempts":2,"noAuth":false}],\
-            "services":[\
+            "service":"wuno96b","maxAttempts":2,"noAuth":false}\
+            """;
+
+    private static final String ENGINE_SERVICE =
+            """
             {"name":"huvo11a","healthPath":"/health","maxConnections":370,"protocol":"h1",\
             "tls":false,"coldStartS":3.0,"coldPerS":20.0,"engine":{"slots":64,\
             "kvCapacityTokens":813414,"kvTokenBytes":18432,"linkMbps":370000.0,"moves":true,\
             "backups":true,"stride":7,"most":2,"pinMs":4000.0,"holdMs":2000.0,"handleS":5.0,\
             "models":[{"name":"m"}]}},\
+            """;
+
+    private static final String PLAIN_SERVICE =
+            """
             {"name":"wuno96b","healthPath":"/health","maxConnections":110,"protocol":"h1",\
-            "tls":false,"coldStartS":0.0,"coldPerS":0.0}],\
-            "limits":{"maxHeaderBytes":16384,"maxBodyBytes":4194304,"headerTimeoutMs":3000,\
-            "idleTimeoutMs":15000},\
-            "tenants":[{"name":"hule930","apiKeys":["n2ctnfzs989anu6wsjnb"],"priority":1}]}\
+            "tls":false,"coldStartS":0.0,"coldPerS":0.0}\
+            """;
+
+    private static final String LIMITS =
+            """
+            {"maxHeaderBytes":16384,"maxBodyBytes":4194304,"headerTimeoutMs":3000,\
+            "idleTimeoutMs":15000}\
+            """;
+
+    private static final String TENANTS =
+            """
+            {"name":"hule930","apiKeys":["n2ctnfzs989anu6wsjnb"],"priority":1}\
             """;
 
     private static final List<String> ZONES = List.of("lima-norte", "lima-centro", "lima-sur");
@@ -64,7 +82,31 @@
             throw new UncheckedIOException(e);
         }
         store.open();
-        store.put("config", "main", CONFIG);
+        configure(7, ENGINE_ROUTES, ENGINE_SERVICE);
+    }
+
+    /** Takes the engines and their route out of the configuration. */
+    void withoutEngines() {
+        configure(8, "", "");
+    }
+
+    private void configure(int version, String engineRoutes, String engineService) {
+        store.put(
+                "config",
+                "main",
+                "{\"version\":"
+                        + version
+                        + ",\"routes\":["
+                        + engineRoutes
+                        + PLAIN_ROUTES
+                        + "],\"services\":["
+                        + engineService
+                        + PLAIN_SERVICE
+                        + "],\"limits\":"
+                        + LIMITS
+                        + ",\"tenants\":["
+                        + TENANTS
+                        + "]}");
     }
 
     void addReplica(String name, Replica.Profile profile, Replica.Behaviour behaviour) {
--- a/review/standins-3/src/Replica.java
+++ b/review/standins-3/src/Replica.java
@@ -53,6 +53,11 @@
             return 200;
         }
 
+        /** Returns the least length of the answer's body. */
+        default int bodyBytes(HttpMessage request) {
+            return 0;
+        }
+
         /** Returns how many requests may wait now. */
         default int queue(Profile profile) {
             return profile.queue();
@@ -259,6 +264,7 @@
         boolean events = mProfile.service().equals(Fleet.ENGINES);
         String text = "answer to " + attempt + " by " + mId;
         String body = events ? "id: 1\ndata: " + text + "\n\n" : text;
+        body += " ".repeat(Math.max(0, mBehaviour.bodyBytes(request) - body.length()));
         mRecord.add(mId + " answers " + status + " to " + attempt);
         connection
                 .getOutputStream()
