--- a/review/standins-3/src/Router.java
+++ b/review/standins-3/src/Router.java
@@ -160,6 +160,16 @@
         return mProcess != null && mProcess.isAlive();
     }
 
+    /** Returns the last line that the process wrote. */
+    String lastLogLine() {
+        try {
+            List<String> lines = Files.readAllLines(mLog);
+            return lines.isEmpty() ? "" : lines.get(lines.size() - 1);
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+
     /** Sends SIGKILL and waits for the end of the process. */
     void kill() {
         if (mProcess == null) {
