--- a/review/standins-3/src/Case.java
+++ b/review/standins-3/src/Case.java
@@ -1,9 +1,9 @@
 import java.nio.file.Path;
 
-/** Runs a case and ends with its result: 0 held, 1 broken, 2 could not run. */
+/** Runs a case and ends with its result: 0 held, 3 broken, 2 could not run. */
 abstract class Case {
     private static final int HELD = 0;
-    private static final int BROKEN = 1;
+    private static final int BROKEN = 3;
     private static final int COULD_NOT_RUN = 2;
 
     /** Whether the disruption takes place. */
